--- /dev/null
+++ b/src/bucket.rs
@@ -0,0 +1,63 @@
+//! A token bucket that may go into debt.
+
+/// Tokens that fill at a rate up to a depth.
+///
+/// ```
+/// use grebecleat::bucket::TokenBucket;
+/// let mut tok = TokenBucket::new(2.0, 4.0, 0.0);
+/// tok.refill(0.5);
+/// assert_eq!(tok.held(), 1.0);
+/// tok.take(3.0);
+/// assert_eq!(tok.held(), -2.0);
+/// tok.refill(100.0);
+/// assert_eq!(tok.held(), 4.0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate: f64,
+    depth: f64,
+    held: f64,
+}
+
+impl TokenBucket {
+    pub fn new(rate: f64, depth: f64, held: f64) -> Self {
+        let (rate, depth) = (finite(rate), finite(depth));
+        TokenBucket { rate, depth, held: finite(held).min(depth) }
+    }
+
+    /// A new rate and depth; what is held stays, cut to the depth.
+    pub fn retune(&mut self, rate: f64, depth: f64) {
+        self.rate = finite(rate);
+        self.depth = finite(depth);
+        self.held = self.held.min(self.depth);
+    }
+
+    pub fn refill(&mut self, seconds: f64) {
+        self.held = (self.held + self.rate * seconds).min(self.depth);
+    }
+
+    pub fn take(&mut self, units: f64) {
+        self.held -= units;
+    }
+
+    /// Forgives debt below the given floor.
+    pub fn floor(&mut self, floor: f64) {
+        self.held = self.held.max(floor);
+    }
+
+    pub fn held(&self) -> f64 {
+        self.held
+    }
+
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+}
+
+fn finite(x: f64) -> f64 {
+    if x.is_finite() {
+        x.max(0.0)
+    } else {
+        0.0
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,232 @@
+//! What the decision module is told and what it answers. No decision is made here.
+
+use std::time::Duration;
+
+/// A transfer, by the text under which the client knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct XferId(pub [u8; 36]);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub u32);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct VolumeId(pub u64);
+
+/// The piece of data that a transfer reads or writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyId(pub u64);
+
+/// The group of nodes that hold one part of the data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PlanId(pub usize);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamTypeId(pub usize);
+
+/// Another host's number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerId(pub u32);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerTag(pub u64);
+
+/// Which nodes know a repeat of a keyed transfer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    Keyed { group: RepeatGroup, remembered: Duration },
+    Unrepeatable,
+}
+
+#[derive(Debug, Clone)]
+pub struct StreamType {
+    pub slo: Duration,
+    pub repeat: Repeat,
+    pub ordered: bool,
+    pub benefit: f64,
+    pub late_part: f64,
+}
+
+/// Figures of a plan, for one volume over all hosts and nodes. Rates are units a second.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    pub base_rate: f64,
+    pub reservation: f64,
+    /// 0: no limit.
+    pub limit: f64,
+    pub limit_burst: f64,
+    pub limit_slack: f64,
+    pub weight: f64,
+    pub price: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct UnitFacts {
+    pub mean: f64,
+    pub largest: f64,
+    /// The period over which reported service is added up; zero: none is reported.
+    pub meter: Duration,
+    /// The part of the benefit that units earn beyond the reservation, inside the share.
+    pub share_part: f64,
+    /// The part that units earn beyond the share.
+    pub spare_part: f64,
+}
+
+/// What the deployment lets a host do with legs and probes.
+#[derive(Debug, Clone)]
+pub struct LegCaps {
+    pub most_legs: u32,
+    pub probing: bool,
+    pub come_back: Option<Duration>,
+    pub answer_slack: Duration,
+}
+
+/// The rule on nodes that have just started.
+#[derive(Debug, Clone, Default)]
+pub struct ColdRule {
+    pub hosts: usize,
+    pub units: f64,
+    pub starts_at: f64,
+    pub warm_within: Duration,
+    pub fall_within: Duration,
+    pub multiple: f64,
+}
+
+/// The rule on legs beyond each transfer's first.
+#[derive(Debug, Clone)]
+pub struct LegBudget {
+    pub floor: f64,
+    pub share: f64,
+    pub window: Duration,
+}
+
+/// How the list of nodes is come by.
+#[derive(Debug, Clone, Default)]
+pub struct ListRule {
+    pub on_asking: bool,
+    pub ask_every: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub struct Transfer {
+    pub id: XferId,
+    pub units: f64,
+    /// None: a new object, which any node can take.
+    pub cell: Option<CellId>,
+    pub stream_type: StreamTypeId,
+    pub plan: PlanId,
+    /// Through how many hosts the volume works.
+    pub hosts: usize,
+    pub key: Option<KeyId>,
+    pub expiry: Duration,
+    pub volume: VolumeId,
+}
+
+/// How a leg ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LegEnd {
+    Done,
+    Error,
+    Full,
+    TimeOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    Remembered,
+    NotHad,
+}
+
+#[derive(Debug, Clone)]
+pub struct ListEntry {
+    pub node: NodeId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub state: NodeState,
+    /// When its process last started; None: long ago.
+    pub started: Option<Duration>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    Taken(Transfer),
+    /// The answer of a streamed transfer has begun; it now belongs to the client.
+    Begun {
+        id: XferId,
+        leg: u32,
+    },
+    LegOver {
+        id: XferId,
+        leg: u32,
+        node: NodeId,
+        end: LegEnd,
+        elapsed: Duration,
+        /// The transfer has had its final answer.
+        over: bool,
+        /// The volume's service everywhere in a finished period, in percent of the plan's rate.
+        reported: Option<f64>,
+        /// Units that this cell did for the volume through other hosts since its last answer here.
+        others: f64,
+        /// Busy part of the node's cores, where it is reported.
+        busy: Option<f64>,
+    },
+    Withdrawn {
+        id: XferId,
+    },
+    List {
+        kind: ListKind,
+        entries: Vec<ListEntry>,
+    },
+    Timer {
+        tag: TimerTag,
+    },
+    Probed {
+        node: NodeId,
+        end: LegEnd,
+    },
+    Told {
+        from: PeerId,
+        bytes: Vec<u8>,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Send { id: XferId, node: NodeId, until: Duration },
+    Defer { id: XferId, come_back: Option<Duration> },
+    Abandon { id: XferId },
+    CancelLeg { id: XferId, leg: u32 },
+    Timer { after: Duration, tag: TimerTag },
+    Probe { node: NodeId },
+    CloseIdle { node: NodeId },
+    Tell { to: Option<PeerId>, bytes: Vec<u8> },
+    Log { text: String },
+    Watch { on: bool },
+    FetchList,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! grebecleat decides, on each host of a storage gateway, which transfers go to their
+//! storage node now, which are held, and which are turned away.
+//!
+//! [`control`] holds every decision. [`interface`] holds what goes in and out of it;
+//! [`state`] the records it keeps; [`bucket`] and [`histogram`] are mechanical helpers whose numbers come from the caller.
+
+pub mod bucket;
+pub mod control;
+pub mod histogram;
+pub mod interface;
+pub mod state;
