--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,7 @@
 use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
@@ -36,8 +36,12 @@
 const BRAKE_LEAST: f64 = 0.2;
 const FAILING: f64 = 0.5;
 const TRIAL_EVERY: Duration = Duration::from_millis(500);
+const BRAKE_DOWN: f64 = 0.9;
+const BRAKE_UP: f64 = 1.05;
+const LEAST_PART: f64 = 0.15;
+const WATCH_AGAIN: Duration = Duration::from_millis(200);
 const COLD_PART: f64 = 0.4;
-const SILENT_SLOS: u32 = 2;
+const SILENT_SLOS: u32 = 4;
 const PER_UNIT_KEPT: f64 = 400.0;
 const RETURN_SPREAD: Duration = Duration::from_millis(400);
 
@@ -229,80 +233,9 @@
     able.max(rule.units / rule.hosts.max(1) as f64) / 2.0
 }
 
-/// Legs beyond the first, held inside the budget of any window.
-#[derive(Debug, Default)]
-pub struct Ration {
-    rule: Option<LegBudget>,
-    taken: VecDeque<Duration>,
-    further: VecDeque<Duration>,
-}
-
-impl Ration {
-    pub fn new(rule: Option<LegBudget>) -> Self {
-        Ration { rule, ..Ration::default() }
-    }
-
-    pub fn take(&mut self, now: Duration) {
-        if self.rule.is_some() {
-            self.taken.push_back(now);
-        }
-    }
-
-    pub fn allows(&mut self, now: Duration) -> bool {
-        let Some(rule) = &self.rule else { return true };
-        // The edge of the window is read against us on both counts: transfers leave a tick early, legs late.
-        while self.taken.front().is_some_and(|t| *t + rule.window <= now + TICK) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|t| *t + rule.window + TICK < now) {
-            self.further.pop_front();
-        }
-        (self.further.len() + 1) as f64 <= rule.floor + rule.share * self.taken.len() as f64
-    }
-
-    pub fn spend(&mut self, now: Duration) {
-        if self.rule.is_some() {
-            self.further.push_back(now);
-        }
-    }
-}
-
-/// Transfers that share a key, in the order taken, and the rest after a leg that may still run.
-#[derive(Debug, Default)]
-pub struct KeyLines {
-    lines: BTreeMap<KeyId, (VecDeque<XferId>, Duration, Option<XferId>)>,
-}
-
-impl KeyLines {
-    pub fn join(&mut self, key: KeyId, id: XferId) {
-        self.lines.entry(key).or_default().0.push_back(id);
-    }
-
-    pub fn leave(&mut self, key: KeyId, id: XferId) {
-        if let Some(line) = self.lines.get_mut(&key) {
-            line.0.retain(|x| *x != id);
-        }
-    }
-
-    pub fn doubt(&mut self, key: KeyId, id: XferId, until: Duration) {
-        let line = self.lines.entry(key).or_default();
-        (line.1, line.2) = (line.1.max(until), Some(id));
-    }
-
-    pub fn has_turn(&self, key: KeyId, id: XferId, now: Duration) -> bool {
-        self.lines.get(&key).is_none_or(|(line, rest, by)| {
-            line.front().is_none_or(|f| *f == id) && (now >= *rest || *by == Some(id))
-        })
-    }
-
-    fn sweep(&mut self, now: Duration) {
-        self.lines.retain(|_, (line, rest, _)| !line.is_empty() || now < *rest);
-    }
-}
-
+/// The decisions of one host.
 #[derive(Debug)]
 pub struct Control {
-    now: Duration,
     rng: Pcg64Mcg,
     streams: Vec<StreamType>,
     plans: Vec<Plan>,
@@ -310,23 +243,11 @@
     caps: LegCaps,
     cold: ColdRule,
     list: ListRule,
+    budget: Option<LegBudget>,
     key_rest: Duration,
-    ration: Ration,
-    keys: KeyLines,
     tightest: Duration,
-    nodes: BTreeMap<NodeId, Node>,
-    volumes: BTreeMap<VolumeId, Volume>,
-    xfers: BTreeMap<XferId, Xfer>,
-    floating: Vec<XferId>,
     per_unit: Histogram,
-    ticked: Duration,
-    planned: Duration,
-    armed: Option<Duration>,
-    tag: u64,
-    watch_at: Option<Duration>,
-    watch_tries: u32,
-    changed: Vec<XferId>,
-    out: Vec<Action>,
+    bk: Books,
 }
 
 impl Control {
@@ -338,32 +259,22 @@
         caps: LegCaps,
     ) -> Self {
         let tightest = streams.iter().map(|s| s.slo).filter(|d| *d > TICK).min().unwrap_or(INTERVAL);
+        let (rng, per_unit) = (Pcg64Mcg::seed_from_u64(seed), Histogram::new(TICK / 5, 1.4, 16));
+        let (cold, list, key_rest) = (ColdRule::default(), ListRule::default(), Duration::ZERO);
+        let bk = Books::default();
         Control {
-            now: Duration::ZERO,
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            rng,
             streams,
             plans,
             units,
             caps,
-            cold: ColdRule::default(),
-            list: ListRule::default(),
-            key_rest: Duration::ZERO,
-            ration: Ration::default(),
-            keys: KeyLines::default(),
+            cold,
+            list,
+            budget: None,
+            key_rest,
             tightest,
-            nodes: BTreeMap::new(),
-            volumes: BTreeMap::new(),
-            xfers: BTreeMap::new(),
-            floating: Vec::new(),
-            per_unit: Histogram::new(Duration::from_millis(2), 1.4, 16),
-            ticked: Duration::ZERO,
-            planned: Duration::ZERO,
-            armed: None,
-            tag: 0,
-            watch_at: None,
-            watch_tries: 0,
-            changed: Vec::new(),
-            out: Vec::new(),
+            per_unit,
+            bk,
         }
     }
 
@@ -373,24 +284,23 @@
         cold: ColdRule,
         list: ListRule,
         legs: Option<LegBudget>,
-        key_rest: Duration,
+        rest: Duration,
     ) -> Self {
-        (self.cold, self.list, self.key_rest) = (cold, list, key_rest);
-        self.ration = Ration::new(legs);
+        (self.cold, self.list, self.budget, self.key_rest) = (cold, list, legs, rest);
         self
     }
 
     pub fn step(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
-        if self.armed.is_none() {
-            (self.ticked, self.planned) = (now, now);
+        if self.bk.armed.is_none() {
+            (self.bk.ticked, self.bk.planned) = (now, now);
             // All hosts may start at once, and the list's service has room for few calls at a time.
-            self.watch_at = self.list.on_asking.then(|| now + self.spread(INTERVAL));
+            self.bk.watch_at = self.list.on_asking.then(|| now + self.spread(INTERVAL));
         }
-        self.now = now;
-        let ticks = (now.saturating_sub(self.ticked).as_micros() / TICK.as_micros()) as u32;
-        self.refill(ticks);
+        self.bk.now = now;
+        let ticks = (now.saturating_sub(self.bk.ticked).as_micros() / TICK.as_micros()) as u32;
+        self.bk.refill(ticks, TICK);
         events.into_iter().for_each(|e| self.hear(e));
-        if now >= self.planned + INTERVAL {
+        if now >= self.bk.planned + INTERVAL {
             self.plan();
         }
         self.decide(ticks > 0);
@@ -401,266 +311,195 @@
         most.mul_f64(self.rng.random::<f64>())
     }
 
-    fn refill(&mut self, ticks: u32) {
-        self.ticked += TICK * ticks;
-        let (span, n) = (secs(TICK) * f64::from(ticks), f64::from(ticks));
-        for v in self.volumes.values_mut() {
-            v.reserve.refill(span);
-            v.limit.iter_mut().for_each(|b| b.refill(span));
-        }
-        for nd in self.nodes.values_mut() {
-            nd.tokens.refill(span);
-            nd.cold.iter_mut().for_each(|b| b.refill(span));
-            for f in nd.flows.values_mut() {
-                f.spare.iter_mut().for_each(|b| b.refill(span));
-                f.queued_sum += f.held * n;
-                f.out_sum += f.out * n;
-            }
-        }
-    }
-
     fn hear(&mut self, event: Event) {
         match event {
             Event::Taken(x) => self.take(x),
-            Event::Begun { id, .. } => {
-                if let Some(x) = self.xfers.get_mut(&id) {
-                    x.begun = true;
-                }
-            }
+            Event::Begun { id, .. } => self.bk.xfers.get_mut(&id).into_iter().for_each(|x| x.begun = true),
             Event::LegOver { id, node, end, elapsed, over, reported, .. } => {
-                self.leg_over(id, node, end, elapsed, over, reported);
+                self.measure(id, node, end, elapsed, reported);
+                self.leg_over(id, node, end, over);
             }
-            Event::Withdrawn { id } => self.close(id),
+            Event::Withdrawn { id } => self.bk.close(id),
             Event::List { kind, entries } => self.follow(kind, entries),
             Event::Timer { .. } | Event::Probed { .. } | Event::Told { .. } => {}
         }
     }
 
     fn take(&mut self, x: Transfer) {
-        self.ration.take(self.now);
-        let (stream, plan) = (&self.streams[x.stream_type.0], &self.plans[x.plan.0]);
-        let hosts = x.hosts.max(1) as f64;
-        self.volumes.entry(x.volume).or_insert_with(|| {
-            let rate = plan.reservation / hosts;
+        self.bk.taken.add(self.bk.now);
+        let (stream, plan, id) = (&self.streams[x.stream_type.0], &self.plans[x.plan.0], x.id);
+        let hosts = x.hosts.max(1);
+        self.bk.volumes.entry(x.volume).or_insert_with(|| {
+            let part = |of: f64| of / hosts as f64;
+            let reserve = TokenBucket::new(part(plan.reservation), part(plan.reservation), plan.reservation);
             // A host that was restarted has forgotten what it drew from the limit's store, so its part
-            // starts empty but for its part of the slack. Harm: a volume's first burst comes slower.
-            let part = |of: f64| of / hosts;
+            // starts empty. Harm: a volume's first burst comes slower.
             let limit = TokenBucket::new(part(plan.limit), part(plan.limit_burst), 0.0);
-            Volume {
-                plan: x.plan,
-                hosts: x.hosts.max(1),
-                done: 0.0,
-                done_rate: 0.0,
-                reported: None,
-                reserve: TokenBucket::new(rate, rate, rate),
-                limit: (plan.limit > 0.0).then_some(limit),
-            }
+            let limit = (plan.limit > 0.0).then_some(limit);
+            Volume { plan: x.plan, hosts, done: 0.0, done_rate: 0.0, reported: None, reserve, limit }
         });
-        let id = x.id;
         if let (true, Some(key)) = (stream.ordered, x.key) {
-            self.keys.join(key, id);
-        }
-        let xfer = Xfer {
-            taken: self.now,
-            slo_at: self.now + stream.slo,
-            want: Want::Held,
-            over: false,
-            begun: false,
-            legs: 0,
-            out: None,
-            last: None,
-            ran: None,
-            not_before: self.now,
-            x,
-        };
-        self.xfers.insert(id, xfer);
+            self.bk.keys.join(key, id);
+        }
+        self.bk.xfers.insert(id, Xfer::new(x, self.bk.now, stream.slo));
         self.hold(id);
     }
 
     /// Puts a transfer among those held at the node that has its data, or among those that any may take.
+    /// One whose time is up, or whose node is absent, is given up at once: its client may know better.
     fn hold(&mut self, id: XferId) {
-        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let x = &self.bk.xfers[&id];
+        let ready = |(_, nd): &(&NodeId, &Node)| Some(nd.cell) == x.x.cell && nd.state == NodeState::Ready;
+        let at = self.bk.nodes.iter().filter(ready).max_by_key(|(_, nd)| nd.started).map(|(n, _)| *n);
+        let absent = x.x.cell.is_some() && at.is_none();
+        if absent || self.bk.now + self.expected(at, x.x.units) >= x.x.expiry {
+            return self.give_up(id, TRIAL_EVERY);
+        }
+        let x = self.bk.xfers.get_mut(&id).expect("looked up above");
         x.want = Want::Held;
-        let Some(cell) = x.x.cell else { return self.floating.push(id) };
-        let ready = self.nodes.iter_mut().filter(|(_, nd)| nd.cell == cell && nd.state == NodeState::Ready);
-        match ready.max_by_key(|(_, nd)| nd.started) {
-            Some((_, nd)) => {
-                nd.held.push(id);
-                nd.flows.entry(x.x.volume).or_default().held += x.x.units;
-            }
-            None => self.give_up(id, TRIAL_EVERY),
+        match at.and_then(|n| self.bk.nodes.get_mut(&n)) {
+            Some(nd) => nd.hold(&x.x),
+            None => self.bk.floating.push(id),
         }
     }
 
     fn give_up(&mut self, id: XferId, wait: Duration) {
-        let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { return };
+        let Some(x) = self.bk.xfers.get_mut(&id) else { return };
         let repeat = self.streams[x.x.stream_type.0].repeat;
-        let end = if may_defer(repeat, x.ran.is_some()) { Want::Deferred(wait) } else { Want::Abandoned };
-        x.want = end;
-        self.unhold(id);
-        self.changed.push(id);
-    }
-
-    /// The transfer needs nothing more from us; its record stays while a leg is out.
-    fn close(&mut self, id: XferId) {
-        let Some(x) = self.xfers.get_mut(&id) else { return };
-        let was_held = !x.over && x.want == Want::Held;
-        x.over = true;
-        let (key, out) = (x.x.key, x.out);
-        if was_held {
-            self.unhold(id);
-        }
-        if out.is_none() {
-            self.xfers.remove(&id);
-            if let Some(key) = key {
-                self.keys.leave(key, id);
-            }
-        }
+        x.want = if may_defer(repeat, x.ran.is_some()) { Want::Deferred(wait) } else { Want::Abandoned };
+        self.bk.unhold(id);
+        self.bk.changed.push(id);
     }
 
-    fn leg_over(
-        &mut self,
-        id: XferId,
-        node: NodeId,
-        end: LegEnd,
-        elapsed: Duration,
-        over: bool,
-        told: Option<f64>,
-    ) {
-        let Some(x) = self.xfers.get_mut(&id) else { return };
-        x.out = None;
-        let (xr, may_run) = (x.x.clone(), !matches!(end, LegEnd::Full | LegEnd::NoConnection | LegEnd::Moot));
-        let sent = self.now.saturating_sub(elapsed);
-        let (tightest, now) = (self.tightest, self.now);
-        let v = self.volumes.get_mut(&xr.volume).expect("made when taken");
+    fn measure(&mut self, id: XferId, node: NodeId, end: LegEnd, elapsed: Duration, told: Option<f64>) {
+        let Some((x, nd)) = self.bk.xfers.get_mut(&id).zip(self.bk.nodes.get_mut(&node)) else { return };
+        let (now, units) = (self.bk.now, x.x.units);
+        let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
         if let Some(percent) = told {
-            v.reported = Some((percent / 100.0 * self.plans[xr.plan.0].base_rate, now));
-        }
-        if let Some(nd) = self.nodes.get_mut(&node) {
-            nd.out -= xr.units;
-            nd.legs.remove(&id);
-            nd.flows.entry(xr.volume).or_default().out -= xr.units;
-            let bad = matches!(end, LegEnd::Error | LegEnd::NoConnection | LegEnd::Reset);
-            nd.errors = smooth(nd.errors, f64::from(u8::from(bad)), SMOOTH);
-            if may_run && x.ran.is_none() && end != LegEnd::Done {
-                x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent });
-            }
-            match end {
-                LegEnd::Done => {
-                    (nd.done, v.done) = (nd.done + xr.units, v.done + xr.units);
-                    self.per_unit.add(elapsed.div_f64(xr.units.max(0.5)));
-                    let own = self.per_unit.quantile(0.15).unwrap_or_default().mul_f64(xr.units);
-                    let lag = elapsed.saturating_sub(own);
-                    nd.lags.add(lag);
-                    nd.answers += 1.0;
-                    let late = lag > tightest.mul_f64(SLO_PART);
-                    nd.slow += f64::from(u8::from(late));
-                    // Late answers of any cause (slow node, strangers' load, other hosts) shrink the bound
-                    // below the design's floor, which alone would queue past the SLO time.
-                    nd.brake = (nd.brake * if late { 0.9 } else { 1.05 }).clamp(BRAKE_LEAST, 1.0);
-                }
-                LegEnd::Full => {
-                    nd.fulls += 1.0;
-                    nd.brake = (nd.brake * 0.7).max(BRAKE_LEAST);
-                }
-                _ => {}
-            }
-            let answered = matches!(end, LegEnd::Done | LegEnd::Error | LegEnd::Full);
-            if answered {
-                nd.heard = now;
-                if std::mem::take(&mut nd.silent) {
-                    nd.open_from = now;
-                    self.out.push(Action::Log { text: format!("node {} answers again", node.0) });
-                }
+            v.reported = Some((percent / 100.0 * self.plans[x.x.plan.0].base_rate, now));
+        }
+        nd.leg_over(&x.x);
+        let never_ran = matches!(end, LegEnd::Full | LegEnd::NoConnection | LegEnd::Moot);
+        if !never_ran && end != LegEnd::Done && x.ran.is_none() {
+            x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent: now.saturating_sub(elapsed) });
+        }
+        let bad = matches!(end, LegEnd::Error | LegEnd::NoConnection | LegEnd::Reset);
+        nd.errors = smooth(nd.errors, f64::from(u8::from(bad)), SMOOTH);
+        if end == LegEnd::Done {
+            (nd.answers.done, v.done) = (nd.answers.done + units, v.done + units);
+            self.per_unit.add(elapsed.div_f64(units.max(0.5)));
+            let own = self.per_unit.quantile(LEAST_PART).unwrap_or_default().mul_f64(units);
+            nd.lags.add(elapsed.saturating_sub(own));
+            let late = elapsed > own + self.tightest.mul_f64(SLO_PART);
+            (nd.answers.all, nd.answers.slow) =
+                (nd.answers.all + 1.0, nd.answers.slow + f64::from(u8::from(late)));
+            // Late answers of any cause (slow node, strangers' load, other hosts) shrink the bound below
+            // the design's floor, which alone would queue past the SLO time.
+            nd.brake = (nd.brake * if late { BRAKE_DOWN } else { BRAKE_UP }).clamp(BRAKE_LEAST, 1.0);
+        } else if end == LegEnd::Full {
+            nd.answers.full += 1.0;
+            nd.brake = (nd.brake * BRAKE_DOWN * BRAKE_DOWN).max(BRAKE_LEAST);
+        }
+        if matches!(end, LegEnd::Done | LegEnd::Error | LegEnd::Full) {
+            nd.heard = now;
+            if std::mem::take(&mut nd.silent) {
+                self.bk.log(format!("node {} answers again", node.0));
             }
         }
-        let x = &self.xfers[&id];
-        let (legs, ended) = (x.legs, over || x.over || x.begun);
+    }
+
+    fn leg_over(&mut self, id: XferId, node: NodeId, end: LegEnd, over: bool) {
+        let Some(x) = self.bk.xfers.get_mut(&id) else { return };
+        x.out = None;
         let may_still_run = matches!(end, LegEnd::TimeOut | LegEnd::Reset | LegEnd::Cancelled);
-        if let (true, true, Some(key)) = (may_still_run, self.streams[xr.stream_type.0].ordered, xr.key) {
-            self.keys.doubt(key, id, now + self.key_rest);
+        if let (true, true, Some(key)) = (may_still_run, self.streams[x.x.stream_type.0].ordered, x.x.key) {
+            self.bk.keys.rest(key, id, self.bk.now + self.key_rest);
         }
-        if ended {
-            return self.close(id);
+        if over || x.over || x.begun {
+            return self.bk.close(id);
         }
+        let (legs, left, units) = (x.legs, x.x.expiry.saturating_sub(self.bk.now), x.x.units);
         let wait = self.spread(TICK * 2) + TICK * 2u32.pow(legs.min(6));
-        let left = xr.expiry.saturating_sub(now);
-        let goes_on = end != LegEnd::TimeOut && end != LegEnd::Moot && self.may_follow(id, node);
-        if goes_on && left > self.expected(node, xr.units) + wait {
-            self.xfers.get_mut(&id).expect("looked up above").not_before = now + wait;
+        let further = self.further_allowed();
+        let (x, nd) = (&self.bk.xfers[&id], self.bk.nodes.get(&node));
+        let repeat = self.streams[x.x.stream_type.0].repeat;
+        let again = further
+            && legs < self.caps.most_legs
+            && !matches!(end, LegEnd::TimeOut | LegEnd::Moot | LegEnd::Cancelled)
+            && nd.is_some_and(|nd| may_repeat(repeat, x.ran, (nd.zone, nd.cell), self.bk.now))
+            && left > self.expected(Some(node), units) + wait;
+        if again {
+            self.bk.xfers.get_mut(&id).expect("looked up above").not_before = self.bk.now + wait;
             self.hold(id);
         } else {
             self.give_up(id, TRIAL_EVERY);
         }
     }
 
-    fn may_follow(&mut self, id: XferId, node: NodeId) -> bool {
-        let (x, nd) = (&self.xfers[&id], &self.nodes[&node]);
-        let repeat = self.streams[x.x.stream_type.0].repeat;
-        x.legs < self.caps.most_legs
-            && may_repeat(repeat, x.ran, (nd.zone, nd.cell), self.now)
-            && (x.legs == 0 || self.ration.allows(self.now))
+    /// Another leg stays inside the budget of any window. The window's edge is read against us on both
+    /// counts: transfers taken leave the count a tick early, legs a tick late.
+    fn further_allowed(&mut self) -> bool {
+        let Some(rule) = &self.budget else { return true };
+        let taken = self.bk.taken.within(rule.window.saturating_sub(TICK), self.bk.now);
+        let made = self.bk.further.within(rule.window + TICK, self.bk.now);
+        (made + 1) as f64 <= rule.floor + rule.share * taken as f64
     }
 
-    /// Time that a leg of this size should take at the node: what its answers lately took over the
-    /// best seen for their size, and that best.
-    fn expected(&self, node: NodeId, units: f64) -> Duration {
-        let lag = self.nodes.get(&node).and_then(|nd| nd.lags.quantile(0.5)).unwrap_or_default();
-        lag + self.per_unit.quantile(0.5).unwrap_or_default().mul_f64(units)
+    /// Time that a leg of this size should take: what the node's answers lately took over the best
+    /// seen for their size, and the usual for this size.
+    fn expected(&self, node: Option<NodeId>, units: f64) -> Duration {
+        let lags = node.and_then(|n| self.bk.nodes.get(&n)).and_then(|nd| nd.lags.quantile(0.5));
+        lags.unwrap_or_default() + self.per_unit.quantile(0.5).unwrap_or_default().mul_f64(units)
     }
 
     fn follow(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
+        let now = self.bk.now;
         if kind == ListKind::NotHad {
-            self.watch_tries += 1;
-            let most = TICK * 20 * 2u32.pow(self.watch_tries.min(5));
-            self.watch_at = Some(self.now + most / 2 + self.spread(most));
+            self.bk.watch_tries += 1;
+            let most = WATCH_AGAIN * 2u32.pow(self.bk.watch_tries.min(4));
+            self.bk.watch_at = Some(now + most / 2 + self.spread(most));
             return;
         }
         if kind != ListKind::Changes {
-            for (id, nd) in &mut self.nodes {
-                if !entries.iter().any(|e| e.node == *id) {
-                    nd.state = NodeState::Gone;
-                }
-            }
-        }
-        let first = self.nodes.is_empty();
-        if kind != ListKind::Remembered {
-            self.watch_tries = 0;
+            let named = |id: &NodeId| entries.iter().any(|e| e.node == *id);
+            let absent = self.bk.nodes.iter_mut().filter(|(id, _)| !named(id));
+            absent.for_each(|(_, nd)| nd.state = NodeState::Gone);
         }
+        self.bk.watch_tries *= u32::from(kind == ListKind::Remembered);
+        let first = self.bk.nodes.is_empty();
         for e in entries {
             let edges = (START_XFERS * self.units.mean, MOST_OUT * self.units.mean / secs(self.tightest));
-            let lags = Histogram::new(Duration::from_millis(8), 1.5, 16);
-            let new = Node::new(&e, Window::new(edges.0, edges.1), lags, self.now);
-            let nd = self.nodes.entry(e.node).or_insert(new);
-            let came =
-                nd.started != e.started || (nd.state == NodeState::Gone && e.state == NodeState::Ready);
-            (nd.zone, nd.cell, nd.state) = (e.zone, e.cell, e.state);
-            nd.started = e.started;
-            let fresh = e.started.is_some_and(|s| self.now < s + self.cold.warm_within);
-            if came || (fresh && nd.cold.is_none()) {
-                (nd.silent, nd.brake, nd.heard) = (false, 1.0, self.now);
+            let lags = Histogram::new(TICK, 1.5, 16);
+            let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len());
+            let known = self.bk.nodes.contains_key(&e.node);
+            let nd = self.bk.nodes.entry(e.node).or_insert_with(new);
+            let back = nd.state != NodeState::Ready && e.state == NodeState::Ready;
+            let came = !known || back || nd.started != e.started;
+            (nd.zone, nd.cell, nd.state, nd.started) = (e.zone, e.cell, e.state, e.started);
+            if came && e.state == NodeState::Ready {
+                (nd.silent, nd.brake, nd.heard) = (false, 1.0, now);
                 // All hosts learn of it about together; without the wait each would send first.
-                let wait =
-                    if first { Duration::ZERO } else { RETURN_SPREAD.mul_f64(self.rng.random::<f64>()) };
-                nd.open_from = self.now + wait;
-                nd.cold = fresh
-                    .then(|| TokenBucket::new(0.0, self.cold.units / self.cold.hosts.max(1) as f64, 0.0));
-                if fresh {
-                    self.out.push(Action::Log { text: format!("node {} came back cold", e.node.0) });
+                let most = if first { Duration::ZERO } else { RETURN_SPREAD };
+                nd.open_from = now + most.mul_f64(self.rng.random::<f64>());
+                nd.cold = None;
+                if e.started.is_some_and(|s| now < s + self.cold.warm_within) {
+                    nd.cold = Some(TokenBucket::new(0.0, f64::MAX, cold_part(&self.cold, 0.0, TICK)));
+                    self.bk.log(format!("node {} came back cold", e.node.0));
                 }
             }
         }
         self.tune_cold();
-        let moved = self.nodes.values_mut().filter(|nd| nd.state != NodeState::Ready);
-        for id in moved.flat_map(|nd| std::mem::take(&mut nd.held)).collect::<Vec<_>>() {
+        let left = self.bk.nodes.values().filter(|nd| nd.state != NodeState::Ready);
+        for id in left.flat_map(|nd| nd.held.clone()).collect::<Vec<_>>() {
+            self.bk.unhold(id);
             self.hold(id);
         }
     }
 
     fn tune_cold(&mut self) {
         let usual = self.usual_rate();
-        for nd in self.nodes.values_mut().filter(|nd| nd.cold.is_some()) {
-            let age = self.now.saturating_sub(nd.started.unwrap_or_default());
+        for nd in self.bk.nodes.values_mut().filter(|nd| nd.cold.is_some()) {
+            let age = self.bk.now.saturating_sub(nd.started.unwrap_or_default());
             let rate = if nd.rate > 0.0 { nd.rate.min(usual) } else { usual };
             let part = cold_part(&self.cold, rate, age);
             nd.cold.iter_mut().for_each(|b| b.retune(part / secs(self.cold.fall_within).max(1e-3), part));
@@ -671,56 +510,49 @@
     }
 
     fn usual_rate(&self) -> f64 {
-        let heard: Vec<f64> = self.nodes.values().map(|nd| nd.rate).filter(|r| *r > 0.0).collect();
+        let heard: Vec<f64> = self.bk.nodes.values().map(|nd| nd.rate).filter(|r| *r > 0.0).collect();
         heard.iter().sum::<f64>() / heard.len().max(1) as f64
     }
 
     /// The control interval: demand, parts of reservations, windows, fill.
     fn plan(&mut self) {
-        let span = secs(self.now - self.planned);
-        self.planned = self.now;
-        let ticks = span / secs(TICK);
+        let (now, span) = (self.bk.now, secs(self.bk.now - self.bk.planned));
+        self.bk.planned = now;
         let mut asked: BTreeMap<VolumeId, f64> = BTreeMap::new();
-        for nd in self.nodes.values_mut() {
+        for nd in self.bk.nodes.values_mut() {
             for (volume, f) in &mut nd.flows {
-                let now = demand(f.used, f.held, f.queued_sum / ticks, f.out_sum / ticks) / span;
-                f.demand = smooth(f.demand, now, SMOOTH);
-                (f.used, f.queued_sum, f.out_sum) = (0.0, 0.0, 0.0);
+                let (used, backlog, queued, outstanding) = f.sample(span / secs(TICK));
+                f.demand = smooth(f.demand, demand(used, backlog, queued, outstanding) / span, SMOOTH);
                 *asked.entry(*volume).or_default() += f.demand;
             }
             nd.flows.retain(|_, f| f.demand > 0.01 || f.out > 0.0 || f.held > 0.0);
         }
-        for (id, v) in &mut self.volumes {
-            v.done_rate = smooth(v.done_rate, v.done / span, SMOOTH);
-            v.done = 0.0;
+        for (id, v) in &mut self.bk.volumes {
+            v.done_rate = smooth(v.done_rate, std::mem::take(&mut v.done) / span, SMOOTH);
             // A report that no later one has replaced says nothing of now.
-            let fresh = |(_, at): &(f64, Duration)| self.now < *at + self.units.meter * 3 + INTERVAL;
+            let fresh = |(_, at): &(f64, Duration)| now < *at + self.units.meter * 3 + INTERVAL;
             let reported = v.reported.filter(fresh).map(|(rate, _)| rate);
             let part = host_part(asked.get(id).copied().unwrap_or(0.0), v.done_rate, reported, v.hosts);
             let rate = self.plans[v.plan.0].reservation * part;
             v.reserve.retune(rate, rate);
         }
-        for nd in self.nodes.values_mut() {
-            let done = nd.done / span;
-            if nd.was_held || done > nd.rate {
-                nd.rate = smooth(nd.rate, done, SMOOTH);
+        for nd in self.bk.nodes.values_mut() {
+            let seen = std::mem::take(&mut nd.answers);
+            if seen.was_held || seen.done / span > nd.rate {
+                nd.rate = smooth(nd.rate, seen.done / span, SMOOTH);
             }
-            let all: f64 = nd.mix.iter().sum::<f64>().max(1e-9);
-            let reading = Reading {
-                congested: nd.was_held && (nd.fulls > 0.0 || nd.slow * 2.0 > nd.answers.max(1.0)),
-                below_reservation: nd.below,
-                outstanding: nd.flows.values().map(|f| f.out).sum(),
-                mix: nd.mix.iter().map(|m| m / all).collect(),
-            };
-            nd.window.read(&reading);
+            nd.window.read(&Reading {
+                congested: seen.was_held && (seen.full > 0.0 || seen.slow * 2.0 > seen.all.max(1.0)),
+                below_reservation: seen.below_reservation,
+                outstanding: nd.out,
+                mix: nd.mix_parts(),
+            });
             nd.mix.iter_mut().for_each(|m| *m *= 0.9);
             nd.lags.halve();
-            (nd.done, nd.fulls, nd.slow, nd.answers) = (0.0, 0.0, 0.0, 0.0);
-            (nd.was_held, nd.below) = (false, false);
             let estimate = nd.window.estimate;
             nd.tokens.retune(estimate, estimate);
             let ask = |(id, f): (&VolumeId, &Flow)| {
-                let (v, all) = (&self.volumes[id], asked.get(id).copied().unwrap_or(0.0).max(1e-9));
+                let (v, all) = (&self.bk.volumes[id], asked.get(id).copied().unwrap_or(0.0).max(1e-9));
                 let reservation = v.reserve.rate() * f.demand / all;
                 Ask { demand: f.demand, reservation, weight: self.plans[v.plan.0].weight }
             };
@@ -730,41 +562,44 @@
             }
         }
         self.tune_cold();
-        self.keys.sweep(self.now);
+        self.bk.keys.sweep(now);
         self.per_unit.halve_above(PER_UNIT_KEPT);
     }
 
     /// Benefit per unit, by the bucket that would pay, and whether one would.
     fn value(&self, x: &Xfer, nd: Option<&Node>) -> (f64, bool) {
         let stream = &self.streams[x.x.stream_type.0];
-        let flow = nd.and_then(|nd| nd.flows.get(&x.x.volume)).and_then(|f| f.spare.as_ref());
-        let (part, paid) = match (self.volumes[&x.x.volume].reserve.held() > 0.0, flow) {
-            (true, _) => (1.0, true),
-            (_, None) => (self.units.share_part, true),
-            (_, Some(spare)) if spare.held() > 0.0 => (self.units.share_part, true),
-            _ => (self.units.spare_part, false),
+        let spare = nd.and_then(|nd| nd.flows.get(&x.x.volume)).and_then(|f| f.spare.as_ref());
+        let (part, paid) = if self.bk.volumes[&x.x.volume].reserve.held() > 0.0 {
+            (1.0, true)
+        } else if spare.is_none_or(|b| b.held() > 0.0) {
+            (self.units.share_part, true)
+        } else {
+            (self.units.spare_part, false)
         };
-        let late = if self.now > x.slo_at { stream.late_part } else { 1.0 };
+        let late = if self.bk.now > x.slo_at { stream.late_part } else { 1.0 };
         (part * late * stream.benefit * self.plans[x.x.plan.0].price, paid)
     }
 
+    /// The rules and the buckets let it go to this node now.
     fn may_send(&self, id: XferId, x: &Xfer, nd: &Node, further: bool) -> bool {
-        let ordered = self.streams[x.x.stream_type.0].ordered;
-        let turn = !ordered || x.x.key.is_none_or(|key| self.keys.has_turn(key, id, self.now));
-        let limit = self.volumes[&x.x.volume].limit.as_ref();
-        turn && self.now >= x.not_before
-            && self.now < x.x.expiry
+        let (now, stream) = (self.bk.now, &self.streams[x.x.stream_type.0]);
+        let limit = self.bk.volumes[&x.x.volume].limit.as_ref();
+        let key = x.x.key.filter(|_| stream.ordered);
+        (x.not_before..x.x.expiry).contains(&now)
+            && key.is_none_or(|key| self.bk.keys.has_turn(key, id, now))
             && (x.legs == 0 || further)
             && (x.legs > 0 || limit.is_none_or(|b| b.held() >= x.x.units))
             && nd.cold.as_ref().is_none_or(|b| b.held() > 0.0)
-            && (self.value(x, Some(nd)).1 || nd.tokens.held() > 0.0)
+            && may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now)
+            && (nd.tokens.held() > 0.0 || self.value(x, Some(nd)).1)
     }
 
     fn room(&self, nd: &Node, units: f64) -> bool {
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
         let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
-        let trial = nd.silent && self.now >= nd.trial;
-        let open = nd.state == NodeState::Ready && self.now >= nd.open_from;
+        let open = nd.state == NodeState::Ready && self.bk.now >= nd.open_from;
+        let trial = nd.silent && self.bk.now >= nd.sent + TRIAL_EVERY;
         open && (trial || !nd.silent && (nd.out <= 0.0 || nd.out + units <= most))
     }
 
@@ -772,177 +607,155 @@
         if ticked {
             self.listen();
         }
-        let further = self.ration.allows(self.now);
-        let busy: Vec<NodeId> =
-            self.nodes.iter().filter(|(_, nd)| !nd.held.is_empty()).map(|(n, _)| *n).collect();
-        for node in busy {
-            loop {
-                let nd = &self.nodes[&node];
-                let ready = nd.held.iter().map(|h| (*h, &self.xfers[h]));
-                let ready = ready.filter(|(h, x)| self.may_send(*h, x, nd, further));
-                let key = |x: &Xfer| (self.value(x, Some(nd)).0, std::cmp::Reverse(x.slo_at));
-                let best = ready.max_by(|a, b| key(a.1).partial_cmp(&key(b.1)).expect("values are finite"));
-                let Some((id, x)) = best.filter(|(_, x)| self.room(nd, x.x.units)) else { break };
-                let further_leg = x.legs > 0;
+        let busy = self.bk.nodes.iter().filter(|(_, nd)| !nd.held.is_empty());
+        for node in busy.map(|(n, _)| *n).collect::<Vec<_>>() {
+            while let Some(id) = self.best(node) {
                 self.send(id, node);
-                if further_leg {
-                    break;
-                }
             }
             if ticked {
                 self.shed(node);
             }
         }
-        self.place(ticked, further);
+        self.place(ticked);
+    }
+
+    /// The held transfer that should go next, if there is room for it; a smaller one behind it waits, or
+    /// large ones would never go.
+    fn best(&mut self, node: NodeId) -> Option<XferId> {
+        let further = self.further_allowed();
+        let nd = &self.bk.nodes[&node];
+        let ready = nd.held.iter().map(|h| (*h, &self.bk.xfers[h]));
+        let ready = ready.filter(|(id, x)| self.may_send(*id, x, nd, further));
+        let ranked = ready.map(|(id, x)| (self.value(x, Some(nd)).0, std::cmp::Reverse(x.slo_at), id));
+        let best = ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite")).map(|r| r.2);
+        best.filter(|id| self.room(nd, self.bk.xfers[id].x.units))
     }
 
     /// A node with legs out that has answered nothing for long is silent; one heard from is not. Guards
     /// against hangs, cut links and dead nodes the list still shows. Harm: one heavy transfer alone there.
     fn listen(&mut self) {
-        let patience = self.tightest * SILENT_SLOS;
-        for (id, nd) in &mut self.nodes {
-            nd.was_held |= !nd.held.is_empty();
-            let since = nd.legs.values().min().map_or(self.now, |sent| nd.heard.max(*sent));
-            if !nd.silent && self.now > since + patience {
+        let (now, patience) = (self.bk.now, self.tightest * SILENT_SLOS);
+        let mut found = Vec::new();
+        for (id, nd) in &mut self.bk.nodes {
+            nd.answers.was_held |= !nd.held.is_empty();
+            let since = nd.legs.values().min().map_or(now, |sent| nd.heard.max(*sent));
+            if !nd.silent && now > since + patience {
                 nd.silent = true;
-                let text = format!("node {} silent: no answer for {:?}", id.0, self.now - since);
-                self.out.push(Action::Log { text });
+                found.push(format!("node {} silent: no answer for {:?}", id.0, now - since));
             }
         }
+        found.into_iter().for_each(|text| self.bk.log(text));
+    }
+
+    /// Held transfers, the best first.
+    fn ranked(&self, held: &[XferId], nd: Option<&Node>) -> Vec<XferId> {
+        let mut line: Vec<_> = held.iter().map(|h| (self.value(&self.bk.xfers[h], nd).0, *h)).collect();
+        line.sort_by(|a, b| b.partial_cmp(a).expect("values are finite"));
+        line.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Gives up at once what cannot be in time behind what goes first, so that its client may ask again.
     fn shed(&mut self, node: NodeId) {
-        let nd = &self.nodes[&node];
+        let (nd, now) = (&self.bk.nodes[&node], self.bk.now);
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
-        let mut line: Vec<(f64, XferId)> =
-            nd.held.iter().map(|h| (self.value(&self.xfers[h], Some(nd)).0, *h)).collect();
-        line.sort_by(|a, b| b.partial_cmp(a).expect("values are finite"));
         let (mut ahead, silent, mut below, mut doomed) = (0.0, nd.silent, false, Vec::new());
-        for (_, id) in line {
-            let x = &self.xfers[&id];
-            let wait = if rate > 0.0 { Duration::from_secs_f64(ahead / rate) } else { Duration::ZERO };
-            let over = self.now + wait + self.expected(node, x.x.units) > x.x.expiry;
-            if over || (silent && self.now > x.slo_at) {
-                doomed.push((id, wait));
+        for id in self.ranked(&nd.held, Some(nd)) {
+            let x = &self.bk.xfers[&id];
+            let wait = Duration::from_secs_f64(if rate > 0.0 { ahead / rate } else { 0.0 });
+            let hopeless = now + wait + self.expected(Some(node), x.x.units) > x.x.expiry;
+            if hopeless || (silent && now > x.slo_at) {
+                doomed.push((id, wait.max(TRIAL_EVERY)));
             } else {
                 ahead += x.x.units;
-                let reserve = &self.volumes[&x.x.volume].reserve;
-                below |= reserve.held() > 0.0 && self.now > x.taken + INTERVAL / 2;
+                let reserved = self.bk.volumes[&x.x.volume].reserve.held() > 0.0;
+                below |= reserved && now > x.taken + INTERVAL / 2;
             }
         }
-        doomed.into_iter().for_each(|(id, wait)| self.give_up(id, wait.max(TRIAL_EVERY)));
-        self.nodes.get_mut(&node).expect("looked up above").below |= below;
+        doomed.into_iter().for_each(|(id, wait)| self.give_up(id, wait));
+        self.bk.nodes.get_mut(&node).expect("looked up above").answers.below_reservation |= below;
     }
 
-    /// New objects go to the first node in their volume's ranking, or the next when that has enough.
-    fn place(&mut self, ticked: bool, further: bool) {
-        let mut line: Vec<(f64, XferId)> =
-            self.floating.iter().map(|f| (self.value(&self.xfers[f], None).0, *f)).collect();
-        line.sort_by(|a, b| b.partial_cmp(a).expect("values are finite"));
+    /// New objects go to the first node in their volume's ranking, or the next when that has enough: no
+    /// room, transfers of its own waiting, silence, or errors (a node that fails fast looks idle).
+    fn place(&mut self, ticked: bool) {
+        let further = self.further_allowed();
         let mut stuck = 0.0;
-        for (_, id) in line {
-            let x = &self.xfers[&id];
+        for id in self.ranked(&self.bk.floating, None) {
+            let x = &self.bk.xfers[&id];
             let fit = |(_, nd): &(&NodeId, &Node)| {
-                let calm = !nd.silent && nd.errors < FAILING && nd.held.is_empty();
-                let repeat = self.streams[x.x.stream_type.0].repeat;
-                calm && may_repeat(repeat, x.ran, (nd.zone, nd.cell), self.now)
+                !nd.silent
+                    && nd.errors < FAILING
+                    && nd.held.is_empty()
                     && self.room(nd, x.x.units)
                     && self.may_send(id, x, nd, further)
             };
-            let fits = self.nodes.iter().filter(fit);
-            match fits.max_by_key(|(n, _)| (x.last != Some(**n), rank_of(x.x.volume, **n))).map(|(n, _)| *n) {
+            let first = |(n, _): &(&NodeId, &Node)| (x.last != Some(**n), rank_of(x.x.volume, **n));
+            let rate = self.usual_rate() * self.bk.nodes.len() as f64;
+            let wait = Duration::from_secs_f64(if rate > 0.0 { stuck / rate } else { 0.0 });
+            match self.bk.nodes.iter().filter(fit).max_by_key(first).map(|(n, _)| *n) {
                 Some(node) => self.send(id, node),
-                None if ticked => {
-                    let rate = self.usual_rate() * self.nodes.len() as f64;
-                    let wait =
-                        if rate > 0.0 { Duration::from_secs_f64(stuck / rate) } else { Duration::ZERO };
-                    let typical = self.per_unit.quantile(0.5).unwrap_or_default().mul_f64(x.x.units);
-                    stuck += x.x.units;
-                    if self.now + wait + typical > x.x.expiry {
-                        self.give_up(id, wait.max(TRIAL_EVERY));
-                    }
+                None if ticked && self.bk.now + wait + self.expected(None, x.x.units) > x.x.expiry => {
+                    self.give_up(id, wait.max(TRIAL_EVERY));
                 }
-                None => {}
+                None => stuck += x.x.units,
             }
         }
     }
 
     fn send(&mut self, id: XferId, node: NodeId) {
-        let nd = &self.nodes[&node];
-        let (_, paid) = self.value(&self.xfers[&id], Some(nd));
-        self.unhold(id);
-        let x = self.xfers.get_mut(&id).expect("held, so known");
-        let v = self.volumes.get_mut(&x.x.volume).expect("made when taken");
-        let nd = self.nodes.get_mut(&node).expect("looked up above");
-        let (units, stream) = (x.x.units, x.x.stream_type.0);
-        let f = nd.flows.entry(x.x.volume).or_default();
+        let (_, paid) = self.value(&self.bk.xfers[&id], self.bk.nodes.get(&node));
+        self.bk.unhold(id);
+        let x = self.bk.xfers.get_mut(&id).expect("held, so known");
+        let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
+        let nd = self.bk.nodes.get_mut(&node).expect("looked up above");
+        let spare = nd.flows.get_mut(&x.x.volume).and_then(|f| f.spare.as_mut());
         if v.reserve.held() > 0.0 {
-            v.reserve.take(units);
-        } else if let (true, Some(spare)) = (paid, &mut f.spare) {
-            spare.take(units);
+            v.reserve.take(x.x.units);
+        } else if let (true, Some(spare)) = (paid, spare) {
+            spare.take(x.x.units);
         }
         if x.legs > 0 {
-            self.ration.spend(self.now);
+            self.bk.further.add(self.bk.now);
         } else {
-            v.limit.iter_mut().for_each(|b| b.take(units));
-        }
-        nd.tokens.take(units);
-        nd.cold.iter_mut().for_each(|b| b.take(units));
-        if nd.mix.len() <= stream {
-            nd.mix.resize(self.streams.len(), 0.0);
+            v.limit.iter_mut().for_each(|b| b.take(x.x.units));
         }
-        nd.mix[stream] += units;
-        (nd.out, f.out, f.used) = (nd.out + units, f.out + units, f.used + units);
-        nd.legs.insert(id, self.now);
-        nd.trial = self.now + TRIAL_EVERY;
+        nd.leg_out(&x.x, self.bk.now);
         (x.want, x.legs, x.last) = (Want::Out(node), x.legs + 1, Some(node));
-        self.changed.push(id);
-    }
-
-    fn unhold(&mut self, id: XferId) {
-        let Some(x) = self.xfers.get(&id) else { return };
-        match x.x.cell {
-            None => self.floating.retain(|f| *f != id),
-            Some(cell) => {
-                let at = self.nodes.values_mut().filter(|nd| nd.cell == cell);
-                at.for_each(|nd| nd.unhold(id, x.x.volume, x.x.units));
-            }
-        }
+        self.bk.changed.push(id);
     }
 
     /// Brings what is out, answered and timed into line with what is wanted.
     fn reconcile(&mut self) -> Vec<Action> {
-        for id in std::mem::take(&mut self.changed) {
-            let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { continue };
+        let now = self.bk.now;
+        for id in std::mem::take(&mut self.bk.changed) {
+            let Some(x) = self.bk.xfers.get_mut(&id).filter(|x| !x.over) else { continue };
             match x.want {
                 Want::Out(node) if x.out.is_none() => {
                     x.out = Some(node);
-                    self.out.push(Action::Send { id, node, until: x.x.expiry });
+                    self.bk.out.push(Action::Send { id, node, until: x.x.expiry });
                 }
                 Want::Deferred(wait) => {
                     let come_back = self.caps.come_back.map(|most| wait.min(most));
-                    self.out.push(Action::Defer { id, come_back });
-                    self.close(id);
+                    self.bk.out.push(Action::Defer { id, come_back });
+                    self.bk.close(id);
                 }
                 Want::Abandoned => {
-                    self.out.push(Action::Abandon { id });
-                    self.close(id);
+                    self.bk.out.push(Action::Abandon { id });
+                    self.bk.close(id);
                 }
                 _ => {}
             }
         }
-        if self.watch_at.is_some_and(|at| self.now >= at) {
-            self.watch_at = None;
-            self.out.push(Action::Watch { on: true });
+        if self.bk.watch_at.take_if(|at| now >= *at).is_some() {
+            self.bk.out.push(Action::Watch { on: true });
         }
-        let holding = !self.floating.is_empty() || self.nodes.values().any(|nd| !nd.held.is_empty());
-        let beat = if holding { self.ticked + TICK } else { self.planned + INTERVAL };
-        let wanted = beat.min(self.watch_at.unwrap_or(beat)).max(self.now + TICK / 10);
-        if self.armed.is_none_or(|at| at <= self.now || at > wanted) {
-            (self.armed, self.tag) = (Some(wanted), self.tag + 1);
-            self.out.push(Action::Timer { after: wanted - self.now, tag: TimerTag(self.tag) });
+        let holding = !self.bk.floating.is_empty() || self.bk.nodes.values().any(|nd| !nd.held.is_empty());
+        let beat = if holding { self.bk.ticked + TICK } else { self.bk.planned + INTERVAL };
+        let wanted = beat.min(self.bk.watch_at.unwrap_or(beat)).max(now + TICK / 10);
+        if self.bk.armed.is_none_or(|at| at <= now || at > wanted) {
+            (self.bk.armed, self.bk.tag) = (Some(wanted), self.bk.tag + 1);
+            self.bk.out.push(Action::Timer { after: wanted - now, tag: TimerTag(self.bk.tag) });
         }
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.bk.out)
     }
 }
--- /dev/null
+++ b/src/lines.rs
@@ -0,0 +1,60 @@
+//! Lines of transfers that share a key.
+
+use crate::interface::{KeyId, XferId};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+#[derive(Debug, Default)]
+struct Line {
+    waiting: VecDeque<XferId>,
+    rest: Duration,
+    by: Option<XferId>,
+}
+
+/// For each key, the transfers in the order taken, and until when the key rests.
+///
+/// ```
+/// use grebecleat::interface::{KeyId, XferId};
+/// use grebecleat::lines::KeyLines;
+/// use std::time::Duration;
+/// let (key, first, second) = (KeyId(1), XferId([1; 36]), XferId([2; 36]));
+/// let ms = Duration::from_millis;
+/// let mut lines = KeyLines::default();
+/// lines.join(key, first);
+/// lines.join(key, second);
+/// assert!(lines.has_turn(key, first, ms(0)) && !lines.has_turn(key, second, ms(0)));
+/// lines.rest(key, first, ms(50));
+/// assert!(lines.has_turn(key, first, ms(10)));
+/// lines.leave(key, first);
+/// assert!(!lines.has_turn(key, second, ms(10)) && lines.has_turn(key, second, ms(50)));
+/// ```
+#[derive(Debug, Default)]
+pub struct KeyLines(BTreeMap<KeyId, Line>);
+
+impl KeyLines {
+    pub fn join(&mut self, key: KeyId, id: XferId) {
+        self.0.entry(key).or_default().waiting.push_back(id);
+    }
+
+    pub fn leave(&mut self, key: KeyId, id: XferId) {
+        if let Some(line) = self.0.get_mut(&key) {
+            line.waiting.retain(|x| *x != id);
+        }
+    }
+
+    /// The key rests until then for all but the transfer that brought it about.
+    pub fn rest(&mut self, key: KeyId, by: XferId, until: Duration) {
+        let line = self.0.entry(key).or_default();
+        (line.rest, line.by) = (line.rest.max(until), Some(by));
+    }
+
+    pub fn has_turn(&self, key: KeyId, id: XferId, now: Duration) -> bool {
+        let Some(line) = self.0.get(&key) else { return true };
+        line.waiting.front().is_none_or(|f| *f == id) && (now >= line.rest || line.by == Some(id))
+    }
+
+    /// Drops lines that are empty and have rested.
+    pub fn sweep(&mut self, now: Duration) {
+        self.0.retain(|_, line| !line.waiting.is_empty() || now < line.rest);
+    }
+}
--- /dev/null
+++ b/src/spans.rs
@@ -0,0 +1,33 @@
+//! Counts of what happened within the last span.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Moments, counted over a span that the caller names.
+///
+/// ```
+/// use grebecleat::spans::Recent;
+/// use std::time::Duration;
+/// let ms = Duration::from_millis;
+/// let mut r = Recent::default();
+/// r.add(ms(10));
+/// r.add(ms(30));
+/// assert_eq!(r.within(ms(20), ms(35)), 1);
+/// assert_eq!(r.within(ms(20), ms(60)), 0);
+/// ```
+#[derive(Debug, Default)]
+pub struct Recent(VecDeque<Duration>);
+
+impl Recent {
+    pub fn add(&mut self, at: Duration) {
+        self.0.push_back(at);
+    }
+
+    /// How many happened less than `span` before `now`; older ones are forgotten.
+    pub fn within(&mut self, span: Duration, now: Duration) -> usize {
+        while self.0.front().is_some_and(|at| *at + span <= now) {
+            self.0.pop_front();
+        }
+        self.0.len()
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,12 @@
-//! What a host knows of its flows, volumes, nodes and transfers. Records only: what they mean is
-//! decided in `control.rs`.
+//! What a host knows of its flows, volumes, nodes and transfers, and the book-keeping on it.
+//! What the figures mean, and what follows from them, is decided in `control.rs`.
 
 use crate::bucket::TokenBucket;
 use crate::control::Window;
 use crate::histogram::Histogram;
 use crate::interface::*;
+use crate::lines::KeyLines;
+use crate::spans::Recent;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
     pub sent: Duration,
 }
 
+/// A volume at a node. Units.
 #[derive(Debug, Default)]
 pub struct Flow {
     pub out: f64,
@@ -27,17 +30,38 @@
     pub spare: Option<TokenBucket>,
 }
 
+impl Flow {
+    /// Used, backlog, mean queued and mean outstanding units since the last call.
+    pub fn sample(&mut self, ticks: f64) -> (f64, f64, f64, f64) {
+        let seen = (self.used, self.held, self.queued_sum / ticks, self.out_sum / ticks);
+        (self.used, self.queued_sum, self.out_sum) = (0.0, 0.0, 0.0);
+        seen
+    }
+}
+
 #[derive(Debug)]
 pub struct Volume {
     pub plan: PlanId,
     pub hosts: usize,
     pub done: f64,
     pub done_rate: f64,
+    /// Service everywhere, units a second, and when we were told.
     pub reported: Option<(f64, Duration)>,
     pub reserve: TokenBucket,
     pub limit: Option<TokenBucket>,
 }
 
+/// What a node answered since the last interval.
+#[derive(Debug, Default)]
+pub struct Answers {
+    pub done: f64,
+    pub slow: f64,
+    pub all: f64,
+    pub full: f64,
+    pub was_held: bool,
+    pub below_reservation: bool,
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub zone: ZoneId,
@@ -52,22 +76,83 @@
     pub legs: BTreeMap<XferId, Duration>,
     pub held: Vec<XferId>,
     pub flows: BTreeMap<VolumeId, Flow>,
-    pub done: f64,
+    pub answers: Answers,
     pub rate: f64,
     pub lags: Histogram,
     pub mix: Vec<f64>,
     pub brake: f64,
-    pub slow: f64,
-    pub answers: f64,
-    pub fulls: f64,
     pub errors: f64,
     pub heard: Duration,
     pub silent: bool,
-    pub trial: Duration,
-    pub was_held: bool,
-    pub below: bool,
+    pub sent: Duration,
+}
+
+impl Node {
+    pub fn new(e: &ListEntry, window: Window, lags: Histogram, streams: usize) -> Self {
+        Node {
+            zone: e.zone,
+            cell: e.cell,
+            state: e.state,
+            started: e.started,
+            open_from: Duration::ZERO,
+            cold: None,
+            tokens: TokenBucket::new(window.estimate, window.estimate, window.estimate),
+            window,
+            out: 0.0,
+            legs: BTreeMap::new(),
+            held: Vec::new(),
+            flows: BTreeMap::new(),
+            answers: Answers::default(),
+            rate: 0.0,
+            lags,
+            mix: vec![0.0; streams],
+            brake: 1.0,
+            errors: 0.0,
+            heard: Duration::ZERO,
+            silent: false,
+            sent: Duration::ZERO,
+        }
+    }
+
+    pub fn leg_out(&mut self, x: &Transfer, now: Duration) {
+        let f = self.flows.entry(x.volume).or_default();
+        (self.out, f.out, f.used) = (self.out + x.units, f.out + x.units, f.used + x.units);
+        self.tokens.take(x.units);
+        self.cold.iter_mut().for_each(|b| b.take(x.units));
+        self.mix[x.stream_type.0] += x.units;
+        self.legs.insert(x.id, now);
+        self.sent = now;
+    }
+
+    pub fn leg_over(&mut self, x: &Transfer) {
+        if self.legs.remove(&x.id).is_some() {
+            self.out -= x.units;
+            self.flows.entry(x.volume).or_default().out -= x.units;
+        }
+    }
+
+    pub fn hold(&mut self, x: &Transfer) {
+        self.held.push(x.id);
+        self.flows.entry(x.volume).or_default().held += x.units;
+    }
+
+    /// Takes a transfer from those held here, if it is among them.
+    pub fn unhold(&mut self, x: &Transfer) {
+        let before = self.held.len();
+        self.held.retain(|h| *h != x.id);
+        if self.held.len() < before {
+            self.flows.entry(x.volume).or_default().held -= x.units;
+        }
+    }
+
+    /// Units by stream type, as parts of one.
+    pub fn mix_parts(&self) -> Vec<f64> {
+        let all: f64 = self.mix.iter().sum::<f64>().max(1e-9);
+        self.mix.iter().map(|m| m / all).collect()
+    }
 }
 
+/// What is wanted of a transfer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Want {
     Held,
@@ -91,44 +176,91 @@
     pub not_before: Duration,
 }
 
-impl Node {
-    pub fn new(e: &ListEntry, window: Window, lags: Histogram, now: Duration) -> Self {
-        Node {
-            zone: e.zone,
-            cell: e.cell,
-            state: e.state,
-            started: e.started,
-            open_from: now,
-            cold: None,
-            tokens: TokenBucket::new(window.estimate, window.estimate, window.estimate),
-            window,
-            out: 0.0,
-            legs: BTreeMap::new(),
-            held: Vec::new(),
-            flows: BTreeMap::new(),
-            done: 0.0,
-            rate: 0.0,
-            lags,
-            mix: Vec::new(),
-            brake: 1.0,
-            slow: 0.0,
-            answers: 0.0,
-            fulls: 0.0,
-            errors: 0.0,
-            heard: now,
-            silent: false,
-            trial: now,
-            was_held: false,
-            below: false,
+impl Xfer {
+    pub fn new(x: Transfer, taken: Duration, slo: Duration) -> Self {
+        Xfer {
+            x,
+            taken,
+            slo_at: taken + slo,
+            want: Want::Held,
+            over: false,
+            begun: false,
+            legs: 0,
+            out: None,
+            last: None,
+            ran: None,
+            not_before: taken,
         }
     }
+}
 
-    /// Takes a transfer from those held here, if it is among them.
-    pub fn unhold(&mut self, id: XferId, volume: VolumeId, units: f64) {
-        let before = self.held.len();
-        self.held.retain(|h| *h != id);
-        if self.held.len() < before {
-            self.flows.entry(volume).or_default().held -= units;
+/// Everything a host keeps: what is present, and what is wanted but not yet brought about.
+#[derive(Debug, Default)]
+pub struct Books {
+    pub now: Duration,
+    pub ticked: Duration,
+    pub planned: Duration,
+    pub nodes: BTreeMap<NodeId, Node>,
+    pub volumes: BTreeMap<VolumeId, Volume>,
+    pub xfers: BTreeMap<XferId, Xfer>,
+    /// Held transfers that any node may take.
+    pub floating: Vec<XferId>,
+    pub keys: KeyLines,
+    pub taken: Recent,
+    pub further: Recent,
+    /// Transfers of which something new is wanted.
+    pub changed: Vec<XferId>,
+    pub armed: Option<Duration>,
+    pub tag: u64,
+    pub watch_at: Option<Duration>,
+    pub watch_tries: u32,
+    pub out: Vec<Action>,
+}
+
+impl Books {
+    pub fn refill(&mut self, ticks: u32, tick: Duration) {
+        self.ticked += tick * ticks;
+        let span = (tick * ticks).as_secs_f64();
+        for v in self.volumes.values_mut() {
+            v.reserve.refill(span);
+            v.limit.iter_mut().for_each(|b| b.refill(span));
+        }
+        for nd in self.nodes.values_mut() {
+            nd.tokens.refill(span);
+            nd.cold.iter_mut().for_each(|b| b.refill(span));
+            for f in nd.flows.values_mut() {
+                f.spare.iter_mut().for_each(|b| b.refill(span));
+                f.queued_sum += f.held * f64::from(ticks);
+                f.out_sum += f.out * f64::from(ticks);
+            }
+        }
+    }
+
+    pub fn unhold(&mut self, id: XferId) {
+        let Some(x) = self.xfers.get(&id) else { return };
+        match x.x.cell {
+            None => self.floating.retain(|f| *f != id),
+            Some(cell) => {
+                let there = self.nodes.values_mut().filter(|nd| nd.cell == cell);
+                there.for_each(|nd| nd.unhold(&x.x));
+            }
         }
     }
+
+    /// The transfer needs nothing more from us; its record stays while a leg is out.
+    pub fn close(&mut self, id: XferId) {
+        self.unhold(id);
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        x.over = true;
+        if x.out.is_none() {
+            if let Some(key) = x.x.key {
+                self.keys.leave(key, id);
+            }
+            self.xfers.remove(&id);
+        }
+    }
+
+    pub fn log(&mut self, text: String) {
+        self.out.push(Action::Log { text });
+    }
 }
