Pace sends below one transfer out; nodes that fail fast get trials only

Cause: with twelve hosts even one transfer out each queued past the SLO time at every node, and nodes that answered full at once drew most new objects. Conclusion: the brake below one transfer guards against any crowd of hosts; it does harm where answers are late for reasons that sending less does not mend.

--- a/src/control.rs
+++ b/src/control.rs
@@ -33,7 +33,8 @@
 const LARGE: f64 = 2.0;
 const MOST_OUT: f64 = 32.0;
 const START_XFERS: f64 = 4.0;
-const BRAKE_LEAST: f64 = 0.2;
+const BRAKE_LEAST: f64 = 0.02;
+const SICK_AFTER: u32 = 3;
 const FAILING: f64 = 0.5;
 const TRIAL_EVERY: Duration = Duration::from_millis(500);
 const BRAKE_DOWN: f64 = 0.9;
@@ -383,8 +384,15 @@
         if !never_ran && end != LegEnd::Done && x.ran.is_none() {
             x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent: now.saturating_sub(elapsed) });
         }
-        let bad = matches!(end, LegEnd::Error | LegEnd::NoConnection | LegEnd::Reset);
+        // What fails fast looks idle and would draw all that may go anywhere: errors, full queues, dead
+        // ports alike. Some in a row make the node sick. Harm: a short jam costs a trial's wait.
+        let bad = !matches!(end, LegEnd::Done | LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Moot);
+        nd.bad_row = if bad { nd.bad_row + 1 } else { nd.bad_row };
         nd.errors = smooth(nd.errors, f64::from(u8::from(bad)), SMOOTH);
+        if bad && nd.bad_row == SICK_AFTER && !nd.sick {
+            nd.sick = true;
+            self.bk.out.push(Action::Log { text: format!("node {} sick: {end:?} in a row", node.0) });
+        }
         if end == LegEnd::Done {
             (nd.answers.done, v.done) = (nd.answers.done + units, v.done + units);
             self.per_unit.add(elapsed.div_f64(units.max(0.5)));
@@ -400,10 +408,10 @@
             nd.answers.full += 1.0;
             nd.brake = (nd.brake * BRAKE_DOWN * BRAKE_DOWN).max(BRAKE_LEAST);
         }
-        if matches!(end, LegEnd::Done | LegEnd::Error | LegEnd::Full) {
-            nd.heard = now;
-            if std::mem::take(&mut nd.silent) {
-                self.bk.log(format!("node {} answers again", node.0));
+        if end == LegEnd::Done {
+            (nd.heard, nd.bad_row) = (now, 0);
+            if std::mem::take(&mut nd.sick) {
+                self.bk.log(format!("node {} well again", node.0));
             }
         }
     }
@@ -477,7 +485,7 @@
             let came = !known || back || nd.started != e.started;
             (nd.zone, nd.cell, nd.state, nd.started) = (e.zone, e.cell, e.state, e.started);
             if came && e.state == NodeState::Ready {
-                (nd.silent, nd.brake, nd.heard) = (false, 1.0, now);
+                (nd.sick, nd.bad_row, nd.brake, nd.heard) = (false, 0, 1.0, now);
                 // All hosts learn of it about together; without the wait each would send first.
                 let most = if first { Duration::ZERO } else { RETURN_SPREAD };
                 nd.open_from = now + most.mul_f64(self.rng.random::<f64>());
@@ -500,7 +508,7 @@
         let usual = self.usual_rate();
         for nd in self.bk.nodes.values_mut().filter(|nd| nd.cold.is_some()) {
             let age = self.bk.now.saturating_sub(nd.started.unwrap_or_default());
-            let rate = if nd.rate > 0.0 { nd.rate.min(usual) } else { usual };
+            let rate = if nd.rate > 0.0 { nd.rate } else { usual };
             let part = cold_part(&self.cold, rate, age);
             nd.cold.iter_mut().for_each(|b| b.retune(part / secs(self.cold.fall_within).max(1e-3), part));
             if age >= self.cold.warm_within {
@@ -538,7 +546,8 @@
         }
         for nd in self.bk.nodes.values_mut() {
             let seen = std::mem::take(&mut nd.answers);
-            if seen.was_held || seen.done / span > nd.rate {
+            // A cold node's rate says nothing of what it will do, and its part is reckoned from before.
+            if nd.cold.is_none() && (seen.was_held || seen.done / span > nd.rate) {
                 nd.rate = smooth(nd.rate, seen.done / span, SMOOTH);
             }
             nd.window.read(&Reading {
@@ -595,12 +604,16 @@
             && (nd.tokens.held() > 0.0 || self.value(x, Some(nd)).1)
     }
 
-    fn room(&self, nd: &Node, units: f64) -> bool {
+    fn room(&self, id: NodeId, units: f64) -> bool {
+        let nd = &self.bk.nodes[&id];
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
         let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
         let open = nd.state == NodeState::Ready && self.bk.now >= nd.open_from;
-        let trial = nd.silent && self.bk.now >= nd.sent + TRIAL_EVERY;
-        open && (trial || !nd.silent && (nd.out <= 0.0 || nd.out + units <= most))
+        // Many hosts with one transfer out each are too many for one node: below one, the bound paces.
+        let gap = self.expected(Some(id), units).mul_f64(units / most);
+        let paced = nd.out <= 0.0 && (units <= most || self.bk.now >= nd.sent + gap);
+        let trial = nd.sick && self.bk.now >= nd.sent + TRIAL_EVERY;
+        open && (trial || !nd.sick && (paced || nd.out + units <= most))
     }
 
     fn decide(&mut self, ticked: bool) {
@@ -628,7 +641,7 @@
         let ready = ready.filter(|(id, x)| self.may_send(*id, x, nd, further));
         let ranked = ready.map(|(id, x)| (self.value(x, Some(nd)).0, std::cmp::Reverse(x.slo_at), id));
         let best = ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite")).map(|r| r.2);
-        best.filter(|id| self.room(nd, self.bk.xfers[id].x.units))
+        best.filter(|id| self.room(node, self.bk.xfers[id].x.units))
     }
 
     /// A node with legs out that has answered nothing for long is silent; one heard from is not. Guards
@@ -639,9 +652,9 @@
         for (id, nd) in &mut self.bk.nodes {
             nd.answers.was_held |= !nd.held.is_empty();
             let since = nd.legs.values().min().map_or(now, |sent| nd.heard.max(*sent));
-            if !nd.silent && now > since + patience {
-                nd.silent = true;
-                found.push(format!("node {} silent: no answer for {:?}", id.0, now - since));
+            if !nd.sick && now > since + patience {
+                nd.sick = true;
+                found.push(format!("node {} sick: no answer for {:?}", id.0, now - since));
             }
         }
         found.into_iter().for_each(|text| self.bk.log(text));
@@ -658,12 +671,12 @@
     fn shed(&mut self, node: NodeId) {
         let (nd, now) = (&self.bk.nodes[&node], self.bk.now);
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
-        let (mut ahead, silent, mut below, mut doomed) = (0.0, nd.silent, false, Vec::new());
+        let (mut ahead, sick, mut below, mut doomed) = (0.0, nd.sick, false, Vec::new());
         for id in self.ranked(&nd.held, Some(nd)) {
             let x = &self.bk.xfers[&id];
             let wait = Duration::from_secs_f64(if rate > 0.0 { ahead / rate } else { 0.0 });
             let hopeless = now + wait + self.expected(Some(node), x.x.units) > x.x.expiry;
-            if hopeless || (silent && now > x.slo_at) {
+            if hopeless || (sick && now > x.slo_at) {
                 doomed.push((id, wait.max(TRIAL_EVERY)));
             } else {
                 ahead += x.x.units;
@@ -682,11 +695,11 @@
         let mut stuck = 0.0;
         for id in self.ranked(&self.bk.floating, None) {
             let x = &self.bk.xfers[&id];
-            let fit = |(_, nd): &(&NodeId, &Node)| {
-                !nd.silent
+            let fit = |(n, nd): &(&NodeId, &Node)| {
+                !nd.sick
                     && nd.errors < FAILING
                     && nd.held.is_empty()
-                    && self.room(nd, x.x.units)
+                    && self.room(**n, x.x.units)
                     && self.may_send(id, x, nd, further)
             };
             let first = |(n, _): &(&NodeId, &Node)| (x.last != Some(**n), rank_of(x.x.volume, **n));
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,7 +83,9 @@
     pub brake: f64,
     pub errors: f64,
     pub heard: Duration,
-    pub silent: bool,
+    /// Silent, or failing fast: gets trials only.
+    pub sick: bool,
+    pub bad_row: u32,
     pub sent: Duration,
 }
 
@@ -109,7 +111,8 @@
             brake: 1.0,
             errors: 0.0,
             heard: Duration::ZERO,
-            silent: false,
+            sick: false,
+            bad_row: 0,
             sent: Duration::ZERO,
         }
     }
