--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,7 @@
 use crate::bucket::TokenBucket;
 use crate::histogram::Histogram;
 use crate::interface::*;
+use crate::ranking::rank_of;
 use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -77,14 +78,6 @@
     }
 }
 
-/// What one flow asks of a node, and on what terms. Rates are units a second.
-#[derive(Debug, Clone, Copy)]
-pub struct Ask {
-    pub demand: f64,
-    pub reservation: f64,
-    pub weight: f64,
-}
-
 /// Fills reservations first, then deals the leftover to unmet demand by weight. Answers each flow's
 /// reserved and spare rate.
 pub fn fill(capacity: f64, asks: &[Ask]) -> Vec<(f64, f64)> {
@@ -110,25 +103,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Phase {
-    Search,
-    Wait,
-    Stable { outstanding: f64 },
-}
-
-/// One interval's view of a node.
-#[derive(Debug, Clone, Default)]
-pub struct Reading {
-    /// Transfers were held while answers came slower, or full.
-    pub congested: bool,
-    /// A volume was held below its reservation.
-    pub below_reservation: bool,
-    pub outstanding: f64,
-    /// Smoothed units by stream type, as parts of one.
-    pub mix: Vec<f64>,
-}
-
 /// The probing window over what this host can get from a node (paper, 4.3).
 #[derive(Debug, Clone)]
 pub struct Window {
@@ -194,15 +168,6 @@
     (rate * SLO_PART * secs(tightest)).max(floor).min(MOST_OUT * mean_units)
 }
 
-/// The nodes' fixed ranking for a volume (rendezvous hashing): highest first.
-pub fn rank_of(volume: VolumeId, node: NodeId) -> u64 {
-    let mut z = volume.0 ^ u64::from(node.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for shift in [30, 27, 31] {
-        z = (z ^ (z >> shift)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    }
-    z
-}
-
 /// Whether a leg may follow one that may have run (repeat rule). `ran` is where and when that was.
 pub fn may_repeat(repeat: Repeat, ran: Option<Ran>, to: (ZoneId, CellId), now: Duration) -> bool {
     match (ran, repeat) {
@@ -387,20 +352,17 @@
         // What fails fast looks idle and would draw all that may go anywhere: errors, full queues, dead
         // ports alike. Some in a row make the node sick. Harm: a short jam costs a trial's wait.
         let bad = !matches!(end, LegEnd::Done | LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Moot);
-        nd.bad_row = if bad { nd.bad_row + 1 } else { nd.bad_row };
         nd.errors = smooth(nd.errors, f64::from(u8::from(bad)), SMOOTH);
-        if bad && nd.bad_row == SICK_AFTER && !nd.sick {
-            nd.sick = true;
-            self.bk.out.push(Action::Log { text: format!("node {} sick: {end:?} in a row", node.0) });
-        }
+        let (row, was_sick) = (nd.bad_row + u32::from(bad), nd.sick);
+        (nd.bad_row, nd.sick) = (row, was_sick || row >= SICK_AFTER);
         if end == LegEnd::Done {
-            (nd.answers.done, v.done) = (nd.answers.done + units, v.done + units);
             self.per_unit.add(elapsed.div_f64(units.max(0.5)));
             let own = self.per_unit.quantile(LEAST_PART).unwrap_or_default().mul_f64(units);
-            nd.lags.add(elapsed.saturating_sub(own));
             let late = elapsed > own + self.tightest.mul_f64(SLO_PART);
-            (nd.answers.all, nd.answers.slow) =
-                (nd.answers.all + 1.0, nd.answers.slow + f64::from(u8::from(late)));
+            nd.lags.add(elapsed.saturating_sub(own));
+            v.done += units;
+            nd.answers.add(units, late);
+            (nd.heard, nd.bad_row, nd.sick) = (now, 0, false);
             // Late answers of any cause (slow node, strangers' load, other hosts) shrink the bound below
             // the design's floor, which alone would queue past the SLO time.
             nd.brake = (nd.brake * if late { BRAKE_DOWN } else { BRAKE_UP }).clamp(BRAKE_LEAST, 1.0);
@@ -408,11 +370,9 @@
             nd.answers.full += 1.0;
             nd.brake = (nd.brake * BRAKE_DOWN * BRAKE_DOWN).max(BRAKE_LEAST);
         }
-        if end == LegEnd::Done {
-            (nd.heard, nd.bad_row) = (now, 0);
-            if std::mem::take(&mut nd.sick) {
-                self.bk.log(format!("node {} well again", node.0));
-            }
+        if was_sick != nd.sick {
+            let state = if was_sick { "well again" } else { "sick" };
+            self.bk.log(format!("node {} {state}: {end:?} after {row} bad answers in a row", node.0));
         }
     }
 
@@ -547,8 +507,9 @@
         for nd in self.bk.nodes.values_mut() {
             let seen = std::mem::take(&mut nd.answers);
             // A cold node's rate says nothing of what it will do, and its part is reckoned from before.
-            if nd.cold.is_none() && (seen.was_held || seen.done / span > nd.rate) {
-                nd.rate = smooth(nd.rate, seen.done / span, SMOOTH);
+            let done = seen.done / span;
+            if nd.cold.is_none() && (seen.was_held || done > nd.rate) {
+                nd.rate = smooth(nd.rate, done, SMOOTH);
             }
             nd.window.read(&Reading {
                 congested: seen.was_held && (seen.full > 0.0 || seen.slow * 2.0 > seen.all.max(1.0)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,14 @@
 //! storage node now, which are held, and which are turned away.
 //!
 //! [`control`] holds every decision. [`interface`] holds what goes in and out of it;
-//! [`state`] the records it keeps; [`bucket`], [`histogram`], [`lines`] and [`spans`] are mechanical helpers whose numbers come from the caller.
+//! [`state`] the records it keeps; [`bucket`], [`histogram`], [`lines`], [`ranking`]
+//! and [`spans`] are mechanical helpers whose numbers come from the caller.
 
 pub mod bucket;
 pub mod control;
 pub mod histogram;
 pub mod interface;
 pub mod lines;
+pub mod ranking;
 pub mod spans;
 pub mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,33 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// What one flow asks of a node, and on what terms. Rates are units a second.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    pub demand: f64,
+    pub reservation: f64,
+    pub weight: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Phase {
+    Search,
+    Wait,
+    Stable { outstanding: f64 },
+}
+
+/// One interval's view of a node.
+#[derive(Debug, Clone, Default)]
+pub struct Reading {
+    /// Transfers were held while answers came slower, or full.
+    pub congested: bool,
+    /// A volume was held below its reservation.
+    pub below_reservation: bool,
+    pub outstanding: f64,
+    /// Smoothed units by stream type, as parts of one.
+    pub mix: Vec<f64>,
+}
+
 /// Where and when a leg was sent that may have run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ran {
@@ -62,6 +89,14 @@
     pub below_reservation: bool,
 }
 
+impl Answers {
+    pub fn add(&mut self, units: f64, slow: bool) {
+        self.done += units;
+        self.all += 1.0;
+        self.slow += f64::from(u8::from(slow));
+    }
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub zone: ZoneId,
