--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,8 @@
 const BRAKE_UP: f64 = 1.05;
 const LEAST_PART: f64 = 0.15;
 const WATCH_AGAIN: Duration = Duration::from_millis(200);
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.7;
+const UNKNOWN_PART: f64 = 0.5;
 const SILENT_SLOS: u32 = 4;
 const PER_UNIT_KEPT: f64 = 400.0;
 const RETURN_SPREAD: Duration = Duration::from_millis(400);
@@ -189,9 +190,9 @@
     !may_have_run || matches!(repeat, Repeat::Repeatable | Repeat::Keyed { group: RepeatGroup::All, .. })
 }
 
-/// What this host may send to a cold node: its part of the units that are always borne, or of the
-/// least that a node of this rate can do by now. Half fills and half is held, so that a full bucket
-/// and its refill together stay inside one span of the rule.
+/// What this host may send to a cold node in one span of the rule: its part of the units that are always
+/// borne, or of the least that a node can do by now, of which its own rate from before is its part. Half
+/// is held and half fills, so that a full bucket and its refill together stay inside one span.
 pub fn cold_part(rule: &ColdRule, own_rate: f64, age: Duration) -> f64 {
     let warm = (secs(age) / secs(rule.warm_within).max(1e-3)).min(1.0);
     let capacity = rule.starts_at + (1.0 - rule.starts_at) * warm;
@@ -468,7 +469,7 @@
         let usual = self.usual_rate();
         for nd in self.bk.nodes.values_mut().filter(|nd| nd.cold.is_some()) {
             let age = self.bk.now.saturating_sub(nd.started.unwrap_or_default());
-            let rate = if nd.rate > 0.0 { nd.rate } else { usual };
+            let rate = if nd.rate > 0.0 { nd.rate } else { usual * UNKNOWN_PART };
             let part = cold_part(&self.cold, rate, age);
             nd.cold.iter_mut().for_each(|b| b.retune(part / secs(self.cold.fall_within).max(1e-3), part));
             if age >= self.cold.warm_within {
