--- a/src/control.rs
+++ b/src/control.rs
@@ -538,7 +538,8 @@
     }
 
     /// Benefit per unit, by the bucket that would pay, and whether one would.
-    fn value(&self, x: &Xfer, nd: Option<&Node>) -> (f64, bool) {
+    fn value(&self, x: &Xfer, id: Option<NodeId>) -> (f64, bool) {
+        let nd = id.and_then(|n| self.bk.nodes.get(&n));
         let stream = &self.streams[x.x.stream_type.0];
         let spare = nd.and_then(|nd| nd.flows.get(&x.x.volume)).and_then(|f| f.spare.as_ref());
         let (part, paid) = if self.bk.volumes[&x.x.volume].reserve.held() > 0.0 {
@@ -548,12 +549,14 @@
         } else {
             (self.units.spare_part, false)
         };
-        let late = if self.bk.now > x.slo_at { stream.late_part } else { 1.0 };
+        let ready = self.bk.now + self.expected(id, x.x.units);
+        let late = if ready > x.slo_at { stream.late_part } else { 1.0 };
         (part * late * stream.benefit * self.plans[x.x.plan.0].price, paid)
     }
 
     /// The rules and the buckets let it go to this node now.
-    fn may_send(&self, id: XferId, x: &Xfer, nd: &Node, further: bool) -> bool {
+    fn may_send(&self, id: XferId, x: &Xfer, node: NodeId, further: bool) -> bool {
+        let nd = &self.bk.nodes[&node];
         let (now, stream) = (self.bk.now, &self.streams[x.x.stream_type.0]);
         let limit = self.bk.volumes[&x.x.volume].limit.as_ref();
         let key = x.x.key.filter(|_| stream.ordered);
@@ -563,7 +566,7 @@
             && (x.legs > 0 || limit.is_none_or(|b| b.held() >= x.x.units))
             && nd.cold.as_ref().is_none_or(|b| b.held() > 0.0)
             && may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now)
-            && (nd.tokens.held() > 0.0 || self.value(x, Some(nd)).1)
+            && (nd.tokens.held() > 0.0 || self.value(x, Some(node)).1)
     }
 
     fn room(&self, id: NodeId, units: f64) -> bool {
@@ -600,8 +603,8 @@
         let further = self.further_allowed();
         let nd = &self.bk.nodes[&node];
         let ready = nd.held.iter().map(|h| (*h, &self.bk.xfers[h]));
-        let ready = ready.filter(|(id, x)| self.may_send(*id, x, nd, further));
-        let ranked = ready.map(|(id, x)| (self.value(x, Some(nd)).0, std::cmp::Reverse(x.slo_at), id));
+        let ready = ready.filter(|(id, x)| self.may_send(*id, x, node, further));
+        let ranked = ready.map(|(id, x)| (self.value(x, Some(node)).0, std::cmp::Reverse(x.slo_at), id));
         let best = ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite")).map(|r| r.2);
         best.filter(|id| self.room(node, self.bk.xfers[id].x.units))
     }
@@ -623,7 +626,7 @@
     }
 
     /// Held transfers, the best first.
-    fn ranked(&self, held: &[XferId], nd: Option<&Node>) -> Vec<XferId> {
+    fn ranked(&self, held: &[XferId], nd: Option<NodeId>) -> Vec<XferId> {
         let mut line: Vec<_> = held.iter().map(|h| (self.value(&self.bk.xfers[h], nd).0, *h)).collect();
         line.sort_by(|a, b| b.partial_cmp(a).expect("values are finite"));
         line.into_iter().map(|(_, id)| id).collect()
@@ -634,7 +637,7 @@
         let (nd, now) = (&self.bk.nodes[&node], self.bk.now);
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
         let (mut ahead, sick, mut below, mut doomed) = (0.0, nd.sick, false, Vec::new());
-        for id in self.ranked(&nd.held, Some(nd)) {
+        for id in self.ranked(&nd.held, Some(node)) {
             let x = &self.bk.xfers[&id];
             let wait = Duration::from_secs_f64(if rate > 0.0 { ahead / rate } else { 0.0 });
             let hopeless = now + wait + self.expected(Some(node), x.x.units) > x.x.expiry;
@@ -662,7 +665,7 @@
                     && nd.errors < FAILING
                     && nd.held.is_empty()
                     && self.room(**n, x.x.units)
-                    && self.may_send(id, x, nd, further)
+                    && self.may_send(id, x, **n, further)
             };
             let first = |(n, _): &(&NodeId, &Node)| (x.last != Some(**n), rank_of(x.x.volume, **n));
             let rate = self.usual_rate() * self.bk.nodes.len() as f64;
@@ -678,7 +681,7 @@
     }
 
     fn send(&mut self, id: XferId, node: NodeId) {
-        let (_, paid) = self.value(&self.bk.xfers[&id], self.bk.nodes.get(&node));
+        let (_, paid) = self.value(&self.bk.xfers[&id], Some(node));
         self.bk.unhold(id);
         let x = self.bk.xfers.get_mut(&id).expect("held, so known");
         let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
