--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,7 @@
 use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -572,28 +573,30 @@
         if ticked {
             self.listen();
         }
+        self.place(ticked);
         let busy = self.bk.nodes.iter().filter(|(_, nd)| !nd.held.is_empty());
         for node in busy.map(|(n, _)| *n).collect::<Vec<_>>() {
-            while let Some(id) = self.best(node) {
+            loop {
+                let further = self.further_allowed();
+                let Some((.., id)) = self.best(node, further) else { break };
+                if !self.room(node, self.bk.xfers[&id].x.units) {
+                    break;
+                }
                 self.send(id, node);
             }
             if ticked {
                 self.shed(node);
             }
         }
-        self.place(ticked);
     }
 
-    /// The held transfer that should go next, if there is room for it; a smaller one behind it waits, or
-    /// large ones would never go.
-    fn best(&mut self, node: NodeId) -> Option<XferId> {
-        let further = self.further_allowed();
-        let nd = &self.bk.nodes[&node];
-        let ready = nd.held.iter().map(|h| (*h, &self.bk.xfers[h]));
+    /// What the held transfer that should go next to the node would bring, when it should have gone, and
+    /// which it is. A smaller one behind it waits, or large ones would never go.
+    fn best(&self, node: NodeId, further: bool) -> Option<(f64, Reverse<Duration>, XferId)> {
+        let ready = self.bk.nodes[&node].held.iter().map(|h| (*h, &self.bk.xfers[h]));
         let ready = ready.filter(|(id, x)| self.may_send(*id, x, node, further));
-        let ranked = ready.map(|(id, x)| (self.value(x, Some(node)).0, std::cmp::Reverse(x.slo_at), id));
-        let best = ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite")).map(|r| r.2);
-        best.filter(|id| self.room(node, self.bk.xfers[id].x.units))
+        let ranked = ready.map(|(id, x)| (self.value(x, Some(node)).0, Reverse(x.slo_at), id));
+        ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite"))
     }
 
     /// A node with legs out that has answered nothing for long is silent; one heard from is not. Guards
@@ -641,23 +644,27 @@
     }
 
     /// New objects go to the first node in their volume's ranking, or the next when that has enough: no
-    /// room, transfers of its own waiting, silence, or errors (a node that fails fast looks idle).
+    /// room, something better of its own waiting, sickness, or errors (a node that fails fast looks idle).
     fn place(&mut self, ticked: bool) {
-        let further = self.further_allowed();
-        let mut stuck = 0.0;
+        let (further, mut stuck) = (self.further_allowed(), 0.0);
+        let calm = |(_, nd): &(&NodeId, &Node)| !nd.sick && nd.errors < FAILING;
+        let calm: Vec<NodeId> = self.bk.nodes.iter().filter(calm).map(|(n, _)| *n).collect();
+        let open = calm.into_iter().filter(|n| self.room(*n, 0.0));
+        let mut open: BTreeMap<NodeId, _> = open.map(|n| (n, self.best(n, further))).collect();
         for id in self.ranked(&self.bk.floating, None) {
             let x = &self.bk.xfers[&id];
-            let fit = |(n, nd): &(&NodeId, &Node)| {
-                !nd.sick
-                    && nd.errors < FAILING
-                    && nd.held.is_empty()
-                    && self.room(**n, x.x.units)
-                    && self.may_send(id, x, **n, further)
+            let fit = |n: &NodeId, best: &Option<(f64, Reverse<Duration>, XferId)>| {
+                let own = (self.value(x, Some(*n)).0, Reverse(x.slo_at), id);
+                self.room(*n, x.x.units) && self.may_send(id, x, *n, further) && best.is_none_or(|b| own > b)
             };
-            let first = |(n, _): &(&NodeId, &Node)| (x.last != Some(**n), rank_of(x.x.volume, **n));
+            let first = |n: &NodeId| (x.last != Some(*n), rank_of(x.x.volume, *n));
             let wait = wait_behind(stuck, self.usual_rate() * self.bk.nodes.len() as f64);
-            match self.bk.nodes.iter().filter(fit).max_by_key(first).map(|(n, _)| *n) {
-                Some(node) => self.send(id, node),
+            let fits = open.iter().filter(|(n, best)| fit(n, best)).map(|(n, _)| *n);
+            match fits.max_by_key(first) {
+                Some(node) => {
+                    self.send(id, node);
+                    open.retain(|n, _| self.room(*n, 0.0));
+                }
                 None if ticked && self.bk.now + wait + self.expected(None, x.x.units) > x.x.expiry => {
                     self.give_up(id, wait.max(TRIAL_EVERY));
                 }
