--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -10,6 +10,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+/// More units than this in one transfer are a slip of the sender.
+const MOST_UNITS: f64 = 1e9;
+
 /// What is wrong with the input, and on which line.
 #[derive(Debug)]
 pub struct Fault {
@@ -248,7 +251,7 @@
         let event = match name {
             "KNOCK" => {
                 let id = v.xfer()?;
-                let units = v.number("units")?;
+                let units = v.number("units")?.min(MOST_UNITS);
                 let cell = v.maybe::<i64>("slot-no")?.and_then(|c| u32::try_from(c).ok()).map(CellId);
                 let stream_type = StreamTypeId(v.must("cls")?);
                 let plan = PlanId(v.must("policy-no")?);
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,7 +36,6 @@
 const START_XFERS: f64 = 4.0;
 const BRAKE_LEAST: f64 = 0.02;
 const SICK_AFTER: u32 = 3;
-const FAILING: f64 = 0.5;
 const TRIAL_EVERY: Duration = Duration::from_millis(500);
 const BRAKE_DOWN: f64 = 0.9;
 const BRAKE_UP: f64 = 1.05;
@@ -286,8 +285,8 @@
             let reserve = TokenBucket::new(part(plan.reservation), part(plan.reservation), plan.reservation);
             // A host that was restarted has forgotten what it drew from the limit's store, so its part
             // starts empty. Harm: a volume's first burst comes slower.
-            let limit = TokenBucket::new(part(plan.limit), part(plan.limit_burst), 0.0);
-            let limit = (plan.limit > 0.0).then_some(limit);
+            let limit = || TokenBucket::new(part(plan.limit), part(plan.limit_burst), 0.0);
+            let limit = (plan.limit > 0.0).then(limit);
             Volume { plan: x.plan, hosts, done: 0.0, done_rate: 0.0, reported: None, reserve, limit }
         });
         if let (true, Some(key)) = (stream.ordered, x.key) {
@@ -338,7 +337,6 @@
         // What fails fast looks idle and would draw all that may go anywhere: errors, full queues, dead
         // ports alike. Some in a row make the node sick. Harm: a short jam costs a trial's wait.
         let bad = !matches!(end, LegEnd::Done | LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Moot);
-        nd.errors = smooth(nd.errors, f64::from(u8::from(bad)), SMOOTH);
         let (row, was_sick) = (nd.bad_row + u32::from(bad), nd.sick);
         (nd.bad_row, nd.sick) = (row, was_sick || row >= SICK_AFTER);
         if end == LegEnd::Done {
@@ -399,8 +397,7 @@
         (made + 1) as f64 <= rule.floor + rule.share * taken as f64
     }
 
-    /// Time that a leg of this size should take: what the node's answers lately took over the best
-    /// seen for their size, and the usual for this size.
+    /// Time that a leg of this size should take: the node's late lag over the best, and the usual time.
     fn expected(&self, node: Option<NodeId>, units: f64) -> Duration {
         let lags = node.and_then(|n| self.bk.nodes.get(&n)).and_then(|nd| nd.lags.quantile(0.5));
         let usual = self.per_unit.quantile(0.5).unwrap_or_default().mul_f64(units);
@@ -428,10 +425,9 @@
             let edges = (START_XFERS * self.units.mean, MOST_OUT * self.units.mean / secs(self.tightest));
             let lags = Histogram::new(TICK, 1.5, 16);
             let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len());
-            let known = self.bk.nodes.contains_key(&e.node);
             let nd = self.bk.nodes.entry(e.node).or_insert_with(new);
             let back = nd.state != NodeState::Ready && e.state == NodeState::Ready;
-            let came = !known || back || nd.started != e.started;
+            let came = back || nd.started != e.started;
             (nd.zone, nd.cell, nd.state, nd.started) = (e.zone, e.cell, e.state, e.started);
             if came && e.state == NodeState::Ready {
                 (nd.sick, nd.bad_row, nd.brake, nd.heard) = (false, 0, 1.0, now);
@@ -557,13 +553,13 @@
             && (nd.tokens.held() > 0.0 || self.value(x, Some(node)).1)
     }
 
-    fn room(&self, id: NodeId, units: f64) -> bool {
-        let nd = &self.bk.nodes[&id];
+    fn room(&self, node: NodeId, units: f64) -> bool {
+        let nd = &self.bk.nodes[&node];
         let rate = if nd.rate > 0.0 { nd.rate } else { self.usual_rate() };
         let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
         let open = nd.state == NodeState::Ready && self.bk.now >= nd.open_from;
         // Many hosts with one transfer out each are too many for one node: below one, the bound paces.
-        let gap = self.expected(Some(id), units).mul_f64(units / most);
+        let gap = self.expected(Some(node), units).mul_f64(units / most);
         let paced = nd.out <= 0.0 && (units <= most || self.bk.now >= nd.sent + gap);
         let trial = nd.sick && self.bk.now >= nd.sent + TRIAL_EVERY;
         open && (trial || !nd.sick && (paced || nd.out + units <= most))
@@ -576,13 +572,12 @@
         self.place(ticked);
         let busy = self.bk.nodes.iter().filter(|(_, nd)| !nd.held.is_empty());
         for node in busy.map(|(n, _)| *n).collect::<Vec<_>>() {
-            loop {
-                let further = self.further_allowed();
-                let Some((.., id)) = self.best(node, further) else { break };
-                if !self.room(node, self.bk.xfers[&id].x.units) {
-                    break;
-                }
+            let mut further = self.further_allowed();
+            while let Some((.., id)) =
+                self.best(node, further).filter(|b| self.room(node, self.bk.xfers[&b.2].x.units))
+            {
                 self.send(id, node);
+                further = self.further_allowed();
             }
             if ticked {
                 self.shed(node);
@@ -603,16 +598,15 @@
     /// against hangs, cut links and dead nodes the list still shows. Harm: one heavy transfer alone there.
     fn listen(&mut self) {
         let (now, patience) = (self.bk.now, self.tightest * SILENT_SLOS);
-        let mut found = Vec::new();
         for (id, nd) in &mut self.bk.nodes {
             nd.answers.was_held |= !nd.held.is_empty();
             let since = nd.legs.values().min().map_or(now, |sent| nd.heard.max(*sent));
             if !nd.sick && now > since + patience {
                 nd.sick = true;
-                found.push(format!("node {} sick: no answer for {:?}", id.0, now - since));
+                let text = format!("node {} sick: no answer for {:?}", id.0, now - since);
+                self.bk.out.push(Action::Log { text });
             }
         }
-        found.into_iter().for_each(|text| self.bk.log(text));
     }
 
     /// Held transfers, the best first.
@@ -644,13 +638,11 @@
     }
 
     /// New objects go to the first node in their volume's ranking, or the next when that has enough: no
-    /// room, something better of its own waiting, sickness, or errors (a node that fails fast looks idle).
+    /// room, something better of its own waiting, or sickness (a node that fails fast looks idle).
     fn place(&mut self, ticked: bool) {
         let (further, mut stuck) = (self.further_allowed(), 0.0);
-        let calm = |(_, nd): &(&NodeId, &Node)| !nd.sick && nd.errors < FAILING;
-        let calm: Vec<NodeId> = self.bk.nodes.iter().filter(calm).map(|(n, _)| *n).collect();
-        let open = calm.into_iter().filter(|n| self.room(*n, 0.0));
-        let mut open: BTreeMap<NodeId, _> = open.map(|n| (n, self.best(n, further))).collect();
+        let open = self.bk.nodes.iter().filter(|(n, nd)| !nd.sick && self.room(**n, 0.0));
+        let mut open: BTreeMap<NodeId, _> = open.map(|(n, _)| (*n, self.best(*n, further))).collect();
         for id in self.ranked(&self.bk.floating, None) {
             let x = &self.bk.xfers[&id];
             let fit = |n: &NodeId, best: &Option<(f64, Reverse<Duration>, XferId)>| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,7 +116,6 @@
     pub lags: Histogram,
     pub mix: Vec<f64>,
     pub brake: f64,
-    pub errors: f64,
     pub heard: Duration,
     /// Silent, or failing fast: gets trials only.
     pub sick: bool,
@@ -125,11 +124,12 @@
 }
 
 impl Node {
+    /// A node not yet heard of: gone until its entry is read.
     pub fn new(e: &ListEntry, window: Window, lags: Histogram, streams: usize) -> Self {
         Node {
             zone: e.zone,
             cell: e.cell,
-            state: e.state,
+            state: NodeState::Gone,
             started: e.started,
             open_from: Duration::ZERO,
             cold: None,
@@ -144,7 +144,6 @@
             lags,
             mix: vec![0.0; streams],
             brake: 1.0,
-            errors: 0.0,
             heard: Duration::ZERO,
             sick: false,
             bad_row: 0,
