A cold node's part mostly fills and is little held

Cause: half of a cold node's part was kept as depth, so its steady rate was half of what the rule's span leaves. Told from a weak node by quick answers while transfers were turned away. Conclusion: kept; it could do harm where a node starts below the least capacity that the rule states.

--- a/src/control.rs
+++ b/src/control.rs
@@ -42,6 +42,7 @@
 const LEAST_PART: f64 = 0.15;
 const WATCH_AGAIN: Duration = Duration::from_millis(200);
 const COLD_PART: f64 = 0.7;
+const COLD_HELD: f64 = 0.2;
 const UNKNOWN_PART: f64 = 0.5;
 const SILENT_SLOS: u32 = 4;
 const PER_UNIT_KEPT: f64 = 400.0;
@@ -196,13 +197,12 @@
 }
 
 /// What this host may send to a cold node in one span of the rule: its part of the units that are always
-/// borne, or of the least that a node can do by now, of which its own rate from before is its part. Half
-/// is held and half fills, so that a full bucket and its refill together stay inside one span.
+/// borne, or of the least that a node can do by now, of which its own rate from before is its part.
 pub fn cold_part(rule: &ColdRule, own_rate: f64, age: Duration) -> f64 {
     let warm = (secs(age) / secs(rule.warm_within).max(1e-3)).min(1.0);
     let capacity = rule.starts_at + (1.0 - rule.starts_at) * warm;
     let able = COLD_PART * rule.multiple * capacity * own_rate * secs(rule.fall_within);
-    able.max(rule.units / rule.hosts.max(1) as f64) / 2.0
+    able.max(rule.units / rule.hosts.max(1) as f64)
 }
 
 /// The decisions of one host.
@@ -388,8 +388,7 @@
         }
     }
 
-    /// Another leg stays inside the budget of any window. The window's edge is read against us on both
-    /// counts: transfers taken leave the count a tick early, legs a tick late.
+    /// Another leg stays inside the budget of any window, whose edge is read against us on both counts.
     fn further_allowed(&mut self) -> bool {
         let Some(rule) = &self.budget else { return true };
         let taken = self.bk.taken.within(rule.window.saturating_sub(TICK), self.bk.now);
@@ -436,7 +435,8 @@
                 nd.open_from = now + most.mul_f64(self.rng.random::<f64>());
                 nd.cold = None;
                 if e.started.is_some_and(|s| now < s + self.cold.warm_within) {
-                    nd.cold = Some(TokenBucket::new(0.0, f64::MAX, cold_part(&self.cold, 0.0, TICK)));
+                    nd.cold =
+                        Some(TokenBucket::new(0.0, f64::MAX, COLD_HELD * cold_part(&self.cold, 0.0, TICK)));
                     self.bk.log(format!("node {} came back cold", e.node.0));
                 }
             }
@@ -455,10 +455,10 @@
             let age = self.bk.now.saturating_sub(nd.started.unwrap_or_default());
             let rate = if nd.rate > 0.0 { nd.rate } else { usual * UNKNOWN_PART };
             let part = cold_part(&self.cold, rate, age);
-            nd.cold.iter_mut().for_each(|b| b.retune(part / secs(self.cold.fall_within).max(1e-3), part));
-            if age >= self.cold.warm_within {
-                nd.cold = None;
-            }
+            // A full bucket and its refill together stay inside one span of the rule.
+            let (span, depth) = (secs(self.cold.fall_within).max(1e-3), part * COLD_HELD);
+            nd.cold.iter_mut().for_each(|b| b.retune((part - depth) / span, depth));
+            nd.cold.take_if(|_| age >= self.cold.warm_within);
         }
     }
 
