A client's later try counts its SLO time from the first

Cause: a later try has its SLO time from the first behind it and still went before transfers that could be in time. Told by the time it has left against the longest seen for its stream type, marked or not. It also guards against work taken late after a host's own pause; harm where clients give first tries uneven times.

--- a/src/control.rs
+++ b/src/control.rs
@@ -292,7 +292,13 @@
         if let (true, Some(key)) = (stream.ordered, x.key) {
             self.bk.keys.join(key, id);
         }
-        self.bk.xfers.insert(id, Xfer::new(x, self.bk.now, stream.slo));
+        // A client's later try has less time left than a first one, and its SLO time began with the first:
+        // it must not pass as fresh before transfers that can still be in time.
+        let left = x.expiry.saturating_sub(self.bk.now);
+        let longest = self.bk.longest.entry(x.stream_type).or_default();
+        *longest = left.max(*longest);
+        let slo_at = self.bk.now + stream.slo.saturating_sub(*longest - left);
+        self.bk.xfers.insert(id, Xfer::new(x, self.bk.now, slo_at));
         self.hold(id);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,11 +214,11 @@
 }
 
 impl Xfer {
-    pub fn new(x: Transfer, taken: Duration, slo: Duration) -> Self {
+    pub fn new(x: Transfer, taken: Duration, slo_at: Duration) -> Self {
         Xfer {
             x,
             taken,
-            slo_at: taken + slo,
+            slo_at,
             want: Want::Held,
             over: false,
             begun: false,
@@ -244,6 +244,8 @@
     pub floating: Vec<XferId>,
     pub keys: KeyLines,
     pub taken: Recent,
+    /// The longest time from taking to expiry seen.
+    pub longest: BTreeMap<StreamTypeId, Duration>,
     pub further: Recent,
     /// Transfers of which something new is wanted.
     pub changed: Vec<XferId>,
