--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -104,10 +104,10 @@
     })
 }
 
-pub fn caps(p: &Pairs) -> Result<LegCaps, String> {
+pub fn caps(p: &Pairs) -> Result<Caps, String> {
     let most = p.get::<f64>("caps.max-attempts")?.filter(|n| n.is_finite());
     let come_back = p.time("caps.max-retry-after-ms")?;
-    Ok(LegCaps {
+    Ok(Caps {
         most_legs: most.map_or(1, |n| n.max(0.0) as u32),
         probing: p.yes("caps.probing")?,
         come_back: p.yes("caps.retry-after")?.then_some(come_back),
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -222,7 +222,7 @@
         let p = Pairs::read(parts.next().unwrap_or(""))?;
         let (streams, plans) = (settings::streams(&p)?, settings::plans(&p)?);
         let counts = (streams.len(), plans.len());
-        let control = Control::new(seed, streams, plans, settings::units(&p)?, settings::caps(&p)?).guarded(
+        let control = Control::new(seed, streams, plans, settings::units(&p)?, settings::caps(&p)?).under(
             settings::cold(&p)?,
             settings::list(&p)?,
             settings::leg_budget(&p)?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -212,7 +212,7 @@
     streams: Vec<StreamType>,
     plans: Vec<Plan>,
     units: UnitFacts,
-    caps: LegCaps,
+    caps: Caps,
     cold: ColdRule,
     list: ListRule,
     budget: Option<LegBudget>,
@@ -223,9 +223,7 @@
 }
 
 impl Control {
-    pub fn new(
-        seed: u64, streams: Vec<StreamType>, plans: Vec<Plan>, units: UnitFacts, caps: LegCaps,
-    ) -> Self {
+    pub fn new(seed: u64, streams: Vec<StreamType>, plans: Vec<Plan>, units: UnitFacts, caps: Caps) -> Self {
         let tightest = streams.iter().map(|s| s.slo).filter(|d| *d > TICK).min().unwrap_or(INTERVAL);
         let (rng, per_unit) = (Pcg64Mcg::seed_from_u64(seed), Histogram::new(TICK / 5, 1.4, 16));
         let (cold, list, rest) = (ColdRule::default(), ListRule::default(), Duration::ZERO);
@@ -234,9 +232,7 @@
     }
 
     /// The figures of the rules.
-    pub fn guarded(
-        mut self, cold: ColdRule, list: ListRule, legs: Option<LegBudget>, rest: Duration,
-    ) -> Self {
+    pub fn under(mut self, cold: ColdRule, list: ListRule, legs: Option<LegBudget>, rest: Duration) -> Self {
         (self.cold, self.list, self.budget, self.rest) = (cold, list, legs, rest);
         self
     }
@@ -378,10 +374,9 @@
         }
         let (legs, left, units) = (x.legs, x.x.expiry.saturating_sub(self.bk.now), x.x.units);
         let wait = self.spread(TICK * 2) + TICK * 2u32.pow(legs.min(6));
-        let further = self.further_allowed();
         let (x, nd) = (&self.bk.xfers[&id], self.bk.nodes.get(&node));
         let repeat = self.streams[x.x.stream_type.0].repeat;
-        let again = further
+        let again = self.further_allowed()
             && legs < self.caps.most_legs
             && !matches!(end, LegEnd::TimeOut | LegEnd::Moot | LegEnd::Cancelled)
             && nd.is_some_and(|nd| may_repeat(repeat, x.ran, (nd.zone, nd.cell), self.bk.now))
@@ -395,7 +390,7 @@
     }
 
     /// Another leg stays inside the budget of any window, whose edge is read against us on both counts.
-    fn further_allowed(&mut self) -> bool {
+    fn further_allowed(&self) -> bool {
         let Some(rule) = &self.budget else { return true };
         let taken = self.bk.taken.within(rule.window.saturating_sub(TICK), self.bk.now);
         let made = self.bk.further.within(rule.window + TICK, self.bk.now);
@@ -524,6 +519,9 @@
         }
         self.tune_cold();
         self.bk.keys.sweep(now);
+        let kept = self.budget.as_ref().map_or(Duration::ZERO, |rule| rule.window + INTERVAL);
+        self.bk.taken.forget(kept, now);
+        self.bk.further.forget(kept, now);
         self.per_unit.halve_above(PER_UNIT_KEPT);
     }
 
@@ -532,12 +530,11 @@
         let nd = id.and_then(|n| self.bk.nodes.get(&n));
         let stream = &self.streams[x.x.stream_type.0];
         let spare = nd.and_then(|nd| nd.flows.get(&x.x.volume)).and_then(|f| f.spare.as_ref());
-        let (part, paid) = if self.bk.volumes[&x.x.volume].reserve.held() > 0.0 {
-            (1.0, true)
-        } else if spare.is_none_or(|b| b.held() > 0.0) {
-            (self.units.share_part, true)
-        } else {
-            (self.units.spare_part, false)
+        let reserved = self.bk.volumes[&x.x.volume].reserve.held() > 0.0;
+        let (part, paid) = match spare {
+            _ if reserved => (1.0, true),
+            Some(b) if b.held() <= 0.0 => (self.units.spare_part, false),
+            _ => (self.units.share_part, true),
         };
         let ready = self.bk.now + self.expected(id, x.x.units);
         let late = if ready > x.slo_at { stream.late_part } else { 1.0 };
@@ -545,14 +542,14 @@
     }
 
     /// The rules and the buckets let it go to this node now.
-    fn may_send(&self, id: XferId, x: &Xfer, node: NodeId, further: bool) -> bool {
+    fn may_send(&self, id: XferId, x: &Xfer, node: NodeId) -> bool {
         let nd = &self.bk.nodes[&node];
         let (now, stream) = (self.bk.now, &self.streams[x.x.stream_type.0]);
         let limit = self.bk.volumes[&x.x.volume].limit.as_ref();
         let key = x.x.key.filter(|_| stream.ordered);
         (x.not_before..x.x.expiry).contains(&now)
             && key.is_none_or(|key| self.bk.keys.has_turn(key, id, now))
-            && (x.legs == 0 || further)
+            && (x.legs == 0 || self.further_allowed())
             && (x.legs > 0 || limit.is_none_or(|b| b.held() >= x.x.units))
             && nd.cold.as_ref().is_none_or(|b| b.held() > 0.0)
             && may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now)
@@ -578,12 +575,10 @@
         self.place(ticked);
         let busy = self.bk.nodes.iter().filter(|(_, nd)| !nd.held.is_empty());
         for node in busy.map(|(n, _)| *n).collect::<Vec<_>>() {
-            let mut further = self.further_allowed();
             while let Some((.., id)) =
-                self.best(node, further).filter(|b| self.room(node, self.bk.xfers[&b.2].x.units))
+                self.best(node).filter(|b| self.room(node, self.bk.xfers[&b.2].x.units))
             {
                 self.send(id, node);
-                further = self.further_allowed();
             }
             if ticked {
                 self.shed(node);
@@ -593,9 +588,9 @@
 
     /// What the held transfer that should go next to the node would bring, when it should have gone, and
     /// which it is. A smaller one behind it waits, or large ones would never go.
-    fn best(&self, node: NodeId, further: bool) -> Option<(f64, Reverse<Duration>, XferId)> {
+    fn best(&self, node: NodeId) -> Option<(f64, Reverse<Duration>, XferId)> {
         let ready = self.bk.nodes[&node].held.iter().map(|h| (*h, &self.bk.xfers[h]));
-        let ready = ready.filter(|(id, x)| self.may_send(*id, x, node, further));
+        let ready = ready.filter(|(id, x)| self.may_send(*id, x, node));
         let ranked = ready.map(|(id, x)| (self.value(x, Some(node)).0, Reverse(x.slo_at), id));
         ranked.max_by(|a, b| a.partial_cmp(b).expect("values are finite"))
     }
@@ -646,14 +641,14 @@
     /// New objects go to the first node in their volume's ranking, or the next when that has enough: no
     /// room, something better of its own waiting, or sickness (a node that fails fast looks idle).
     fn place(&mut self, ticked: bool) {
-        let (further, mut stuck) = (self.further_allowed(), 0.0);
+        let mut stuck = 0.0;
         let open = self.bk.nodes.iter().filter(|(n, nd)| !nd.sick && self.room(**n, 0.0));
-        let mut open: BTreeMap<NodeId, _> = open.map(|(n, _)| (*n, self.best(*n, further))).collect();
+        let mut open: BTreeMap<NodeId, _> = open.map(|(n, _)| (*n, self.best(*n))).collect();
         for id in self.ranked(&self.bk.floating, None) {
             let x = &self.bk.xfers[&id];
             let fit = |n: &NodeId, best: &Option<(f64, Reverse<Duration>, XferId)>| {
                 let own = (self.value(x, Some(*n)).0, Reverse(x.slo_at), id);
-                self.room(*n, x.x.units) && self.may_send(id, x, *n, further) && best.is_none_or(|b| own > b)
+                self.room(*n, x.x.units) && self.may_send(id, x, *n) && best.is_none_or(|b| own > b)
             };
             let first = |n: &NodeId| (x.last != Some(*n), rank_of(x.x.volume, *n));
             let wait = wait_behind(stuck, self.usual_rate() * self.bk.nodes.len() as f64);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,7 +87,7 @@
 
 /// What the deployment lets a host do with legs and probes.
 #[derive(Debug, Clone)]
-pub struct LegCaps {
+pub struct Caps {
     pub most_legs: u32,
     pub probing: bool,
     pub come_back: Option<Duration>,
--- a/src/spans.rs
+++ b/src/spans.rs
@@ -23,11 +23,12 @@
         self.0.push_back(at);
     }
 
-    /// How many happened less than `span` before `now`; older ones are forgotten.
-    pub fn within(&mut self, span: Duration, now: Duration) -> usize {
-        while self.0.front().is_some_and(|at| *at + span <= now) {
-            self.0.pop_front();
-        }
-        self.0.len()
+    /// How many happened less than `span` before `now`.
+    pub fn within(&self, span: Duration, now: Duration) -> usize {
+        self.0.len() - self.0.partition_point(|at| *at + span <= now)
+    }
+
+    pub fn forget(&mut self, span: Duration, now: Duration) {
+        self.0.drain(..self.0.partition_point(|at| *at + span <= now));
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,8 +21,8 @@
     UnitFacts { mean: 2.0, largest: 8.0, meter: ms(1000), share_part: 0.35, spare_part: 0.05 }
 }
 
-pub fn caps() -> LegCaps {
-    LegCaps { most_legs: 3, probing: false, come_back: Some(ms(2000)), answer_slack: ms(8) }
+pub fn caps() -> Caps {
+    Caps { most_legs: 3, probing: false, come_back: Some(ms(2000)), answer_slack: ms(8) }
 }
 
 pub fn cold_rule() -> ColdRule {
@@ -56,7 +56,7 @@
 /// A host whose list names nodes 1 and 2, ready and long up.
 pub fn host(streams: Vec<StreamType>, plans: Vec<Plan>, legs: Option<LegBudget>) -> Control {
     let listing = ListRule { on_asking: false, ask_every: ms(10_000) };
-    let mut c = Control::new(7, streams, plans, units(), caps()).guarded(cold_rule(), listing, legs, ms(200));
+    let mut c = Control::new(7, streams, plans, units(), caps()).under(cold_rule(), listing, legs, ms(200));
     let ready = vec![entry(1, NodeState::Ready, None), entry(2, NodeState::Ready, None)];
     c.step(ms(1000), vec![list(ListKind::Remembered, ready)]);
     c
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -199,7 +199,7 @@
 #[test]
 fn the_list_is_asked_for_at_the_start_and_again_after_a_failed_call() {
     let listing = ListRule { on_asking: true, ask_every: ms(10_000) };
-    let mut c = Control::new(3, vec![stream(KEYED)], vec![plan(1.0)], units(), caps()).guarded(
+    let mut c = Control::new(3, vec![stream(KEYED)], vec![plan(1.0)], units(), caps()).under(
         cold_rule(),
         listing,
         None,
