Errors in a row keep new objects away, but transfers whose data is there go on

Change: errors alone no longer make a node sick; a row of bad answers, halved each interval, keeps new objects away.

It should also guard against bad answers of kinds not seen yet; harm where every node errs alike.

--- a/src/control.rs
+++ b/src/control.rs
@@ -279,8 +279,7 @@
         self.bk.volumes.entry(x.volume).or_insert_with(|| {
             let part = |of: f64| of / hosts as f64;
             let reserve = TokenBucket::new(part(plan.reservation), part(plan.reservation), plan.reservation);
-            // A host that was restarted has forgotten what it drew from the limit's store, so its part
-            // starts empty. Harm: a volume's first burst comes slower.
+            // A restarted host has forgotten what it drew, so its part starts empty. Harm: slow first bursts.
             let limit = || TokenBucket::new(part(plan.limit), part(plan.limit_burst), 0.0);
             let limit = (plan.limit > 0.0).then(limit);
             Volume { plan: x.plan, hosts, done: 0.0, done_rate: 0.0, reported: None, reserve, limit }
@@ -336,11 +335,12 @@
         if !never_ran && end != LegEnd::Done && x.ran.is_none() {
             x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent: now.saturating_sub(elapsed) });
         }
-        // What fails fast looks idle and would draw all that may go anywhere: errors, full queues, dead
-        // ports alike. Some in a row make the node sick. Harm: a short jam costs a trial's wait.
+        // What fails fast looks idle and would draw all that may go anywhere. Some bad answers in a row keep
+        // new objects away; dead ports and full queues also make the node sick, while errors may spare some
+        // transfers whose data is there. Harm: a short jam costs a trial's wait.
         let bad = !matches!(end, LegEnd::Done | LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Moot);
         let (row, was_sick) = (nd.bad_row + u32::from(bad), nd.sick);
-        (nd.bad_row, nd.sick) = (row, was_sick || row >= SICK_AFTER);
+        (nd.bad_row, nd.sick) = (row, was_sick || row >= SICK_AFTER && end != LegEnd::Error);
         if end == LegEnd::Done {
             self.per_unit.add(elapsed.div_f64(units.max(0.5)));
             let own = self.per_unit.quantile(LEAST_PART).unwrap_or_default().mul_f64(units);
@@ -426,8 +426,7 @@
             let lags = Histogram::new(TICK, 1.5, 16);
             let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len());
             let nd = self.bk.nodes.entry(e.node).or_insert_with(new);
-            let back = nd.state != NodeState::Ready && e.state == NodeState::Ready;
-            let came = back || nd.started != e.started;
+            let came = nd.state != NodeState::Ready || nd.started != e.started;
             (nd.zone, nd.cell, nd.state, nd.started) = (e.zone, e.cell, e.state, e.started);
             if came && e.state == NodeState::Ready {
                 (nd.sick, nd.bad_row, nd.brake, nd.heard) = (false, 0, 1.0, now);
@@ -464,8 +463,8 @@
     }
 
     fn usual_rate(&self) -> f64 {
-        let heard: Vec<f64> = self.bk.nodes.values().map(|nd| nd.rate).filter(|r| *r > 0.0).collect();
-        heard.iter().sum::<f64>() / heard.len().max(1) as f64
+        let heard = self.bk.nodes.values().map(|nd| nd.rate).filter(|r| *r > 0.0);
+        heard.clone().sum::<f64>() / heard.count().max(1) as f64
     }
 
     /// The control interval: demand, parts of reservations, windows, fill.
@@ -505,6 +504,7 @@
             });
             nd.mix.iter_mut().for_each(|m| *m *= 0.9);
             nd.lags.halve();
+            nd.bad_row /= 2;
             let estimate = nd.window.estimate;
             nd.tokens.retune(estimate, estimate);
             let ask = |(id, f): (&VolumeId, &Flow)| {
@@ -519,9 +519,7 @@
         }
         self.tune_cold();
         self.bk.keys.sweep(now);
-        let kept = self.budget.as_ref().map_or(Duration::ZERO, |rule| rule.window + INTERVAL);
-        self.bk.taken.forget(kept, now);
-        self.bk.further.forget(kept, now);
+        self.bk.forget_legs(self.budget.as_ref().map_or(INTERVAL, |rule| rule.window + INTERVAL));
         self.per_unit.halve_above(PER_UNIT_KEPT);
     }
 
@@ -642,7 +640,8 @@
     /// room, something better of its own waiting, or sickness (a node that fails fast looks idle).
     fn place(&mut self, ticked: bool) {
         let mut stuck = 0.0;
-        let open = self.bk.nodes.iter().filter(|(n, nd)| !nd.sick && self.room(**n, 0.0));
+        let well = |n: &NodeId, nd: &Node| !nd.sick && nd.bad_row < SICK_AFTER && self.room(*n, 0.0);
+        let open = self.bk.nodes.iter().filter(|(n, nd)| well(n, nd));
         let mut open: BTreeMap<NodeId, _> = open.map(|(n, _)| (*n, self.best(*n))).collect();
         for id in self.ranked(&self.bk.floating, None) {
             let x = &self.bk.xfers[&id];
--- a/src/state.rs
+++ b/src/state.rs
@@ -299,6 +299,11 @@
         }
     }
 
+    pub fn forget_legs(&mut self, span: Duration) {
+        self.taken.forget(span, self.now);
+        self.further.forget(span, self.now);
+    }
+
     pub fn log(&mut self, text: String) {
         self.out.push(Action::Log { text });
     }
