--- a/src/control.rs
+++ b/src/control.rs
@@ -1,12 +1,12 @@
 //! Decides, on one host, which transfers go out now, which are held, and which are given up.
 //!
-//! Called as `Control::new(..)` once and then `step(now, events)` for every batch; what comes back is
+//! Called as `Control::new(..).under(..)` once and then `step(now, events)` for every batch; that answers
 //! the list of actions. The words of both are in `interface.rs`; `bucket.rs` and `histogram.rs` are
 //! plain helpers. The design (docs/design.md) decides the ordinary path: demand, probing window,
 //! split, fill, buckets and the bound on units out. Beside it stand these mechanisms, six at most:
 //!
 //! 1. the brake: late answers shrink a node's bound below the design's floor;
-//! 2. the watch on nodes: silent, failing and newly come nodes get trials, not traffic;
+//! 2. the watch on nodes: silent and refusing ones get trials, erring ones no new objects;
 //! 3. order by benefit among held transfers, and giving up early what cannot be in time;
 //! 4. further legs, spaced, while the time left exceeds the expected time;
 //! 5. the rule guards: drains, cold parts, key order, repeats, leg budget, limit parts;
@@ -23,30 +23,30 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const TICK: Duration = Duration::from_millis(10);
-const INTERVAL: Duration = Duration::from_millis(500);
-const SMOOTH: f64 = 0.3;
-const ALPHA: f64 = 0.2;
-const BAD_READINGS: u32 = 3;
-const STABLE_WITHIN: f64 = 0.01;
-const MIX_CHANGE: f64 = 0.10;
-const SLO_PART: f64 = 0.15;
+const TICK: Duration = Duration::from_millis(10); // the design's refill
+const INTERVAL: Duration = Duration::from_millis(500); // long enough for a few answers a node
+const SMOOTH: f64 = 0.3; // a surge counts within three intervals
+const ALPHA: f64 = 0.2; // mild: outstanding units are few and jumpy
+const BAD_READINGS: u32 = 3; // against one pause or flush
+const STABLE_WITHIN: f64 = 0.01; // of the upper edge, as in the paper
+const MIX_CHANGE: f64 = 0.10; // as in the paper
+const SLO_PART: f64 = 0.15; // what a node's queue may take of it; the rest is work
 const FLOOR_MEANS: f64 = 6.0; // three large transfers, each twice the mean
-const MOST_OUT: f64 = 32.0;
-const START_XFERS: f64 = 4.0;
-const BRAKE_LEAST: f64 = 0.02;
-const SICK_AFTER: u32 = 3;
-const TRIAL_EVERY: Duration = Duration::from_millis(500);
-const BRAKE_DOWN: f64 = 0.9;
+const MOST_OUT: f64 = 32.0; // the design's, in mean transfers
+const START_XFERS: f64 = 4.0; // a second: low, as a host knows nothing yet
+const BRAKE_LEAST: f64 = 0.02; // a crowd of hosts needs well below one transfer each
+const SICK_AFTER: u32 = 3; // one or two bad answers can be chance
+const TRIAL_EVERY: Duration = Duration::from_millis(500); // a few hosts trying is no load
+const BRAKE_DOWN: f64 = 0.9; // with the next, balances where half are late
 const BRAKE_UP: f64 = 1.1;
-const LEAST_PART: f64 = 0.15;
-const WATCH_AGAIN: Duration = Duration::from_millis(200);
-const COLD_PART: f64 = 0.7;
-const COLD_HELD: f64 = 0.2;
-const UNKNOWN_PART: f64 = 0.5;
-const SILENT_SLOS: u32 = 4;
-const PER_UNIT_KEPT: f64 = 400.0;
-const RETURN_SPREAD: Duration = Duration::from_millis(400);
+const LEAST_PART: f64 = 0.15; // quantile that stands for work without a queue
+const WATCH_AGAIN: Duration = Duration::from_millis(200); // doubled for each failed call
+const COLD_PART: f64 = 0.9; // with all hosts at it, just under what the rule lets the weakest start bear
+const COLD_HELD: f64 = 0.2; // the rest of the part fills
+const UNKNOWN_PART: f64 = 0.5; // a node never heard may be a weak one
+const SILENT_SLOS: u32 = 4; // a heavy transfer alone is not silence
+const PER_UNIT_KEPT: f64 = 400.0; // answers, before they are halved
+const RETURN_SPREAD: Duration = Duration::from_millis(400); // well under the rules' spans
 
 fn secs(d: Duration) -> f64 {
     d.as_secs_f64()
