--- /dev/null
+++ b/crates/audit/src/rules.rs
@@ -0,0 +1,301 @@
+//! The seven rules. Each reads the run and adds what broke it.
+
+use crate::run::{Host, Leg, Run, Seen, Taken};
+use crate::{Breach, Verdict};
+use grebecleat_settings::{Repeat, RepeatGroup, Settings};
+use grebecleat_wire::pb::{self, marked::What, Outcome};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// A host that was stopped may take this long, after it goes on, to answer what is past its time.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Chance in where a span of the cold rule begins.
+const COLD_SLACK: f64 = 1.1;
+/// Breaches of one rule that are listed; more of the same tell nothing new.
+const LISTED: usize = 20;
+
+fn breach(v: &mut Verdict, rule: u8, what: String, frames: &[&Seen]) {
+    if v.breaches.iter().filter(|b| b.rule == rule).count() < LISTED {
+        v.breaches.push(Breach { rule, what, frames: frames.iter().map(|s| s.show.clone()).collect() });
+    }
+}
+
+fn text(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
+
+/// Rule 1: one final answer, before the client's expiry, and nothing sent after it.
+pub fn lost(s: &Settings, run: &Run, v: &mut Verdict) {
+    let mut asked: Vec<_> = run.asked.values().collect();
+    asked.sort_by_key(|a| a.seen.at);
+    for a in asked {
+        let name = text(&a.take.id);
+        let host = run.client_peer.get(&a.conn).cloned().unwrap_or_default();
+        let expiry = a.seen.at + Duration::from_micros(a.take.left_us) + s.caps.answer_slack;
+        let last = run.extended(&host, a.seen.at, expiry, CATCH_UP);
+        let closed = run.client_closed.get(&a.conn).copied();
+        match &a.finals[..] {
+            [] if a.withdrawn => {}
+            [] if closed.is_some_and(|c| c <= last) || run.client_end < last => v.lost += 1,
+            [] => breach(v, 1, format!("{name}: no answer from {host}"), &[&a.seen]),
+            [(seen, f)] => {
+                match f.outcome() {
+                    Outcome::Done => v.done += 1,
+                    Outcome::Deferred => v.deferred += 1,
+                    _ => v.abandoned += 1,
+                }
+                // What counts is when the answer left the host: the client's machine may be slow to read.
+                let left = run.hosts.iter().filter_map(|h| h.final_at(&a.take.id)).min().unwrap_or(seen.at);
+                if left > last {
+                    let late = format!("{name}: answered {:?} after its expiry", left - last);
+                    breach(v, 1, late, &[&a.seen, seen]);
+                }
+            }
+            [first, second, ..] => {
+                breach(v, 1, format!("{name}: answered twice"), &[&a.seen, &first.0, &second.0]);
+            }
+        }
+    }
+    for h in &run.hosts {
+        for t in &h.taken {
+            if let [first, second, ..] = &t.finals[..] {
+                let what = format!("{}: {} answered twice", text(&t.take.id), h.name);
+                breach(v, 1, what, &[&t.seen, &first.0, &second.0]);
+            }
+            let Some((answered, _)) = t.finals.first() else { continue };
+            for l in t.legs.iter().map(|l| &h.legs[*l]).filter(|l| l.seen.at > answered.at) {
+                breach(v, 1, format!("{}: a leg after the answer", text(&t.take.id)), &[answered, &l.seen]);
+            }
+        }
+    }
+}
+
+/// Rule 2: repeats only as far as the stream type allows, deferrals only where trying again is harmless.
+pub fn twice(s: &Settings, run: &Run, v: &mut Verdict) {
+    let place: HashMap<u32, (usize, u32)> = s.nodes.iter().map(|n| (n.id, (n.zone, n.cell))).collect();
+    for h in &run.hosts {
+        v.legs += h.legs.len() as u64;
+        for t in &h.taken {
+            let Some(stream) = s.streams.get(t.take.stream_type as usize) else { continue };
+            let (repeat, name) = (stream.facts.repeat, text(&t.take.id));
+            let legs: Vec<&Leg> = t.legs.iter().map(|l| &h.legs[*l]).collect();
+            for (i, later) in legs.iter().enumerate() {
+                let ran = legs[..i].iter().filter(|l| !l.never_ran(later.seen.at));
+                for earlier in ran {
+                    let fine = match repeat {
+                        Repeat::Repeatable => true,
+                        Repeat::Unrepeatable => false,
+                        Repeat::Keyed { group, remembered } => {
+                            let (a, b) = (place.get(&earlier.leg.node), place.get(&later.leg.node));
+                            let inside = match group {
+                                RepeatGroup::All => true,
+                                RepeatGroup::Zone => a.map(|p| p.0) == b.map(|p| p.0),
+                                RepeatGroup::Cell => a.map(|p| p.1) == b.map(|p| p.1),
+                            };
+                            inside && later.seen.at < earlier.seen.at + remembered
+                        }
+                    };
+                    if !fine {
+                        let what = format!("{name}: a leg after one that may have run ({repeat:?})");
+                        breach(v, 2, what, &[&earlier.seen, &later.seen]);
+                    }
+                }
+            }
+            let harmless =
+                matches!(repeat, Repeat::Repeatable | Repeat::Keyed { group: RepeatGroup::All, .. });
+            for (seen, f) in t.finals.iter().filter(|f| f.1.outcome() == Outcome::Deferred && !harmless) {
+                let ran = legs.iter().find(|l| l.seen.at <= seen.at && !l.never_ran(seen.at));
+                if let Some(leg) = ran {
+                    let what = format!("{}: deferred, though a leg may have run", text(&f.id));
+                    breach(v, 2, what, &[&leg.seen, seen]);
+                }
+            }
+        }
+    }
+    let mut effects: HashMap<&[u8], u32> = HashMap::new();
+    for (_, m) in run.marks.iter().filter(|m| m.1.what() == What::Effect) {
+        v.effects += 1;
+        *effects.entry(&m.id).or_default() += 1;
+    }
+    let kinds = run.asked.values().map(|a| (&a.take.piece[..], a.take.stream_type as usize));
+    let kinds: HashMap<&[u8], usize> = kinds.collect();
+    for (piece, n) in effects.into_iter().filter(|e| e.1 > 1) {
+        let repeat = kinds.get(piece).and_then(|k| s.streams.get(*k)).map(|s| s.facts.repeat);
+        if repeat.is_some_and(|r| r != Repeat::Repeatable) {
+            breach(v, 2, format!("{}: carried out {n} times", text(piece)), &[]);
+        }
+    }
+}
+
+/// Rule 3: nothing new to a draining or gone node later than the grace after this host was told.
+pub fn drains(s: &Settings, run: &Run, v: &mut Verdict) {
+    for h in &run.hosts {
+        for l in &h.legs {
+            let Some(told) = h.told_off(l.leg.node, l.seen.at) else { continue };
+            let since = l.seen.at - told;
+            v.drain_ms = v.drain_ms.max(since.as_secs_f64() * 1000.0);
+            if since > s.rules.drain_grace {
+                let what = format!("{}: to node {} {since:?} after it was told", h.name, l.leg.node);
+                breach(v, 3, what, &[&l.seen]);
+            }
+        }
+    }
+}
+
+/// Rule 4: what hosts that were told of a node's start send it stays under the rule's multiple of what it
+/// can do, in every span of the rule; and none falls over by it.
+pub fn cold(s: &Settings, run: &Run, v: &mut Verdict) {
+    let rule = &s.rules.cold;
+    let marks = |what: What| run.marks.iter().filter(move |m| m.1.what() == what);
+    for (start, m) in marks(What::Started) {
+        let next = marks(What::Started).map(|n| n.0).find(|at| at > start);
+        let warm = *start + Duration::from_micros(m.warm_us);
+        let end = next.map_or(warm, |n| warm.min(n));
+        let mut span: VecDeque<(Duration, f64, bool)> = VecDeque::new();
+        let arrived = run.arrived.get(&m.node).map(Vec::as_slice).unwrap_or_default();
+        for (seen, host, leg) in arrived.iter().filter(|a| a.0.at >= *start && a.0.at < end) {
+            let told =
+                run.hosts.iter().filter(|h| h.name == *host).any(|h| h.told_start(m.node, *start, seen.at));
+            span.push_back((seen.at, leg.units, told));
+            while span.front().is_some_and(|a| a.0 + rule.fall_within < seen.at) {
+                span.pop_front();
+            }
+            let by = |told: bool| -> f64 { span.iter().filter(|a| a.2 == told).map(|a| a.1).sum() };
+            let (known, all) = (by(true), by(true) + by(false));
+            let age = (seen.at - *start).as_secs_f64() / Duration::from_micros(m.warm_us).as_secs_f64();
+            let able = m.units_a_second * (m.cold_part + (1.0 - m.cold_part) * age.min(1.0));
+            let most = (rule.multiple * able * rule.fall_within.as_secs_f64()).max(rule.units);
+            if all > most * COLD_SLACK && known >= all * 2.0 / 3.0 {
+                let what = format!("node {}: {all:.0} units in a span that bears {most:.0}", m.node);
+                breach(v, 4, what, &[seen]);
+                break;
+            }
+        }
+    }
+    for (at, m) in marks(What::Fell) {
+        let start = marks(What::Started).map(|n| n.0).filter(|s| s <= at).max().unwrap_or_default();
+        let arrived = run.arrived.get(&m.node).map(Vec::as_slice).unwrap_or_default();
+        let lately = arrived.iter().filter(|a| a.0.at <= *at && a.0.at + rule.fall_within >= *at);
+        let (mut known, mut all) = (0.0, 0.0);
+        for (seen, host, leg) in lately {
+            let told =
+                run.hosts.iter().filter(|h| h.name == *host).any(|h| h.told_start(m.node, start, seen.at));
+            all += leg.units;
+            known += if told { leg.units } else { 0.0 };
+        }
+        if known >= all * 2.0 / 3.0 {
+            breach(v, 4, format!("node {} was pushed over", m.node), &[]);
+        }
+    }
+}
+
+/// Rule 5 of the list: transfers of ordered stream types with one key run one at a time, in the order taken.
+pub fn order(s: &Settings, run: &Run, v: &mut Verdict) {
+    let ordered = |t: &Taken| s.streams.get(t.take.stream_type as usize).is_some_and(|x| x.facts.ordered);
+    for h in &run.hosts {
+        let mut keys: BTreeMap<u64, Vec<&Taken>> = BTreeMap::new();
+        for t in h.taken.iter().filter(|t| ordered(t)) {
+            t.take.key.into_iter().for_each(|k| keys.entry(k).or_default().push(t));
+        }
+        for line in keys.values() {
+            for (i, later) in line.iter().enumerate() {
+                for leg in later.legs.iter().map(|l| &h.legs[*l]) {
+                    for earlier in &line[..i] {
+                        if let Some(why) = h.unsettled(earlier, leg.seen.at, s.rules.key_rest) {
+                            let what = format!(
+                                "{}: sent while {} {why}",
+                                text(&later.take.id),
+                                text(&earlier.take.id)
+                            );
+                            breach(v, 5, what, &[&earlier.seen, &leg.seen]);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Rule 6 of the list: one host's further legs in any window.
+pub fn budget(s: &Settings, run: &Run, v: &mut Verdict) {
+    let Some(rule) = &s.rules.legs else { return };
+    for h in &run.hosts {
+        let taken: Vec<Duration> = h.taken.iter().map(|t| t.seen.at).collect();
+        let further = h.taken.iter().flat_map(|t| t.legs.iter().skip(1)).map(|l| &h.legs[*l]);
+        let mut further: Vec<&Leg> = further.collect();
+        further.sort_by_key(|l| l.seen.at);
+        let times: Vec<Duration> = further.iter().map(|l| l.seen.at).collect();
+        let within = |of: &[Duration], at: Duration| {
+            of.partition_point(|t| *t <= at) - of.partition_point(|t| *t + rule.window <= at)
+        };
+        for l in &further {
+            let (made, took) = (within(&times, l.seen.at), within(&taken, l.seen.at));
+            let most = rule.floor + rule.share * took as f64;
+            if made as f64 > most {
+                let what = format!("{}: {made} further legs in a window of {took} transfers", h.name);
+                breach(v, 6, what, &[&l.seen]);
+            }
+        }
+    }
+}
+
+/// Rule 7 of the list: all hosts' first legs of a volume against its one store.
+pub fn limits(s: &Settings, run: &Run, v: &mut Verdict) {
+    let plan_of: HashMap<u64, usize> = s.volumes.iter().map(|x| (x.id, x.plan)).collect();
+    let mut firsts: BTreeMap<u64, Vec<&Leg>> = BTreeMap::new();
+    for h in &run.hosts {
+        for leg in h.taken.iter().filter_map(|t| t.legs.first()).map(|l| &h.legs[*l]) {
+            firsts.entry(leg.leg.volume).or_default().push(leg);
+        }
+    }
+    for (volume, mut legs) in firsts {
+        let Some(plan) = plan_of.get(&volume).map(|p| &s.plans[*p].facts).filter(|p| p.limit > 0.0) else {
+            continue;
+        };
+        legs.sort_by_key(|l| l.seen.at);
+        let (mut level, mut at) = (plan.limit_burst, legs[0].seen.at);
+        for l in legs {
+            let filled = (l.seen.at - at).as_secs_f64() * plan.limit;
+            level = (level + filled).min(plan.limit_burst) - l.leg.units;
+            at = l.seen.at;
+            if level < -plan.limit_slack {
+                let what = format!("volume {volume}: {:.1} units below its store", -level);
+                breach(v, 7, what, &[&l.seen]);
+            }
+        }
+    }
+}
+
+impl Host {
+    fn final_at(&self, id: &[u8]) -> Option<Duration> {
+        self.by_id.get(id).and_then(|i| self.taken[*i].finals.first()).map(|f| f.0.at)
+    }
+
+    /// Whether, by then, this host had been told of the start of that node which came at `start`.
+    fn told_start(&self, node: u32, start: Duration, by: Duration) -> bool {
+        let told = self.told.get(&node).map(Vec::as_slice).unwrap_or_default();
+        told.iter().any(|t| t.0 >= start && t.0 <= by && t.1 == pb::NodeState::Ready)
+    }
+
+    /// Why a transfer is not yet out of the way of the next with its key.
+    fn unsettled(&self, t: &Taken, at: Duration, rest: Duration) -> Option<String> {
+        let over = t.finals.first().map(|f| f.0.at).into_iter().chain(t.withdrawn).min();
+        if over.is_none_or(|o| o > at) {
+            return Some("was not over".into());
+        }
+        for leg in t.legs.iter().map(|l| &self.legs[*l]).filter(|l| l.seen.at <= at) {
+            if leg.answer.as_ref().is_some_and(|a| a.0.at <= at) {
+                continue;
+            }
+            let doubts = [Some(leg.until()), leg.cancelled, self.closed.get(&leg.conn).copied()];
+            let doubt = doubts.into_iter().flatten().min().unwrap_or(Duration::MAX);
+            if at < doubt {
+                return Some("had a leg without an outcome".into());
+            }
+            if at < doubt + rest {
+                return Some("had not rested".into());
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/audit/src/run.rs
@@ -0,0 +1,263 @@
+//! A run as its traces tell it: transfers, legs and what the list said, by host and moment.
+
+use bytes::Bytes;
+use grebecleat_wire::pb::{self, frame::Body, marked::What, record::Kind, Record};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+pub type Id = Bytes;
+
+/// A record's moment and how to show it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub at: Duration,
+    pub show: String,
+}
+
+#[derive(Debug)]
+pub struct Taken {
+    pub seen: Seen,
+    pub conn: u64,
+    pub take: pb::Take,
+    /// Its place among what this host took.
+    pub turn: usize,
+    pub finals: Vec<(Seen, pb::Final)>,
+    pub withdrawn: Option<Duration>,
+    pub legs: Vec<usize>,
+}
+
+#[derive(Debug)]
+pub struct Leg {
+    pub seen: Seen,
+    pub conn: u64,
+    pub leg: pb::Leg,
+    pub answer: Option<(Seen, pb::LegAnswer)>,
+    pub cancelled: Option<Duration>,
+}
+
+impl Leg {
+    pub fn until(&self) -> Duration {
+        self.seen.at + Duration::from_micros(self.leg.left_us)
+    }
+
+    /// By that moment an answer had shown that it never ran.
+    pub fn never_ran(&self, by: Duration) -> bool {
+        let proof =
+            |r: pb::Result| matches!(r, pb::Result::Full | pb::Result::WrongNode | pb::Result::Expired);
+        self.answer.as_ref().is_some_and(|(s, a)| s.at <= by && proof(a.result()))
+    }
+}
+
+/// One start of one host.
+#[derive(Debug, Default)]
+pub struct Host {
+    pub name: String,
+    pub taken: Vec<Taken>,
+    pub by_id: HashMap<Id, usize>,
+    pub legs: Vec<Leg>,
+    pub closed: HashMap<u64, Duration>,
+    /// What the list said of each node: when, its state, which start.
+    pub told: BTreeMap<u32, Vec<(Duration, pb::NodeState, u64)>>,
+}
+
+/// What clients sent and got.
+#[derive(Debug)]
+pub struct Asked {
+    pub seen: Seen,
+    pub conn: u64,
+    pub take: pb::Take,
+    pub finals: Vec<(Seen, pb::Final)>,
+    pub withdrawn: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Run {
+    pub hosts: Vec<Host>,
+    pub asked: HashMap<Id, Asked>,
+    /// When clients' connections closed, and to whom they were.
+    pub client_closed: HashMap<u64, Duration>,
+    pub client_peer: HashMap<u64, String>,
+    pub client_end: Duration,
+    /// Legs as they came to nodes: when, by which host.
+    pub arrived: BTreeMap<u32, Vec<(Seen, String, pb::Leg)>>,
+    pub marks: Vec<(Duration, pb::Marked)>,
+    /// Spans in which a host was stopped from outside.
+    pub stopped: Vec<(String, Duration, Duration)>,
+}
+
+impl Run {
+    pub fn of(traces: &[Vec<Record>]) -> Result<Self, String> {
+        let mut run = Run::default();
+        for records in traces {
+            let who = records.first().and_then(|r| r.process.clone()).ok_or("a trace names no writer")?;
+            if records.iter().any(|r| r.kind() == Kind::Cut) {
+                return Err(format!("the trace of {} was cut at its bound: nothing can be judged", who.name));
+            }
+            match who.role() {
+                pb::Role::Client => run.clients(records),
+                pb::Role::Host => run.host(&who.name, records),
+                pb::Role::Node => run.nodes(records),
+                _ => {}
+            }
+        }
+        run.marks.sort_by_key(|m| m.0);
+        for (at, m) in &run.marks {
+            match m.what() {
+                What::Stopped => run.stopped.push((m.name.clone(), *at, Duration::MAX)),
+                What::Continued => {
+                    let open = run.stopped.iter_mut().rev().find(|s| s.0 == m.name);
+                    open.into_iter().for_each(|s| s.2 = *at);
+                }
+                _ => {}
+            }
+        }
+        Ok(run)
+    }
+
+    fn clients(&mut self, records: &[Record]) {
+        for r in records {
+            let at = Duration::from_nanos(r.at_ns);
+            self.client_end = self.client_end.max(at);
+            let seen = || Seen { at, show: show("clients", r) };
+            match (r.kind(), r.frame.as_ref().and_then(|f| f.body.as_ref())) {
+                (Kind::Opened, _) => drop(self.client_peer.insert(r.conn, r.peer.clone())),
+                (Kind::Closed, _) => drop(self.client_closed.insert(r.conn, at)),
+                (Kind::Mark, _) => self.marks.extend(r.mark.clone().map(|m| (at, m))),
+                (Kind::Out, Some(Body::Take(t))) => {
+                    let (conn, take) = (r.conn, t.clone());
+                    let asked = Asked { seen: seen(), conn, take, finals: Vec::new(), withdrawn: false };
+                    self.asked.insert(t.id.clone(), asked);
+                }
+                (Kind::Out, Some(Body::Withdraw(w))) => {
+                    self.asked.get_mut(&w.id).into_iter().for_each(|a| a.withdrawn = true);
+                }
+                (Kind::In, Some(Body::Final(f))) => {
+                    let asked = self.asked.get_mut(&f.id);
+                    asked.into_iter().for_each(|a| a.finals.push((seen(), f.clone())));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn host(&mut self, name: &str, records: &[Record]) {
+        let mut h = Host { name: name.to_string(), ..Host::default() };
+        let mut leg_of = HashMap::new();
+        for r in records {
+            let at = Duration::from_nanos(r.at_ns);
+            let seen = || Seen { at, show: show(name, r) };
+            match (r.kind(), r.frame.as_ref().and_then(|f| f.body.as_ref())) {
+                (Kind::Closed, _) => {
+                    h.closed.insert(r.conn, at);
+                    for t in h.taken.iter_mut().filter(|t| t.conn == r.conn && t.withdrawn.is_none()) {
+                        t.withdrawn = Some(at);
+                    }
+                }
+                (Kind::In, Some(Body::Take(t))) => {
+                    h.by_id.insert(t.id.clone(), h.taken.len());
+                    h.taken.push(Taken {
+                        seen: seen(),
+                        conn: r.conn,
+                        take: t.clone(),
+                        turn: h.taken.len(),
+                        finals: Vec::new(),
+                        withdrawn: None,
+                        legs: Vec::new(),
+                    });
+                }
+                (Kind::In, Some(Body::Withdraw(w))) => {
+                    let t = h.by_id.get(&w.id).map(|i| &mut h.taken[*i]);
+                    t.into_iter().for_each(|t| t.withdrawn = t.withdrawn.or(Some(at)));
+                }
+                (Kind::Out, Some(Body::Final(f))) => {
+                    let t = h.by_id.get(&f.id).map(|i| &mut h.taken[*i]);
+                    t.into_iter().for_each(|t| t.finals.push((seen(), f.clone())));
+                }
+                (Kind::Out, Some(Body::Leg(l))) => {
+                    leg_of.insert(l.leg, h.legs.len());
+                    let t = h.by_id.get(&l.id).map(|i| &mut h.taken[*i]);
+                    t.into_iter().for_each(|t| t.legs.push(h.legs.len()));
+                    let (conn, leg) = (r.conn, l.clone());
+                    h.legs.push(Leg { seen: seen(), conn, leg, answer: None, cancelled: None });
+                }
+                (Kind::Out, Some(Body::CancelLeg(c))) => {
+                    let leg = leg_of.get(&c.leg).map(|i: &usize| &mut h.legs[*i]);
+                    leg.into_iter().for_each(|l| l.cancelled = Some(at));
+                }
+                (Kind::In, Some(Body::LegAnswer(a))) => {
+                    let leg = leg_of.get(&a.leg).map(|i| &mut h.legs[*i]).filter(|l| l.conn == r.conn);
+                    if let Some(l) = leg.filter(|l| l.answer.is_none()) {
+                        l.answer = Some((seen(), a.clone()));
+                    }
+                }
+                (Kind::In, Some(Body::List(l))) => h.listed(at, l),
+                _ => {}
+            }
+        }
+        self.hosts.push(h);
+    }
+
+    fn nodes(&mut self, records: &[Record]) {
+        let mut peers: HashMap<u64, String> = HashMap::new();
+        for r in records {
+            let at = Duration::from_nanos(r.at_ns);
+            match (r.kind(), r.frame.as_ref().and_then(|f| f.body.as_ref())) {
+                (Kind::Opened, _) => drop(peers.insert(r.conn, r.peer.clone())),
+                (Kind::Mark, _) => self.marks.extend(r.mark.clone().map(|m| (at, m))),
+                (Kind::In, Some(Body::Leg(l))) => {
+                    let seen = Seen { at, show: show("nodes", r) };
+                    let host = peers.get(&r.conn).cloned().unwrap_or_default();
+                    self.arrived.entry(l.node).or_default().push((seen, host, l.clone()));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The later end of a span, where its host was stopped from outside meanwhile: a stopped host does not
+    /// run, and owes its answers once it goes on.
+    pub fn extended(&self, host: &str, from: Duration, to: Duration, catch_up: Duration) -> Duration {
+        let hit = self.stopped.iter().filter(|(h, a, b)| h == host && *a <= to && *b >= from);
+        hit.map(|(_, _, b)| b.saturating_add(catch_up)).fold(to, Duration::max)
+    }
+}
+
+impl Host {
+    fn listed(&mut self, at: Duration, l: &pb::List) {
+        if l.kind() == pb::ListKind::NotHad {
+            return;
+        }
+        if l.kind() == pb::ListKind::Whole {
+            for (node, told) in &mut self.told {
+                let gone = l.entries.iter().all(|e| e.node != *node);
+                if let (true, Some(&(_, state, start))) = (gone, told.last()) {
+                    if state != pb::NodeState::Gone {
+                        told.push((at, pb::NodeState::Gone, start));
+                    }
+                }
+            }
+        }
+        for e in &l.entries {
+            let told = self.told.entry(e.node).or_default();
+            if told.last().is_none_or(|t| (t.1, t.2) != (e.state(), e.start)) {
+                told.push((at, e.state(), e.start));
+            }
+        }
+    }
+
+    /// Since when this host has been told that the node takes nothing new, at that moment.
+    pub fn told_off(&self, node: u32, at: Duration) -> Option<Duration> {
+        let told = self.told.get(&node)?;
+        let before = &told[..told.partition_point(|t| t.0 <= at)];
+        let off = |t: &&(Duration, pb::NodeState, u64)| t.1 != pb::NodeState::Ready;
+        before.iter().rev().take_while(off).last().map(|t| t.0)
+    }
+}
+
+/// A record as people read it.
+pub fn show(who: &str, r: &Record) -> String {
+    let body = r.frame.as_ref().and_then(|f| f.body.as_ref()).map(|b| format!("{b:?}"));
+    let mark = r.mark.as_ref().map(|m| format!("{} {} node {}", m.what().as_str_name(), m.name, m.node));
+    let body = body.or(mark).unwrap_or_default();
+    format!("{:.6} {who} {} conn {} {body}", r.at_ns as f64 / 1e9, r.kind().as_str_name(), r.conn)
+}
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,155 @@
+//! The command line, as `--help` shows it.
+
+use clap::{Args as ClapArgs, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const ABOUT: &str =
+    "A storage gateway: takes reads and writes of many volumes and schedules them over storage \
+                     nodes, so that every volume keeps to its reservation, share and limit.";
+const AFTER: &str = "Exit codes: 0 all well; 1 it ran and a rule was broken; 2 bad arguments or settings, \
+                     nothing was started; 3 it could not run.\n\nStart with: grebecleat rehearse \
+                     examples/bad-day.star";
+
+#[derive(Parser)]
+#[command(name = "grebecleat", version, about = ABOUT, after_help = AFTER)]
+pub struct Args {
+    #[command(flatten)]
+    pub logs: Logs,
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum Format {
+    Text,
+    Json,
+}
+
+#[derive(ClapArgs)]
+pub struct Logs {
+    /// How log lines look.
+    #[arg(long, value_enum, default_value = "text", global = true)]
+    pub log: Format,
+    /// What is logged: error, warn, info, debug, trace, or filters such as grebecleat_host=debug.
+    #[arg(long, default_value = "info", global = true)]
+    pub log_level: String,
+    /// Appends the log to a file; standard error otherwise.
+    #[arg(long, global = true)]
+    pub log_file: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Runs one host of a deployment until SIGTERM has drained it; a second signal ends it at once.
+    Run(HostArgs),
+    /// Checks a settings file whole, and says what is wrong with it and where.
+    Check { file: PathBuf },
+    /// Plays a scripted day on this machine's loopback: list, nodes, hosts, clients; then the audit.
+    Rehearse(RehearseArgs),
+    /// Judges the seven rules from the traces of a run.
+    Audit {
+        /// Folder with *.trace files.
+        dir: PathBuf,
+        /// The settings that the run had.
+        script: PathBuf,
+        /// The kinds that the run was given.
+        #[arg(long)]
+        kinds: Option<String>,
+    },
+    /// Prints the records of a trace file, one a line.
+    Show {
+        file: PathBuf,
+        /// Only records that hold this text.
+        #[arg(long, default_value = "")]
+        with: String,
+    },
+    /// Stand-in: runs the deployment's nodes, which keep bytes in memory and play the script's troubles.
+    Node(NodeArgs),
+    /// Stand-in: runs the list of nodes.
+    ListService(ListArgs),
+    /// Prints a completion script for a shell.
+    Completions { shell: clap_complete::Shell },
+}
+
+#[derive(ClapArgs)]
+pub struct HostArgs {
+    /// Settings of the deployment.
+    pub file: PathBuf,
+    /// Which host of the settings this is; may be left out where there is one.
+    #[arg(long)]
+    pub host: Option<String>,
+    /// Where clients come to; overrides the settings.
+    #[arg(long)]
+    pub listen: Option<SocketAddr>,
+    /// Where the list of nodes answers; overrides the settings.
+    #[arg(long)]
+    pub list: Option<SocketAddr>,
+    /// Records every frame that crosses a socket.
+    #[arg(long)]
+    pub trace: Option<PathBuf>,
+    /// Keeps the last list of nodes here for the next start.
+    #[arg(long)]
+    pub remember: Option<PathBuf>,
+    /// Seed of the decisions; new at each start if left out.
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// Threads that carry the connections.
+    #[arg(long, default_value_t = 2)]
+    pub workers: usize,
+}
+
+#[derive(ClapArgs)]
+pub struct Stage {
+    /// Settings and script.
+    pub file: PathBuf,
+    /// The script's start, in nanoseconds of the machine's monotonic clock; now if left out.
+    #[arg(long)]
+    pub t0: Option<u64>,
+    /// Records every frame that crosses a socket.
+    #[arg(long)]
+    pub trace: Option<PathBuf>,
+    /// Kinds of trouble in place of the script's own, joined by +.
+    #[arg(long)]
+    pub kinds: Option<String>,
+}
+
+#[derive(ClapArgs)]
+pub struct NodeArgs {
+    #[command(flatten)]
+    pub stage: Stage,
+    /// Where the list of nodes answers.
+    #[arg(long)]
+    pub list: SocketAddr,
+    /// Only these nodes; all of the settings if left out.
+    #[arg(long, value_delimiter = ',')]
+    pub ids: Vec<u32>,
+}
+
+#[derive(ClapArgs)]
+pub struct ListArgs {
+    #[command(flatten)]
+    pub stage: Stage,
+    /// Where to listen; overrides the settings.
+    #[arg(long)]
+    pub listen: Option<SocketAddr>,
+}
+
+#[derive(ClapArgs)]
+pub struct RehearseArgs {
+    /// Settings with a rehearsal().
+    #[arg(default_value = "examples/bad-day.star")]
+    pub script: PathBuf,
+    /// Kinds of trouble in place of the script's own, as the bench's journal joins them: hang+slow.
+    #[arg(long)]
+    pub kinds: Option<String>,
+    /// Takes the kinds from a file of the bench's journal.
+    #[arg(long, conflicts_with = "kinds")]
+    pub journal: Option<PathBuf>,
+    /// Folder for traces and logs; a new one, removed if all went well, if left out.
+    #[arg(long)]
+    pub dir: Option<PathBuf>,
+    /// Keeps the folder.
+    #[arg(long)]
+    pub keep: bool,
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,324 @@
+//! The `grebecleat` program: arguments, logs and exit codes. It has no logic of its own.
+
+mod args;
+mod logs;
+
+use args::{Args, Command, HostArgs, ListArgs, NodeArgs, RehearseArgs, Stage as StageArgs};
+use clap::{CommandFactory, Parser};
+use grebecleat_audit::{Case, Verdict, RULES};
+use grebecleat_host::run as host;
+use grebecleat_settings::{Kind, Settings};
+use grebecleat_standin::clients::Tally;
+use grebecleat_standin::{net, rehearse, serve};
+use grebecleat_wire::{clock, pb, trace::Tracer};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::{IsTerminal, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::info;
+
+/// The bad day that comes with the program.
+const BAD_DAY: &str = include_str!("../../../examples/bad-day.star");
+
+/// How a command ends beside success.
+enum Stop {
+    /// 1: it ran, and what it checks does not hold.
+    Broken,
+    /// 2: arguments or a settings file; nothing was started.
+    Bad(Vec<String>),
+    /// 3: the machine did not let it run.
+    Failed(String),
+}
+
+impl From<std::io::Error> for Stop {
+    fn from(e: std::io::Error) -> Self {
+        Stop::Failed(e.to_string())
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    if let Err(e) = logs::start(&args.logs) {
+        eprintln!("grebecleat: {e}");
+        return ExitCode::from(3);
+    }
+    let ended = match args.command {
+        Command::Run(a) => run(a),
+        Command::Check { file } => check(&file),
+        Command::Rehearse(a) => rehearsal(a),
+        Command::Audit { dir, script, kinds } => audit(&dir, &script, kinds.as_deref()),
+        Command::Show { file, with } => show_trace(&file, &with),
+        Command::Node(a) => nodes(a),
+        Command::ListService(a) => list(a),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Args::command(), "grebecleat", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Stop::Broken) => ExitCode::from(1),
+        Err(Stop::Bad(lines)) => {
+            lines.iter().for_each(|l| eprintln!("{l}"));
+            ExitCode::from(2)
+        }
+        Err(Stop::Failed(why)) => {
+            eprintln!("grebecleat: {why}");
+            ExitCode::from(3)
+        }
+    }
+}
+
+fn load(file: &Path) -> Result<Settings, Stop> {
+    Settings::load(file).map_err(|faults| Stop::Bad(faults.iter().map(|f| f.to_string()).collect()))
+}
+
+fn bad(what: String) -> Stop {
+    Stop::Bad(vec![format!("grebecleat: {what}")])
+}
+
+fn check(file: &Path) -> Result<(), Stop> {
+    let s = load(file)?;
+    println!(
+        "{}: {} is in order: {} zones, {} hosts, {} nodes, {} volumes on {} plans, {} stream types",
+        file.display(),
+        s.name,
+        s.zones.len(),
+        s.hosts.len(),
+        s.nodes.len(),
+        s.volumes.len(),
+        s.plans.len(),
+        s.streams.len()
+    );
+    Ok(())
+}
+
+fn tracer(path: Option<PathBuf>, who: pb::Hello) -> Result<Tracer, Stop> {
+    let Some(path) = path else { return Ok(Tracer::default()) };
+    Tracer::create(&path, rehearse::MOST_TRACE, who)
+        .map_err(|e| Stop::Failed(format!("cannot record to {}: {e}", path.display())))
+}
+
+/// The one line on standard output by which who started us learns where we listen.
+fn listening(what: impl std::fmt::Display) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "listening {what}").and_then(|()| out.flush());
+}
+
+fn run(a: HostArgs) -> Result<(), Stop> {
+    let settings = Arc::new(load(&a.file)?);
+    let names: Vec<&str> = settings.hosts.iter().map(|h| h.name.as_str()).collect();
+    let host = match &a.host {
+        None if names.len() == 1 => 0,
+        None => return Err(bad(format!("--host: expected one of {}", names.join(", ")))),
+        Some(name) => names
+            .iter()
+            .position(|n| n == name)
+            .ok_or_else(|| bad(format!("--host: expected one of {}, found {name}", names.join(", "))))?,
+    };
+    let here = |a: Option<SocketAddr>, b: Option<SocketAddr>, what: &str| {
+        a.or(b).ok_or_else(|| bad(format!("{what}: neither given nor in {}", "the settings")))
+    };
+    let listen = here(a.listen, settings.hosts[host].listen, "--listen")?;
+    let list = here(a.list, settings.list.address, "--list")?;
+    let others = settings.hosts.iter().enumerate().filter(|(i, _)| *i != host);
+    let peers = others.filter_map(|(i, h)| Some((grebecleat_host::run::peer(i), h.listen?))).collect();
+    let seed = a.seed.unwrap_or_else(|| clock::now().as_nanos() as u64 ^ u64::from(std::process::id()) << 40);
+    let me = net::hello(pb::Role::Host, names[host], seed);
+    let (name, tracer) = (names[host].to_string(), tracer(a.trace, me)?);
+    let options = host::Options {
+        settings: settings.clone(),
+        host,
+        listen,
+        list,
+        peers,
+        tracer,
+        remember: a.remember,
+        seed,
+        workers: a.workers,
+    };
+    let counts = host::run(options, |address, handle| {
+        listening(address);
+        info!(host = %name, %address, "up");
+        host::on_signals(handle);
+    })?;
+    info!(host = %name, ?counts, "drained and ended");
+    Ok(())
+}
+
+fn kinds_of(text: Option<&str>) -> Result<Vec<Kind>, Stop> {
+    let Some(text) = text else { return Ok(Vec::new()) };
+    let known = || Kind::ALL.iter().map(|k| k.0).collect::<Vec<_>>().join(", ");
+    Kind::read(text).map_err(|name| bad(format!("--kinds: expected some of {}, found {name}", known())))
+}
+
+fn stage(a: &StageArgs, role: pb::Role, name: &str) -> Result<serve::Stage, Stop> {
+    let mut settings = load(&a.file)?;
+    rehearse::with_kinds(&mut settings, &kinds_of(a.kinds.as_deref())?);
+    let tracer = tracer(a.trace.clone(), net::hello(role, name, 1))?;
+    let t0 = a.t0.map_or_else(clock::now, Duration::from_nanos);
+    Ok(serve::Stage { settings: Arc::new(settings), t0, tracer })
+}
+
+fn nodes(a: NodeArgs) -> Result<(), Stop> {
+    let stage = stage(&a.stage, pb::Role::Node, "nodes")?;
+    let known = |id: &u32| stage.settings.nodes.iter().any(|n| n.id == *id);
+    if let Some(id) = a.ids.iter().find(|id| !known(id)) {
+        return Err(bad(format!("--ids: {} has no node {id}", a.stage.file.display())));
+    }
+    Ok(serve::nodes(&stage, &a.ids, a.list, |n| listening(format_args!("with {n} nodes")))?)
+}
+
+fn list(a: ListArgs) -> Result<(), Stop> {
+    let stage = stage(&a.stage, pb::Role::List, "list")?;
+    let listen = a.listen.or(stage.settings.list.address);
+    let listen = listen.ok_or_else(|| bad("--listen: neither given nor in the settings".into()))?;
+    let listener =
+        TcpListener::bind(listen).map_err(|e| Stop::Failed(format!("cannot listen on {listen}: {e}")))?;
+    listening(listener.local_addr()?);
+    Ok(serve::list(&stage, listener)?)
+}
+
+/// The script's path; the embedded one is laid into the folder where no file of that name is at hand.
+fn script_at(script: &Path, dir: &Path) -> Result<PathBuf, Stop> {
+    if script.exists() || !script.ends_with("bad-day.star") {
+        return Ok(script.to_path_buf());
+    }
+    let path = dir.join("bad-day.star");
+    std::fs::write(&path, BAD_DAY)?;
+    Ok(path)
+}
+
+fn rehearsal(a: RehearseArgs) -> Result<(), Stop> {
+    let dir = a.dir.clone().unwrap_or_else(rehearse::folder);
+    std::fs::create_dir_all(&dir)?;
+    let script = script_at(&a.script, &dir)?;
+    let mut settings = load(&script)?;
+    let mut kinds = kinds_of(a.kinds.as_deref())?;
+    if let Some(journal) = &a.journal {
+        let text = std::fs::read_to_string(journal)
+            .map_err(|e| bad(format!("--journal: cannot read {}: {e}", journal.display())))?;
+        kinds = Kind::find(&text);
+        if kinds.is_empty() {
+            return Err(bad(format!("--journal: {} names no kinds of trouble", journal.display())));
+        }
+    }
+    rehearse::with_kinds(&mut settings, &kinds);
+    let Some(plan) = &settings.rehearsal else {
+        return Err(bad(format!("{}: no rehearsal() in the file", script.display())));
+    };
+    let names: Vec<&str> = plan.troubles.iter().map(|t| t.kind.name()).collect();
+    println!(
+        "{}: {} hosts, {} nodes, {:?}, seed {}, troubles {}",
+        settings.name,
+        settings.hosts.len(),
+        settings.nodes.len(),
+        plan.length,
+        plan.seed,
+        if names.is_empty() { "none".into() } else { names.join("+") }
+    );
+    let bar = progress_bar(plan.length);
+    let program = std::env::current_exe()?;
+    let options = rehearse::Options {
+        settings: &settings,
+        script: &script,
+        kinds: &kinds,
+        dir: &dir,
+        program: &program,
+        progress: Box::new(|now, tally| {
+            bar.set_position(now.as_millis() as u64);
+            bar.set_message(format!("{} done, {} deferred", tally.done, tally.deferred));
+        }),
+    };
+    let tally = rehearse::rehearse(options)?;
+    bar.finish_and_clear();
+    report(&settings, &tally);
+    let judged = Case::open(&dir)?.judge(&settings).map_err(Stop::Failed)?;
+    show(&judged, &dir);
+    let fine = judged.breaches.is_empty() && tally.wrong_content == 0 && tally.doubled == 0;
+    if fine && a.dir.is_none() && !a.keep {
+        std::fs::remove_dir_all(&dir)?;
+    } else {
+        println!("traces and logs: {}", dir.display());
+    }
+    println!("{}", judged.line());
+    if fine {
+        Ok(())
+    } else {
+        Err(Stop::Broken)
+    }
+}
+
+fn progress_bar(length: Duration) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new(length.as_millis() as u64);
+    let style = ProgressStyle::with_template("{bar:30} {percent}% {msg}");
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+fn report(s: &Settings, t: &Tally) {
+    println!(
+        "clients: {} tries, {} done, {} deferred, {} abandoned; {} lost with their host, {} unanswered, {} \
+         answered twice, {} reads with wrong content, {} found no host",
+        t.tries,
+        t.done,
+        t.deferred,
+        t.abandoned,
+        t.lost,
+        t.unanswered,
+        t.doubled,
+        t.wrong_content,
+        t.unreached
+    );
+    for (plan, (all, timely, late)) in &t.plans {
+        let part = |n: u64| 100.0 * n as f64 / (*all).max(1) as f64;
+        println!(
+            "plan {:<10} {all:>7} pieces of work, {:>5.1}% in their SLO time, {:>4.1}% late",
+            s.plans[*plan].name,
+            part(*timely),
+            part(*late)
+        );
+    }
+}
+
+fn show(v: &Verdict, dir: &Path) {
+    for b in &v.breaches {
+        println!("rule {} ({}): {}", b.rule, RULES[usize::from(b.rule) - 1], b.what);
+        b.frames.iter().for_each(|f| println!("    {f}"));
+    }
+    info!(dir = %dir.display(), legs = v.legs, effects = v.effects, "audited");
+    println!(
+        "audit: {} legs, {} effects, {} transfers lost with their host; last new leg {:.0} ms after a drain \
+         was told",
+        v.legs, v.effects, v.lost, v.drain_ms
+    );
+}
+
+fn show_trace(file: &Path, with: &str) -> Result<(), Stop> {
+    let mut out = std::io::stdout().lock();
+    for r in grebecleat_wire::trace::read_file(file)? {
+        let line = grebecleat_audit::run::show("", &r);
+        if line.contains(with) && writeln!(out, "{line}").is_err() {
+            return Ok(()); // nobody reads any more
+        }
+    }
+    Ok(())
+}
+
+fn audit(dir: &Path, script: &Path, kinds: Option<&str>) -> Result<(), Stop> {
+    let mut settings = load(script)?;
+    rehearse::with_kinds(&mut settings, &kinds_of(kinds)?);
+    let judged = Case::open(dir)?.judge(&settings).map_err(Stop::Failed)?;
+    show(&judged, dir);
+    println!("{}", judged.line());
+    if judged.breaches.is_empty() {
+        Ok(())
+    } else {
+        Err(Stop::Broken)
+    }
+}
--- /dev/null
+++ b/crates/host/src/desk.rs
@@ -0,0 +1,970 @@
+//! One host's transfers, legs and connections, between the sockets and the decisions.
+//!
+//! Called by the owner's loop: `step(now, inputs)` for every batch of what happened, which answers what the
+//! sockets are to do beyond what already lies in the outboxes; [`Desk::wake_at`] says when it must be called
+//! again. It has no socket and no clock. Every event and action of `grebecleat::interface` is carried here:
+//!
+//! - a transfer is answered once: by its first leg that is done, else by the decisions, else by nobody (its
+//!   client is gone); what comes later is counted as stray and dropped;
+//! - a leg ends once, by the first of: its node's answer, its time, a reset, a cancel, or being taken back
+//!   from an outbox, which alone is told as "never ran";
+//! - what the list says of a node takes back every leg to it that has not crossed.
+
+use crate::admission::{admit, Held};
+use crate::listing::Listing;
+use crate::outbox::{LegNo, Outbox};
+use crate::pool::{Pool, Present, Step};
+use crate::stall::Stalls;
+use bytes::Bytes;
+use grebecleat::control::Control;
+use grebecleat::interface::*;
+use grebecleat_settings::{Bounds, Settings};
+use grebecleat_wire::delay::Delay;
+use grebecleat_wire::pb::{self, frame::Body};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often what waits in the outboxes, or for the list, is looked through.
+const SWEEP: Duration = Duration::from_millis(25);
+/// The longest sleep while anything is open, so that a stall of our own is seen for what it is.
+const BEAT: Duration = Duration::from_millis(50);
+const IDLE_BEAT: Duration = Duration::from_secs(1);
+/// Lines of the log that name one bad peer; after them it is only counted.
+const LINES_A_PEER: u32 = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// What happened at the sockets. `at` is when the frames were read.
+#[derive(Debug)]
+pub enum Input {
+    ClientUp {
+        conn: ConnId,
+        outbox: Arc<Outbox>,
+    },
+    ClientFrames {
+        conn: ConnId,
+        at: Duration,
+        frames: Vec<pb::Frame>,
+    },
+    ClientGone {
+        conn: ConnId,
+    },
+    NodeUp {
+        conn: ConnId,
+        outbox: Arc<Outbox>,
+    },
+    NodeFrames {
+        conn: ConnId,
+        at: Duration,
+        frames: Vec<pb::Frame>,
+    },
+    /// Also a dial that came to nothing.
+    NodeGone {
+        conn: ConnId,
+    },
+    ListUp {
+        conn: ConnId,
+        outbox: Arc<Outbox>,
+    },
+    ListFrames {
+        conn: ConnId,
+        frames: Vec<pb::Frame>,
+    },
+    ListGone {
+        conn: ConnId,
+    },
+    Remembered {
+        list: pb::List,
+    },
+    Word {
+        from: PeerId,
+        bytes: Vec<u8>,
+    },
+    /// Take no more, answer what is held, then end.
+    Drain,
+}
+
+/// What the sockets are to do.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Dial {
+        conn: ConnId,
+        node: NodeId,
+        address: SocketAddr,
+    },
+    DialList {
+        conn: ConnId,
+    },
+    Tell {
+        to: Option<PeerId>,
+        bytes: Vec<u8>,
+    },
+    Remember {
+        bytes: Vec<u8>,
+    },
+    /// A change of state, for the log.
+    Note {
+        text: String,
+    },
+    /// Drained: nothing is held and every answer is written.
+    Ended,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub done: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub turned_away: u64,
+    pub withdrawn: u64,
+    pub legs: u64,
+    /// Legs that were decided and never crossed a socket.
+    pub unsent: u64,
+    /// Answers to legs that were over, unknown, or another connection's.
+    pub strays: u64,
+    pub stalls: u64,
+    pub steps: u64,
+    pub events: u64,
+}
+
+#[derive(Debug)]
+struct Open {
+    client: ConnId,
+    take: pb::Take,
+    expiry: Duration,
+    /// It has had its final answer, or nobody waits for one.
+    over: bool,
+    legs: u32,
+    out: Vec<LegNo>,
+}
+
+#[derive(Debug)]
+struct LegOut {
+    id: XferId,
+    number: u32,
+    node: NodeId,
+    /// None while it waits for a connection.
+    conn: Option<ConnId>,
+    sent: Duration,
+    until: Duration,
+}
+
+#[derive(Debug)]
+struct Client {
+    outbox: Arc<Outbox>,
+    delay: Delay,
+    open: BTreeSet<XferId>,
+}
+
+#[derive(Debug)]
+struct NodeConn {
+    node: NodeId,
+    outbox: Option<Arc<Outbox>>,
+    legs: BTreeSet<LegNo>,
+    idle_since: Duration,
+}
+
+#[derive(Debug)]
+struct NodePool {
+    pool: Pool,
+    conns: Vec<ConnId>,
+    waiting: VecDeque<LegNo>,
+}
+
+#[derive(Debug, Default)]
+struct ListLink {
+    conn: Option<ConnId>,
+    outbox: Option<Arc<Outbox>>,
+    wanted: Vec<Body>,
+    watching: bool,
+    answer_by: Option<Duration>,
+}
+
+pub struct Desk {
+    control: Control,
+    settings: Arc<Settings>,
+    plan_of: HashMap<VolumeId, (PlanId, usize)>,
+    seed: u64,
+    now: Duration,
+    wanted_wake: Duration,
+    sweep_at: Duration,
+    stalls: Stalls,
+    xfers: HashMap<XferId, Open>,
+    held_bytes: usize,
+    clients: BTreeMap<ConnId, Client>,
+    legs: HashMap<LegNo, LegOut>,
+    times: BTreeSet<(Duration, LegNo)>,
+    conns: BTreeMap<ConnId, NodeConn>,
+    pools: BTreeMap<NodeId, NodePool>,
+    /// Nodes whose pool may want something.
+    touched: BTreeSet<NodeId>,
+    listing: Listing,
+    list_changed: bool,
+    list: ListLink,
+    probes: HashMap<u64, (NodeId, ConnId)>,
+    timers: BTreeSet<(Duration, u64)>,
+    events: Vec<Event>,
+    out: Vec<Output>,
+    next: u64,
+    draining: Option<Duration>,
+    ended: bool,
+    complained: BTreeMap<ConnId, u32>,
+    counts: Counts,
+}
+
+fn xfer_id(id: &[u8]) -> Option<XferId> {
+    id.try_into().map(XferId).ok()
+}
+
+impl Desk {
+    /// `seed` is new at each start of the host.
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        let s = &settings;
+        let streams = s.streams.iter().map(|x| x.facts.clone()).collect();
+        let plans = s.plans.iter().map(|p| p.facts.clone()).collect();
+        let rules = &s.rules;
+        let control = Control::new(seed, streams, plans, s.units.clone(), s.caps.clone()).under(
+            rules.cold.clone(),
+            // The list is asked for in either case: where it pushes, one watch is the asking.
+            ListRule { on_asking: true, ask_every: s.list.rule.ask_every },
+            rules.legs.clone(),
+            rules.key_rest,
+        );
+        let plan_of = s.volumes.iter().map(|v| (VolumeId(v.id), (PlanId(v.plan), v.hosts.len()))).collect();
+        Desk {
+            control,
+            plan_of,
+            seed,
+            now: Duration::ZERO,
+            wanted_wake: Duration::MAX,
+            sweep_at: Duration::ZERO,
+            stalls: Stalls::default(),
+            xfers: HashMap::new(),
+            held_bytes: 0,
+            clients: BTreeMap::new(),
+            legs: HashMap::new(),
+            times: BTreeSet::new(),
+            conns: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            listing: Listing::default(),
+            list_changed: false,
+            list: ListLink::default(),
+            probes: HashMap::new(),
+            timers: BTreeSet::new(),
+            events: Vec::new(),
+            out: Vec::new(),
+            next: 1,
+            draining: None,
+            ended: false,
+            complained: BTreeMap::new(),
+            counts: Counts::default(),
+            settings,
+        }
+    }
+
+    fn bounds(&self) -> &Bounds {
+        &self.settings.bounds
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Transfers open, legs out and bytes held now.
+    pub fn held(&self) -> (usize, usize, usize) {
+        (self.xfers.len(), self.legs.len(), self.held_bytes)
+    }
+
+    /// Whether this host has just stood still: the caller then first reads what waits in its sockets, since
+    /// answers that came meanwhile must be heard before silence is judged.
+    pub fn stood_still(&mut self, now: Duration) -> bool {
+        let stalled = self.stalls.woke(self.wanted_wake.max(self.now), now);
+        if stalled {
+            self.counts.stalls += 1;
+            self.wanted_wake = now;
+        }
+        stalled
+    }
+
+    /// When `step` must be called again if nothing happens before.
+    pub fn wake_at(&mut self) -> Duration {
+        let timer = self.timers.first().map(|t| t.0);
+        let leg = self.times.first().map(|t| t.0);
+        let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
+        let wake = [timer, leg].into_iter().flatten().fold(beat, Duration::min);
+        self.wanted_wake = wake.max(self.now);
+        self.wanted_wake
+    }
+
+    pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
+        self.now = now.max(self.now);
+        self.counts.steps += 1;
+        inputs.into_iter().for_each(|i| self.hear(i));
+        self.times_up();
+        // However many timers a pause has let come due, the decisions are called once.
+        let mut rung = None;
+        while let Some(&(at, tag)) = self.timers.first().filter(|t| t.0 <= self.now) {
+            self.timers.remove(&(at, tag));
+            rung = Some(tag);
+        }
+        if let Some(tag) = rung {
+            self.events.push(Event::Timer { tag: TimerTag(tag) });
+        }
+        if self.now >= self.sweep_at {
+            self.sweep();
+        }
+        // What the decisions ask for can at once come to an end (nothing to send on, already over).
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            self.counts.events += events.len() as u64;
+            for action in self.control.step(self.now, events) {
+                self.act(action);
+            }
+            self.tend_pools();
+        }
+        self.tend_pools();
+        self.end_when_drained();
+        std::mem::take(&mut self.out)
+    }
+
+    fn hear(&mut self, input: Input) {
+        match input {
+            Input::ClientUp { conn, outbox } => {
+                if self.draining.is_some() {
+                    outbox.put(frame(Body::GoingAway(pb::GoingAway {})));
+                }
+                let client = Client { outbox, delay: Delay::default(), open: BTreeSet::new() };
+                self.clients.insert(conn, client);
+            }
+            Input::ClientFrames { conn, at, frames } => {
+                for f in frames {
+                    self.client_says(conn, at, f);
+                }
+            }
+            Input::ClientGone { conn } => self.client_gone(conn),
+            Input::NodeUp { conn, outbox } => {
+                let Some(c) = self.conns.get_mut(&conn) else { return outbox.close() };
+                c.outbox = Some(outbox);
+                c.idle_since = self.now;
+                let node = c.node;
+                self.pools.get_mut(&node).expect("made when dialled").pool.came_up();
+                self.serve(node);
+            }
+            Input::NodeFrames { conn, at, frames } => {
+                for f in frames {
+                    self.node_says(conn, at, f);
+                }
+            }
+            Input::NodeGone { conn } => self.node_conn_gone(conn),
+            Input::ListUp { conn, outbox } => {
+                if self.list.conn != Some(conn) {
+                    return outbox.close();
+                }
+                self.list.outbox = Some(outbox);
+                self.ask_list();
+            }
+            Input::ListFrames { conn, frames } => {
+                for f in frames {
+                    match f.body {
+                        Some(Body::List(l)) if self.list.conn == Some(conn) => self.listed(l),
+                        _ => self.complain(conn, "list sent something that is no list"),
+                    }
+                }
+            }
+            Input::ListGone { conn } if self.list.conn == Some(conn) => self.list_lost("connection lost"),
+            Input::ListGone { .. } => {}
+            Input::Remembered { list } => self.entries(ListKind::Remembered, &list.entries),
+            Input::Word { from, bytes } => self.events.push(Event::Told { from, bytes }),
+            Input::Drain => self.drain(),
+        }
+    }
+
+    // Clients
+
+    fn client_says(&mut self, conn: ConnId, at: Duration, f: pb::Frame) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        let waited = client.delay.waited(f.sent_us, at);
+        match f.body {
+            Some(Body::Take(t)) => self.take(conn, at, waited, t),
+            Some(Body::Withdraw(w)) => {
+                let id = xfer_id(&w.id).filter(|id| self.xfers.get(id).is_some_and(|x| x.client == conn));
+                if let Some(id) = id {
+                    self.counts.withdrawn += 1;
+                    self.withdraw(id);
+                }
+            }
+            Some(Body::GoingAway(_)) => {}
+            _ => self.throw_out(conn, "client sent what only hosts and nodes send"),
+        }
+    }
+
+    fn take(&mut self, conn: ConnId, at: Duration, waited: Duration, t: pb::Take) {
+        let Some(id) = xfer_id(&t.id) else { return self.throw_out(conn, "transfer without a proper id") };
+        if self.xfers.contains_key(&id) {
+            return self.throw_out(conn, "transfer with an id that is still open");
+        }
+        let stream_type = t.stream_type as usize;
+        let Some(stream) = self.settings.streams.get(stream_type) else {
+            return self.throw_out(conn, "transfer of an unknown stream type");
+        };
+        let volume = VolumeId(t.volume);
+        let Some(&(plan, hosts)) = self.plan_of.get(&volume) else {
+            return self.throw_out(conn, "transfer of an unknown volume");
+        };
+        let units = t.units;
+        if !(units.is_finite() && units > 0.0 && units <= self.settings.units.largest) {
+            return self.throw_out(conn, "transfer of a size that the settings do not know");
+        }
+        let left = Duration::from_micros(t.left_us).min(stream.expiry);
+        let margin = self.settings.rules.answer_margin;
+        // What the frame waited on its way to us is gone from the client's time, as is what the answer needs.
+        let expiry = (at + left).saturating_sub(waited + margin);
+        let held = Held { open: self.xfers.len(), bytes: self.held_bytes, draining: self.draining.is_some() };
+        if let Err(turned) = admit(held, t.data.len(), self.bounds()) {
+            self.counts.turned_away += 1;
+            let come_back = self.settings.caps.come_back.map(|most| turned.come_back().min(most));
+            return self.answer(conn, &t.id, pb::Outcome::Deferred, come_back, None, Bytes::new());
+        }
+        self.counts.taken += 1;
+        self.held_bytes += t.data.len();
+        self.clients.get_mut(&conn).expect("heard from it").open.insert(id);
+        let (cell, key) = (t.cell.map(CellId), t.key.map(KeyId));
+        let stream_type = StreamTypeId(stream_type);
+        self.events.push(Event::Taken(Transfer {
+            id,
+            units,
+            cell,
+            stream_type,
+            plan,
+            hosts,
+            key,
+            expiry,
+            volume,
+        }));
+        self.xfers.insert(id, Open { client: conn, take: t, expiry, over: false, legs: 0, out: Vec::new() });
+    }
+
+    fn answer(
+        &mut self, conn: ConnId, id: &Bytes, outcome: pb::Outcome, come_back: Option<Duration>,
+        cell: Option<CellId>, data: Bytes,
+    ) {
+        let Some(client) = self.clients.get(&conn) else { return };
+        client.outbox.put(frame(Body::Final(pb::Final {
+            id: id.clone(),
+            outcome: outcome.into(),
+            come_back_us: come_back.map(grebecleat_wire::clock::micros),
+            cell: cell.map(|c| c.0),
+            data,
+        })));
+        // A client that never reads must not hold our memory; its transfers are then nobody's.
+        if client.outbox.bytes() > self.bounds().most_unread {
+            self.throw_out(conn, "client leaves its answers unread");
+        }
+    }
+
+    /// The one place where a transfer gets its final answer.
+    fn finish(
+        &mut self, id: XferId, outcome: pb::Outcome, come_back: Option<Duration>, cell: Option<CellId>,
+        data: Bytes,
+    ) {
+        let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { return };
+        x.over = true;
+        let (client, wire_id) = (x.client, x.take.id.clone());
+        match outcome {
+            pb::Outcome::Done => self.counts.done += 1,
+            pb::Outcome::Deferred => self.counts.deferred += 1,
+            _ => self.counts.abandoned += 1,
+        }
+        self.answer(client, &wire_id, outcome, come_back, cell, data);
+        self.settle(id);
+    }
+
+    /// After a transfer is over: legs of it that have not crossed never do, and its record goes with the last.
+    fn settle(&mut self, id: XferId) {
+        let Some(x) = self.xfers.get(&id).filter(|x| x.over) else { return };
+        for leg in x.out.clone() {
+            if self.unsend(leg) {
+                self.end_leg(leg, LegEnd::Moot, self.now, None);
+            }
+        }
+        if self.xfers.get(&id).is_some_and(|x| x.out.is_empty()) {
+            let x = self.xfers.remove(&id).expect("looked up above");
+            self.held_bytes -= x.take.data.len();
+            if let Some(c) = self.clients.get_mut(&x.client) {
+                c.open.remove(&id);
+            }
+        }
+    }
+
+    fn withdraw(&mut self, id: XferId) {
+        let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { return };
+        x.over = true;
+        self.events.push(Event::Withdrawn { id });
+        self.settle(id);
+    }
+
+    fn client_gone(&mut self, conn: ConnId) {
+        let Some(client) = self.clients.remove(&conn) else { return };
+        client.outbox.close();
+        self.complained.remove(&conn);
+        for id in client.open {
+            self.counts.withdrawn += u64::from(self.xfers.get(&id).is_some_and(|x| !x.over));
+            self.withdraw(id);
+        }
+    }
+
+    fn throw_out(&mut self, conn: ConnId, why: &str) {
+        self.complain(conn, why);
+        self.client_gone(conn);
+    }
+
+    fn complain(&mut self, conn: ConnId, why: &str) {
+        let lines = self.complained.entry(conn).or_default();
+        *lines += 1;
+        if *lines <= LINES_A_PEER {
+            self.note(format!("connection {}: {why}", conn.0));
+        }
+    }
+
+    fn note(&mut self, text: String) {
+        self.out.push(Output::Note { text });
+    }
+
+    // Legs
+
+    fn send(&mut self, id: XferId, node: NodeId, until: Duration) {
+        let (leg, now) = (LegNo(self.number()), self.now);
+        self.counts.legs += 1;
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let number = x.legs;
+        x.legs += 1;
+        x.out.push(leg);
+        self.legs.insert(leg, LegOut { id, number, node, conn: None, sent: now, until });
+        if x.over {
+            return self.end_leg(leg, LegEnd::Moot, now, None);
+        }
+        let ready = self.listing.nodes.get(&node).is_some_and(|k| k.state == NodeState::Ready);
+        if !ready {
+            return self.end_leg(leg, LegEnd::Moot, now, None);
+        }
+        self.times.insert((until, leg));
+        let (per, most) = (self.bounds().legs_per_connection, self.bounds().connections_per_node);
+        let seed = self.seed ^ u64::from(node.0);
+        let pool = self.pools.entry(node).or_insert_with(|| {
+            let pool = Pool::new(per, most, seed);
+            NodePool { pool, conns: Vec::new(), waiting: VecDeque::new() }
+        });
+        pool.waiting.push_back(leg);
+        self.serve(node);
+    }
+
+    /// Gives waiting legs of a node to connections with room, the emptiest first.
+    fn serve(&mut self, node: NodeId) {
+        self.touched.insert(node);
+        let per = self.bounds().legs_per_connection;
+        let Some(pool) = self.pools.get_mut(&node) else { return };
+        while let Some(leg) = pool.waiting.front().copied() {
+            let up = pool.conns.iter().filter_map(|c| Some((c, self.conns.get(c)?)));
+            let open = up.filter(|(_, c)| c.outbox.is_some() && c.legs.len() < per);
+            let Some(conn) = open.min_by_key(|(_, c)| c.legs.len()).map(|(id, _)| *id) else { return };
+            pool.waiting.pop_front();
+            let l = self.legs.get_mut(&leg).expect("waiting legs are known");
+            l.conn = Some(conn);
+            let x = &self.xfers[&l.id];
+            let t = &x.take;
+            let message = pb::Leg {
+                leg: leg.0,
+                id: t.id.clone(),
+                number: l.number,
+                node: node.0,
+                stream_type: t.stream_type,
+                plan: self.plan_of[&VolumeId(t.volume)].0 .0 as u32,
+                volume: t.volume,
+                key: t.key,
+                units: t.units,
+                left_us: 0, // set when it is written
+                extent: t.extent,
+                length: t.length,
+                write: t.write,
+                piece: t.piece.clone(),
+                data: t.data.clone(),
+            };
+            let c = self.conns.get_mut(&conn).expect("found above");
+            c.legs.insert(leg);
+            let outbox = c.outbox.as_ref().expect("found up");
+            outbox.put_leg(leg, frame(Body::Leg(message)), self.now, l.until);
+        }
+    }
+
+    /// Takes a leg back if it has not crossed; whether it now never will.
+    fn unsend(&mut self, leg: LegNo) -> bool {
+        let Some(l) = self.legs.get(&leg) else { return false };
+        let unsent = match l.conn.and_then(|c| self.conns.get(&c)).and_then(|c| c.outbox.as_ref()) {
+            Some(outbox) => outbox.revoke(leg),
+            None => true,
+        };
+        self.counts.unsent += u64::from(unsent);
+        unsent
+    }
+
+    /// The one place where a leg ends, and the decisions are told how.
+    fn end_leg(&mut self, leg: LegNo, end: LegEnd, at: Duration, answer: Option<pb::LegAnswer>) {
+        let Some(l) = self.legs.remove(&leg) else { return };
+        self.times.remove(&(l.until, leg));
+        match l.conn.and_then(|c| self.conns.get_mut(&c)) {
+            Some(c) => {
+                c.legs.remove(&leg);
+                c.idle_since = self.now;
+            }
+            None => {
+                let pool = self.pools.get_mut(&l.node);
+                pool.into_iter().for_each(|p| p.waiting.retain(|w| *w != leg));
+            }
+        }
+        let at = at.max(l.sent);
+        let elapsed = (at - l.sent).saturating_sub(self.stalls.within(l.sent, at));
+        let (id, node) = (l.id, l.node);
+        if let Some(x) = self.xfers.get_mut(&id) {
+            x.out.retain(|o| *o != leg);
+        }
+        let told = answer.unwrap_or_default();
+        if end == LegEnd::Done {
+            let cell = self.listing.nodes.get(&node).map(|k| k.cell);
+            self.finish(id, pb::Outcome::Done, None, cell, told.data);
+        }
+        let over = self.xfers.get(&id).is_none_or(|x| x.over);
+        self.events.push(Event::LegOver {
+            id,
+            leg: l.number,
+            node,
+            end,
+            elapsed,
+            over,
+            reported: told.reported,
+            others: told.others,
+            busy: told.busy,
+        });
+        self.settle(id);
+        self.serve(node);
+    }
+
+    /// Legs whose time has come. One that never crossed never ran.
+    fn times_up(&mut self) {
+        while let Some(&(at, leg)) = self.times.first().filter(|t| t.0 <= self.now) {
+            self.times.remove(&(at, leg));
+            let end = if self.unsend(leg) { LegEnd::Moot } else { LegEnd::TimeOut };
+            self.end_leg(leg, end, self.now, None);
+        }
+    }
+
+    fn cancel(&mut self, id: XferId, number: u32) {
+        let of = |leg: &&LegNo| self.legs.get(leg).is_some_and(|l| l.number == number);
+        let Some(leg) = self.xfers.get(&id).and_then(|x| x.out.iter().find(of).copied()) else { return };
+        if self.unsend(leg) {
+            return self.end_leg(leg, LegEnd::Moot, self.now, None);
+        }
+        let conn = self.legs.get(&leg).and_then(|l| l.conn);
+        if let Some(outbox) = conn.and_then(|c| self.conns.get(&c)).and_then(|c| c.outbox.as_ref()) {
+            outbox.put(frame(Body::CancelLeg(pb::CancelLeg { leg: leg.0 })));
+        }
+        self.end_leg(leg, LegEnd::Cancelled, self.now, None);
+    }
+
+    // Nodes
+
+    fn node_says(&mut self, conn: ConnId, at: Duration, f: pb::Frame) {
+        match f.body {
+            Some(Body::LegAnswer(a)) => {
+                let leg = LegNo(a.leg);
+                // After its end, twice, of a leg nobody sent, or of an earlier connection's: dropped.
+                if self.legs.get(&leg).is_none_or(|l| l.conn != Some(conn)) {
+                    self.counts.strays += 1;
+                    return;
+                }
+                let end = match a.result() {
+                    pb::Result::Ok => LegEnd::Done,
+                    pb::Result::Full => LegEnd::Full,
+                    pb::Result::WrongNode | pb::Result::Expired => LegEnd::Moot,
+                    pb::Result::Error | pb::Result::Unknown => LegEnd::Error,
+                };
+                self.end_leg(leg, end, at, Some(a));
+            }
+            Some(Body::Begun(b)) => {
+                let leg = LegNo(b.leg);
+                let Some(l) = self.legs.get_mut(&leg).filter(|l| l.conn == Some(conn)) else { return };
+                // From here it has no time of its own: the answer is on its way to the client.
+                self.times.remove(&(l.until, leg));
+                l.until = Duration::MAX;
+                let (id, number) = (l.id, l.number);
+                self.events.push(Event::Begun { id, leg: number });
+                let client = self.xfers.get(&id).and_then(|x| Some((x, self.clients.get(&x.client)?)));
+                if let Some((x, c)) = client {
+                    let begun = pb::Begun { leg: 0, id: x.take.id.clone() };
+                    c.outbox.put(frame(Body::Begun(begun)));
+                }
+            }
+            Some(Body::Probed(p)) => {
+                if let Some((node, _)) = self.probes.remove(&p.probe) {
+                    let end = if p.result() == pb::Result::Ok { LegEnd::Done } else { LegEnd::Error };
+                    self.events.push(Event::Probed { node, end });
+                }
+            }
+            Some(Body::GoingAway(_)) => {}
+            _ => {
+                self.complain(conn, "node sent what only hosts and clients send");
+                self.node_conn_gone(conn);
+            }
+        }
+    }
+
+    fn node_conn_gone(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let (node, legs, was_up) = (c.node, std::mem::take(&mut c.legs), c.outbox.is_some());
+        for leg in legs {
+            let end = if self.unsend(leg) { LegEnd::NoConnection } else { LegEnd::Reset };
+            self.end_leg(leg, end, self.now, None);
+        }
+        if let Some(outbox) = self.conns.remove(&conn).and_then(|c| c.outbox) {
+            outbox.close();
+        }
+        self.complained.remove(&conn);
+        for probe in self.probes.extract_if(|_, p| p.1 == conn).map(|(_, (node, _))| node).collect::<Vec<_>>()
+        {
+            self.events.push(Event::Probed { node: probe, end: LegEnd::Reset });
+        }
+        if let Some(pool) = self.pools.get_mut(&node) {
+            pool.conns.retain(|c| *c != conn);
+            if !was_up {
+                pool.pool.failed(self.now);
+            }
+        }
+        self.touched.insert(node);
+    }
+
+    /// Brings the connections of touched nodes towards what their pools want.
+    fn tend_pools(&mut self) {
+        for node in std::mem::take(&mut self.touched) {
+            let Some(pool) = self.pools.get(&node) else { continue };
+            let conns = || pool.conns.iter().filter_map(|c| self.conns.get(c));
+            let up = conns().filter(|c| c.outbox.is_some()).count();
+            let legs = conns().map(|c| c.legs.len()).sum::<usize>() + pool.waiting.len();
+            let present = Present { up, dialling: pool.conns.len() - up, legs, waiting: pool.waiting.len() };
+            let address = self.listing.nodes.get(&node).and_then(|k| k.address);
+            match (pool.pool.wanted(self.now, present), address) {
+                (Step::Nothing, _) => {}
+                (Step::Dial, Some(address)) => {
+                    let conn = ConnId(self.number());
+                    let (legs, idle_since) = (BTreeSet::new(), self.now);
+                    self.conns.insert(conn, NodeConn { node, outbox: None, legs, idle_since });
+                    self.pools.get_mut(&node).expect("looked up above").conns.push(conn);
+                    self.out.push(Output::Dial { conn, node, address });
+                }
+                (Step::Fail, _) | (Step::Dial, None) => {
+                    for leg in pool.waiting.clone() {
+                        self.counts.unsent += 1;
+                        self.end_leg(leg, LegEnd::NoConnection, self.now, None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn close_idle(&mut self, node: NodeId, since: Duration) {
+        let Some(pool) = self.pools.get(&node) else { return };
+        for conn in pool.conns.clone() {
+            let idle = |c: &NodeConn| c.outbox.is_some() && c.legs.is_empty() && c.idle_since <= since;
+            if self.conns.get(&conn).is_some_and(idle) {
+                self.node_conn_gone(conn);
+            }
+        }
+    }
+
+    fn probe(&mut self, node: NodeId) {
+        let conns = self.pools.get(&node).map(|p| p.conns.clone()).unwrap_or_default();
+        let probe = self.number();
+        let up = conns.into_iter().find_map(|c| Some((c, self.conns.get(&c)?.outbox.clone()?)));
+        match up {
+            Some((conn, outbox)) => {
+                outbox.put(frame(Body::Probe(pb::Probe { probe })));
+                self.probes.insert(probe, (node, conn));
+            }
+            None => self.events.push(Event::Probed { node, end: LegEnd::NoConnection }),
+        }
+    }
+
+    // The list
+
+    fn ask_list(&mut self) {
+        let Some(outbox) = &self.list.outbox else {
+            if self.list.conn.is_none() {
+                let conn = ConnId(self.number());
+                self.list.conn = Some(conn);
+                self.list.answer_by = Some(self.now + self.bounds().patience);
+                self.out.push(Output::DialList { conn });
+            }
+            return;
+        };
+        for body in self.list.wanted.drain(..) {
+            if let Body::Watch(w) = &body {
+                self.list.watching = w.on;
+            }
+            outbox.put(frame(body));
+            self.list.answer_by = Some(self.now + self.settings.bounds.patience);
+        }
+    }
+
+    fn list_lost(&mut self, why: &str) {
+        if let Some(outbox) = self.list.outbox.take() {
+            outbox.close();
+        }
+        self.list = ListLink::default();
+        self.note(format!("list of nodes: {why}"));
+        self.events.push(Event::List { kind: ListKind::NotHad, entries: Vec::new() });
+    }
+
+    fn listed(&mut self, l: pb::List) {
+        self.list.answer_by = None;
+        match l.kind() {
+            pb::ListKind::Changes => self.entries(ListKind::Changes, &l.entries),
+            pb::ListKind::Whole => self.entries(ListKind::Whole, &l.entries),
+            _ => self.events.push(Event::List { kind: ListKind::NotHad, entries: Vec::new() }),
+        }
+    }
+
+    fn entries(&mut self, kind: ListKind, entries: &[pb::Entry]) {
+        let before: BTreeMap<NodeId, (u64, Option<SocketAddr>)> =
+            self.listing.nodes.iter().map(|(id, k)| (*id, (k.start, k.address))).collect();
+        let read: Vec<ListEntry> = entries.iter().filter_map(|e| self.listing.read(e, self.now)).collect();
+        if read.len() < entries.len() {
+            self.note(format!("list of nodes: {} entries without a state", entries.len() - read.len()));
+        }
+        let mut left = if kind == ListKind::Changes { Vec::new() } else { self.listing.only(&read) };
+        for e in &read {
+            let known = &self.listing.nodes[&e.node];
+            let renewed = before.get(&e.node).is_some_and(|b| *b != (known.start, known.address));
+            if e.state != NodeState::Ready || renewed {
+                left.push(e.node);
+            }
+            if renewed {
+                self.pools.get_mut(&e.node).into_iter().for_each(|p| p.pool.renew());
+            }
+        }
+        self.events.push(Event::List { kind, entries: read });
+        // What was decided before we were told must not cross after.
+        for node in left {
+            let Some(pool) = self.pools.get(&node) else { continue };
+            let on_conns = pool.conns.iter().filter_map(|c| self.conns.get(c)).flat_map(|c| c.legs.iter());
+            let legs: Vec<LegNo> = pool.waiting.iter().chain(on_conns).copied().collect();
+            for leg in legs {
+                if self.unsend(leg) {
+                    self.end_leg(leg, LegEnd::Moot, self.now, None);
+                }
+            }
+        }
+        self.list_changed = kind != ListKind::Remembered;
+    }
+
+    // Time and the end
+
+    fn sweep(&mut self) {
+        self.sweep_at = self.now + SWEEP;
+        let since = self.now.saturating_sub(self.bounds().linger);
+        let mut stale: Vec<LegNo> = Vec::new();
+        for c in self.conns.values().filter(|c| !c.legs.is_empty()) {
+            stale.extend(c.outbox.iter().flat_map(|o| o.revoke_stale(since, self.now)));
+        }
+        self.counts.unsent += stale.len() as u64;
+        let dialled = self.now.saturating_sub(self.bounds().dial_timeout.max(self.bounds().linger));
+        for pool in self.pools.values().filter(|p| !p.waiting.is_empty()) {
+            let old = pool.waiting.iter().filter(|l| self.legs.get(l).is_some_and(|l| l.sent < dialled));
+            let old: Vec<LegNo> = old.copied().collect();
+            self.counts.unsent += old.len() as u64;
+            stale.extend(old);
+        }
+        for leg in stale {
+            let timely = self.legs.get(&leg).is_some_and(|l| l.until > self.now);
+            let end = if timely { LegEnd::NoConnection } else { LegEnd::Moot };
+            self.end_leg(leg, end, self.now, None);
+        }
+        // A dial that reports nothing, for whatever reason, must not keep its node's legs waiting.
+        let dialled = self.now.saturating_sub(self.bounds().dial_timeout * 2);
+        let lost = |c: &NodeConn| c.outbox.is_none() && c.idle_since < dialled;
+        let lost: Vec<ConnId> = self.conns.iter().filter(|(_, c)| lost(c)).map(|(id, _)| *id).collect();
+        lost.into_iter().for_each(|conn| self.node_conn_gone(conn));
+        if self.list.answer_by.is_some_and(|by| self.now >= by) {
+            self.list_lost("no answer");
+        }
+        let idle = self.now.saturating_sub(self.bounds().idle);
+        let old = |c: &&NodeConn| c.outbox.is_some() && c.legs.is_empty() && c.idle_since < idle;
+        let nodes: BTreeSet<NodeId> = self.conns.values().filter(old).map(|c| c.node).collect();
+        nodes.into_iter().for_each(|n| self.close_idle(n, idle));
+        if std::mem::take(&mut self.list_changed) {
+            self.out.push(Output::Remember { bytes: self.listing.to_bytes(self.now) });
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, node, until } => self.send(id, node, until),
+            Action::Defer { id, come_back } => {
+                self.finish(id, pb::Outcome::Deferred, come_back, None, Bytes::new());
+            }
+            Action::Abandon { id } => self.finish(id, pb::Outcome::Abandoned, None, None, Bytes::new()),
+            Action::CancelLeg { id, leg } => self.cancel(id, leg),
+            Action::Timer { after, tag } => {
+                self.timers.insert((self.now + after, tag.0));
+            }
+            Action::Probe { node } => self.probe(node),
+            Action::CloseIdle { node } => self.close_idle(node, self.now),
+            Action::Tell { to, bytes } => self.out.push(Output::Tell { to, bytes }),
+            Action::Log { text } => self.note(text),
+            Action::Watch { on } => {
+                self.list.wanted.push(Body::Watch(pb::Watch { on }));
+                self.ask_list();
+            }
+            Action::FetchList => {
+                self.list.wanted.push(Body::FetchList(pb::FetchList {}));
+                self.ask_list();
+            }
+        }
+    }
+
+    fn drain(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        let longest = self.xfers.values().map(|x| x.expiry).max().unwrap_or(self.now);
+        self.draining = Some(longest + self.bounds().patience);
+        self.note(format!("draining: {} transfers held", self.xfers.len()));
+        for c in self.clients.values() {
+            c.outbox.put(frame(Body::GoingAway(pb::GoingAway {})));
+        }
+    }
+
+    /// A client that reads nothing must not keep a drained host up: there is a last moment.
+    fn end_when_drained(&mut self) {
+        let Some(last) = self.draining.filter(|_| !self.ended) else { return };
+        let answered = self.xfers.values().all(|x| x.over);
+        let written = || self.clients.values().all(|c| c.outbox.is_flushed());
+        if self.now >= last || (answered && written()) {
+            self.ended = true;
+            self.out.push(Output::Ended);
+        }
+    }
+}
+
+/// A frame whose time is set when it is written.
+fn frame(body: Body) -> pb::Frame {
+    pb::Frame { sent_us: 0, body: Some(body) }
+}
--- /dev/null
+++ b/crates/host/src/listing.rs
@@ -0,0 +1,111 @@
+//! What the list of nodes said, as the decisions read it, and as it is remembered over a restart.
+//!
+//! The list gives ages, since nobody's clocks are compared; an age read twice gives two moments that differ by
+//! what the messages waited. Each start of a node therefore keeps the moment reckoned first, or the decisions
+//! would see a restart in every list.
+
+use grebecleat::interface::{CellId, ListEntry, NodeId, NodeState, ZoneId};
+use grebecleat_wire::{clock, frame, pb};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub address: Option<SocketAddr>,
+    pub state: NodeState,
+    pub start: u64,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub started: Option<Duration>,
+}
+
+/// All nodes the list has named. Nodes stay known after they are gone; the bound is the list's own length.
+#[derive(Debug, Default)]
+pub struct Listing {
+    pub nodes: BTreeMap<NodeId, Known>,
+}
+
+impl Listing {
+    /// Reads one entry; None where it makes no sense.
+    pub fn read(&mut self, e: &pb::Entry, now: Duration) -> Option<ListEntry> {
+        let state = match e.state() {
+            pb::NodeState::Ready => NodeState::Ready,
+            pb::NodeState::Draining => NodeState::Draining,
+            pb::NodeState::Gone => NodeState::Gone,
+            pb::NodeState::NodeUnknown => return None,
+        };
+        let node = NodeId(e.node);
+        let reckoned = e.up_us.map(|us| now.saturating_sub(Duration::from_micros(us)));
+        let before = self.nodes.get(&node).filter(|k| k.start == e.start && k.started.is_some());
+        let started = before.map_or(reckoned, |k| k.started);
+        let (zone, cell) = (ZoneId(e.zone), CellId(e.cell));
+        let known = Known { address: e.address.parse().ok(), state, start: e.start, zone, cell, started };
+        self.nodes.insert(node, known);
+        Some(ListEntry { node, zone, cell, state, started })
+    }
+
+    /// Nodes that a whole list no longer names are gone; answers which.
+    pub fn only(&mut self, named: &[ListEntry]) -> Vec<NodeId> {
+        let there = |id: &NodeId| named.iter().any(|e| e.node == *id);
+        let gone = self.nodes.iter_mut().filter(|(id, k)| k.state != NodeState::Gone && !there(id));
+        gone.map(|(id, k)| {
+            k.state = NodeState::Gone;
+            *id
+        })
+        .collect()
+    }
+
+    /// The list as a file's bytes, to be remembered.
+    pub fn to_bytes(&self, now: Duration) -> Vec<u8> {
+        let there = self.nodes.iter().filter(|(_, k)| k.state != NodeState::Gone);
+        let entries = there.map(|(id, k)| pb::Entry {
+            node: id.0,
+            zone: k.zone.0,
+            cell: k.cell.0,
+            state: if k.state == NodeState::Ready { pb::NodeState::Ready } else { pb::NodeState::Draining }
+                .into(),
+            address: k.address.map(|a| a.to_string()).unwrap_or_default(),
+            start: k.start,
+            up_us: k.started.map(|s| clock::micros(now.saturating_sub(s))),
+        });
+        let list = pb::List { kind: pb::ListKind::Whole.into(), revision: 0, entries: entries.collect() };
+        let mut bytes = Vec::new();
+        frame::write(&list, &mut bytes);
+        bytes
+    }
+
+    /// What a file remembers. Of a damaged one nothing is taken: a list half read would hide nodes.
+    pub fn from_bytes(bytes: &[u8]) -> Result<pb::List, frame::FrameFault> {
+        let mut reader = frame::Reader::new(bytes.len());
+        reader.push(bytes);
+        reader.next()?.ok_or(frame::FrameFault::Message("the file ends early".into()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_start_keeps_its_moment_and_a_damaged_memory_is_refused() {
+        let s = Duration::from_secs;
+        let entry = |start, up: u64| pb::Entry {
+            node: 3,
+            state: pb::NodeState::Ready.into(),
+            address: "127.0.0.1:9".into(),
+            start,
+            up_us: Some(up * 1_000_000),
+            ..Default::default()
+        };
+        let mut l = Listing::default();
+        assert_eq!(l.read(&entry(1, 4), s(10)).unwrap().started, Some(s(6)));
+        assert_eq!(l.read(&entry(1, 4), s(11)).unwrap().started, Some(s(6)), "the message waited a second");
+        assert_eq!(l.read(&entry(2, 0), s(12)).unwrap().started, Some(s(12)));
+        let bytes = l.to_bytes(s(13));
+        assert_eq!(Listing::from_bytes(&bytes).unwrap().entries[0].up_us, Some(1_000_000));
+        assert!(Listing::from_bytes(&bytes[..bytes.len() - 1]).is_err());
+        assert_eq!(l.only(&[]), [NodeId(3)]);
+        assert!(l.only(&[]).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/host/src/outbox.rs
@@ -0,0 +1,216 @@
+//! What is to be written on one connection, until the moment it is written.
+//!
+//! The owner of the decisions puts frames in; the connection's writer takes them out when the socket has
+//! room. A leg stays revocable until its writer took it: whoever revokes it is told truly whether it crossed.
+//! Without this a leg could cross seconds after its node was told to drain, or its client was answered.
+//! Memory: what is inside is bounded by the legs a connection carries and, for clients, by `bytes`, which the
+//! owner compares with its bound on unread answers.
+
+use grebecleat_wire::frame::HEADER;
+use grebecleat_wire::pb::{self, frame::Body};
+use prost::Message;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+/// A leg's number, by this host; never used twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LegNo(pub u64);
+
+#[derive(Debug)]
+enum Item {
+    Plain(pb::Frame, usize),
+    Leg(LegNo),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    frame: pb::Frame,
+    size: usize,
+    put: Duration,
+    until: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    line: VecDeque<Item>,
+    legs: BTreeMap<LegNo, Waiting>,
+    bytes: usize,
+    writing: bool,
+    closed: bool,
+}
+
+/// What a writer is to write now.
+#[derive(Debug, Default, PartialEq)]
+pub struct Pulled {
+    pub frames: Vec<pb::Frame>,
+    pub closed: bool,
+}
+
+pub struct Outbox {
+    inner: Mutex<Inner>,
+    wake: Box<dyn Fn() + Send + Sync>,
+    hang_up: Box<dyn Fn() + Send + Sync>,
+}
+
+impl std::fmt::Debug for Outbox {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.lock().fmt(f)
+    }
+}
+
+impl Outbox {
+    /// `wake` is called whenever the writer has something new to look at, `hang_up` when it is to end even if
+    /// its peer reads nothing.
+    pub fn new(wake: impl Fn() + Send + Sync + 'static, hang_up: impl Fn() + Send + Sync + 'static) -> Self {
+        Outbox { inner: Mutex::default(), wake: Box::new(wake), hang_up: Box::new(hang_up) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn put(&self, frame: pb::Frame) {
+        let size = frame_size(&frame);
+        let mut inner = self.lock();
+        inner.bytes += size;
+        inner.line.push_back(Item::Plain(frame, size));
+        drop(inner);
+        (self.wake)();
+    }
+
+    /// A leg, which is not written from `until` on.
+    pub fn put_leg(&self, leg: LegNo, frame: pb::Frame, now: Duration, until: Duration) {
+        let size = frame_size(&frame);
+        let mut inner = self.lock();
+        inner.bytes += size;
+        inner.line.push_back(Item::Leg(leg));
+        inner.legs.insert(leg, Waiting { frame, size, put: now, until });
+        drop(inner);
+        (self.wake)();
+    }
+
+    /// Takes a leg back; whether it had not yet gone to the socket, and now never will.
+    pub fn revoke(&self, leg: LegNo) -> bool {
+        let mut inner = self.lock();
+        let taken = inner.legs.remove(&leg);
+        inner.bytes -= taken.as_ref().map_or(0, |w| w.size);
+        taken.is_some()
+    }
+
+    /// Takes back every leg put before `before`, or whose time is up.
+    pub fn revoke_stale(&self, before: Duration, now: Duration) -> Vec<LegNo> {
+        let mut inner = self.lock();
+        let stale = inner.legs.iter().filter(|(_, w)| w.put < before || w.until <= now);
+        let stale: Vec<LegNo> = stale.map(|(leg, _)| *leg).collect();
+        for leg in &stale {
+            let size = inner.legs.remove(leg).map_or(0, |w| w.size);
+            inner.bytes -= size;
+        }
+        stale
+    }
+
+    /// What goes to the socket now, at most about `most` bytes. From here on it counts as crossed; legs whose
+    /// time is up stay out, and are for the owner's next look.
+    pub fn pull(&self, now: Duration, most: usize) -> Pulled {
+        let mut inner = self.lock();
+        let (mut pulled, mut size) = (Pulled { closed: inner.closed, frames: Vec::new() }, 0);
+        let mut late = VecDeque::new();
+        let sent_us = grebecleat_wire::clock::micros(now);
+        while size < most {
+            match inner.line.pop_front() {
+                None => break,
+                Some(Item::Plain(frame, s)) => {
+                    size += s;
+                    pulled.frames.push(pb::Frame { sent_us, ..frame });
+                }
+                Some(Item::Leg(leg)) => match inner.legs.remove(&leg) {
+                    None => {}
+                    Some(w) if w.until <= now => {
+                        late.push_back(Item::Leg(leg));
+                        inner.legs.insert(leg, w);
+                    }
+                    Some(mut w) => {
+                        size += w.size;
+                        // What the wait here took is no longer left to the node.
+                        if let Some(Body::Leg(m)) = &mut w.frame.body {
+                            m.left_us = grebecleat_wire::clock::micros(w.until - now);
+                        }
+                        pulled.frames.push(pb::Frame { sent_us, ..w.frame });
+                    }
+                },
+            }
+        }
+        late.append(&mut inner.line);
+        inner.line = late;
+        inner.bytes -= size;
+        inner.writing = !pulled.frames.is_empty();
+        pulled
+    }
+
+    /// The writer is done with what it pulled last.
+    pub fn wrote(&self) {
+        self.lock().writing = false;
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.lock().bytes
+    }
+
+    /// Nothing waits and nothing is being written.
+    pub fn is_flushed(&self) -> bool {
+        let inner = self.lock();
+        inner.line.is_empty() && !inner.writing
+    }
+
+    pub fn close(&self) {
+        if !std::mem::replace(&mut self.lock().closed, true) {
+            (self.hang_up)();
+            (self.wake)();
+        }
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.lock().closed
+    }
+}
+
+fn frame_size(frame: &pb::Frame) -> usize {
+    frame.encoded_len() + HEADER
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    fn leg(n: u64) -> pb::Frame {
+        pb::Frame { sent_us: 0, body: Some(Body::Leg(pb::Leg { leg: n, left_us: 1, ..Default::default() })) }
+    }
+
+    fn legs_of(p: &Pulled) -> Vec<(u64, u64)> {
+        let each = p.frames.iter().filter_map(|f| match &f.body {
+            Some(Body::Leg(m)) => Some((m.leg, m.left_us)),
+            _ => None,
+        });
+        each.collect()
+    }
+
+    #[test]
+    fn a_leg_is_either_written_or_taken_back() {
+        let out = Outbox::new(|| (), || ());
+        (1..=4).for_each(|n| out.put_leg(LegNo(n), leg(n), ms(n), ms(100)));
+        assert!(out.revoke(LegNo(2)) && !out.revoke(LegNo(2)));
+        assert_eq!(out.revoke_stale(ms(2), ms(50)), [LegNo(1)]);
+        assert_eq!(legs_of(&out.pull(ms(60), 1)), [(3, 40_000)]);
+        assert!(!out.revoke(LegNo(3)), "it went to the socket");
+        // The rest's time comes while the socket has no room.
+        assert_eq!(legs_of(&out.pull(ms(100), 1000)), []);
+        assert_eq!(out.revoke_stale(ms(0), ms(100)), [LegNo(4)]);
+        assert_eq!((out.bytes(), legs_of(&out.pull(ms(101), 1000)).len()), (0, 0));
+        assert!(out.is_flushed());
+    }
+}
--- /dev/null
+++ b/crates/host/src/pool.rs
@@ -0,0 +1,102 @@
+//! The connections to one node: how many there should be, and when to try again.
+//!
+//! Called by the desk: `wanted` after each change, and told of what became of dials. It keeps the wanted
+//! state (connections that should be up for the legs there are) and answers the difference as one [`Step`].
+//! A node whose port is dead is dialled ever more rarely, with jitter, since every host dials it; while that
+//! waits, its legs are told at once that there is no connection, and the decisions judge the node by that.
+//! Harm: a node that comes back is found up to `MOST_WAIT` late, if the list says nothing.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+const MOST_WAIT: Duration = Duration::from_millis(500);
+
+/// What one look at the pool asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Nothing,
+    Dial,
+    /// Nothing is up, nothing may be dialled yet: legs that wait have no connection.
+    Fail,
+}
+
+/// What there is. Legs are those out or waiting at this node.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Present {
+    pub up: usize,
+    pub dialling: usize,
+    pub legs: usize,
+    pub waiting: usize,
+}
+
+#[derive(Debug)]
+pub struct Pool {
+    per_connection: usize,
+    most: usize,
+    bad: u32,
+    not_before: Duration,
+    rng: Pcg64Mcg,
+}
+
+impl Pool {
+    pub fn new(per_connection: usize, most: usize, seed: u64) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        Pool { per_connection, most, bad: 0, not_before: Duration::ZERO, rng }
+    }
+
+    pub fn wanted(&self, now: Duration, p: Present) -> Step {
+        let want = p.legs.div_ceil(self.per_connection).min(self.most);
+        match p {
+            Present { waiting: 0, .. } => Step::Nothing,
+            // One dial at a time: a node that just came up must not see every host's whole pool at once.
+            Present { dialling: 0, up, .. } if up < want && now >= self.not_before => Step::Dial,
+            Present { dialling: 0, up: 0, .. } => Step::Fail,
+            _ => Step::Nothing,
+        }
+    }
+
+    pub fn came_up(&mut self) {
+        (self.bad, self.not_before) = (0, Duration::ZERO);
+    }
+
+    pub fn failed(&mut self, now: Duration) {
+        let wait = (FIRST_WAIT * 2u32.pow(self.bad.min(8))).min(MOST_WAIT);
+        self.bad += 1;
+        self.not_before = now + wait / 2 + wait.mul_f64(self.rng.random::<f64>() / 2.0);
+    }
+
+    /// The list tells of a new start or another address: what was seen before says nothing of it.
+    pub fn renew(&mut self) {
+        self.came_up();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_dial_at_a_time_and_fewer_after_failures() {
+        let now = Duration::from_secs(10);
+        let mut pool = Pool::new(10, 2, 1);
+        let look = |up, dialling, legs, waiting| Present { up, dialling, legs, waiting };
+        let cases = [
+            (look(0, 0, 0, 0), Step::Nothing),
+            (look(0, 0, 1, 1), Step::Dial),
+            (look(0, 1, 5, 5), Step::Nothing),
+            (look(1, 0, 11, 1), Step::Dial),
+            (look(2, 0, 40, 20), Step::Nothing),
+        ];
+        for (present, step) in cases {
+            assert_eq!(pool.wanted(now, present), step, "{present:?}");
+        }
+        pool.failed(now);
+        assert_eq!(pool.wanted(now, look(0, 0, 1, 1)), Step::Fail);
+        assert_eq!(pool.wanted(now, look(1, 0, 11, 1)), Step::Nothing);
+        assert_eq!(pool.wanted(now + FIRST_WAIT, look(0, 0, 1, 1)), Step::Dial);
+        (0..50).for_each(|_| pool.failed(now));
+        assert_eq!(pool.wanted(now + MOST_WAIT, look(0, 0, 1, 1)), Step::Dial);
+    }
+}
--- /dev/null
+++ b/crates/host/src/run.rs
@@ -0,0 +1,468 @@
+//! The sockets, on `may` coroutines.
+//!
+//! One thread owns the [`Desk`] and with it the decisions; it is no coroutine, since its clock must be right
+//! and `may`'s timers, kept by length, can lose one (docs/design/host.md). Each connection has one that reads and one that
+//! writes; a listener and the dials have their own. Readers hand whole frames to the owner; the owner puts
+//! frames into outboxes, from which writers pull. So a peer that sends garbage, reads nothing or stands still
+//! blocks its own two coroutines and nobody else. Nothing here decides more than when to hang up on a peer
+//! that breaks the wire.
+
+use crate::desk::{ConnId, Counts, Desk, Input, Output};
+use crate::listing::Listing;
+use crate::outbox::Outbox;
+use grebecleat::interface::PeerId;
+use grebecleat_settings::{Bounds, Settings};
+use grebecleat_wire::pb::{self, frame::Body};
+use grebecleat_wire::trace::Tracer;
+use grebecleat_wire::{clock, frame, VERSION};
+use may::net::{TcpListener, TcpStream};
+use may::sync::Semphore;
+use may::{coroutine, go};
+use std::fs::File;
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+/// Bytes a writer takes from its outbox at a time.
+const ONE_WRITE: usize = 128 << 10;
+/// Inputs that go into one step, so that a flood cannot keep timers waiting.
+const ONE_STEP: usize = 4096;
+/// After a stall: time for the readers to bring what waits in the sockets.
+const CATCH_UP: Duration = Duration::from_millis(5);
+/// Numbers below are the desk's own connections, above it the listener's.
+const ACCEPTED: u64 = 1 << 48;
+/// Words of eight bytes; `tracing` formats on this stack.
+const CONNECTION_STACK: usize = 8 << 10;
+
+/// What a host needs beside its settings.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub settings: Arc<Settings>,
+    /// Place among the settings' hosts.
+    pub host: usize,
+    pub listen: SocketAddr,
+    pub list: SocketAddr,
+    pub peers: Vec<(PeerId, SocketAddr)>,
+    pub tracer: Tracer,
+    /// Where the last list is kept for the next start.
+    pub remember: Option<PathBuf>,
+    pub seed: u64,
+    pub workers: usize,
+}
+
+#[derive(Clone)]
+struct Shared {
+    options: Arc<Options>,
+    to_owner: Sender<Input>,
+    me: pb::Hello,
+    clients: Arc<AtomicUsize>,
+    accepted: Arc<AtomicU64>,
+    closing: Arc<AtomicBool>,
+}
+
+impl Shared {
+    fn bounds(&self) -> &Bounds {
+        &self.options.settings.bounds
+    }
+}
+
+/// A handle by which a running host is told to drain.
+#[derive(Clone)]
+pub struct Handle(Sender<Input>);
+
+impl Handle {
+    pub fn drain(&self) {
+        let _ = self.0.send(Input::Drain);
+    }
+}
+
+/// Runs a host until it has drained. `started` gets the address it listens on and a handle.
+pub fn run(options: Options, started: impl FnOnce(SocketAddr, Handle)) -> io::Result<Counts> {
+    may::config().set_workers(options.workers.max(1)).set_stack_size(CONNECTION_STACK);
+    let listener = TcpListener::bind(options.listen)?;
+    let address = listener.local_addr()?;
+    let (to_owner, inputs) = mpsc::channel();
+    let me = hello(&options);
+    let shared = Shared {
+        options: Arc::new(options),
+        to_owner: to_owner.clone(),
+        me,
+        clients: Arc::default(),
+        accepted: Arc::new(AtomicU64::new(ACCEPTED)),
+        closing: Arc::default(),
+    };
+    if let Some(list) = shared.options.remember.as_deref().and_then(remembered) {
+        let _ = to_owner.send(Input::Remembered { list });
+    }
+    let accepting = shared.clone();
+    go!(move || accept(&listener, &accepting));
+    let (owner, owning) = (std::thread::Builder::new().name("owner".into()), shared.clone());
+    let owner = owner.spawn(move || own(&owning, &inputs))?;
+    started(address, Handle(to_owner));
+    owner.join().map_err(|_| io::Error::other("the owner of the decisions panicked"))
+}
+
+/// A peer's number, from its place among the settings' hosts.
+pub fn peer(place: usize) -> PeerId {
+    PeerId(place as u32)
+}
+
+/// SIGTERM or SIGINT drains the host; a second one ends the process with code 3.
+pub fn on_signals(handle: Handle) {
+    std::thread::spawn(move || {
+        let signals = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
+        let Ok(mut signals) = signal_hook::iterator::Signals::new(signals) else { return };
+        for (n, _) in signals.forever().enumerate() {
+            if n > 0 {
+                warn!("ended by a second signal");
+                std::process::exit(3);
+            }
+            handle.drain();
+        }
+    });
+}
+
+fn hello(options: &Options) -> pb::Hello {
+    pb::Hello {
+        version: VERSION,
+        role: pb::Role::Host.into(),
+        name: options.settings.hosts[options.host].name.clone(),
+        incarnation: options.seed,
+        most_frame: options.settings.bounds.most_frame as u32,
+    }
+}
+
+fn remembered(path: &Path) -> Option<pb::List> {
+    let bytes = std::fs::read(path).ok()?;
+    match Listing::from_bytes(&bytes) {
+        Ok(list) => Some(list),
+        Err(fault) => {
+            warn!("remembered list {} not taken: {fault}", path.display());
+            None
+        }
+    }
+}
+
+/// The loop of the one owner of the decisions.
+fn own(shared: &Shared, inputs: &Receiver<Input>) -> Counts {
+    let mut desk = Desk::new(shared.options.settings.clone(), shared.options.seed);
+    let (mut batch, mut alive) = (Vec::new(), true);
+    // A first step, so that the decisions ask for the list without waiting for a client.
+    batch.push(Input::Word { from: PeerId(u32::MAX), bytes: Vec::new() });
+    while alive {
+        let wait = desk.wake_at().saturating_sub(clock::now());
+        if batch.is_empty() && !wait.is_zero() {
+            match inputs.recv_timeout(wait) {
+                Ok(input) => batch.push(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+        }
+        if desk.stood_still(clock::now()) {
+            warn!("this host stood still; its own lateness is not laid on the nodes");
+            std::thread::sleep(CATCH_UP);
+        }
+        while batch.len() < ONE_STEP {
+            match inputs.try_recv() {
+                Ok(input) => batch.push(input),
+                Err(_) => break,
+            }
+        }
+        for output in desk.step(clock::now(), batch.drain(..)) {
+            alive &= !carry_out(shared, output);
+        }
+    }
+    desk.counts()
+}
+
+/// Answers whether the host has ended.
+fn carry_out(shared: &Shared, output: Output) -> bool {
+    let bounds = shared.bounds();
+    match output {
+        Output::Dial { conn, node, address } => {
+            let shared = shared.clone();
+            let timeout = bounds.dial_timeout;
+            go!(move || {
+                let up = |outbox| Input::NodeUp { conn, outbox };
+                let frames = |at, frames| Input::NodeFrames { conn, at, frames };
+                let stream = TcpStream::connect_timeout(&address, timeout);
+                let why = stream
+                    .map_err(|e| e.to_string())
+                    .and_then(|stream| serve(&shared, conn, stream, pb::Role::Node, timeout, up, frames));
+                if let Err(why) = why {
+                    tracing::debug!(node = node.0, conn = conn.0, "connection to node over: {why}");
+                }
+                let _ = shared.to_owner.send(Input::NodeGone { conn });
+            });
+        }
+        Output::DialList { conn } => {
+            let shared = shared.clone();
+            let (address, timeout) = (shared.options.list, bounds.dial_timeout);
+            go!(move || {
+                let up = |outbox| Input::ListUp { conn, outbox };
+                let frames = |_, frames| Input::ListFrames { conn, frames };
+                let stream = TcpStream::connect_timeout(&address, timeout);
+                let why = stream
+                    .map_err(|e| e.to_string())
+                    .and_then(|stream| serve(&shared, conn, stream, pb::Role::List, timeout, up, frames));
+                if let Err(why) = why {
+                    tracing::debug!(conn = conn.0, "connection to the list over: {why}");
+                }
+                let _ = shared.to_owner.send(Input::ListGone { conn });
+            });
+        }
+        Output::Tell { to, bytes } => {
+            let peers = shared.options.peers.iter().filter(|(p, _)| to.is_none_or(|to| to == *p));
+            for (_, address) in peers {
+                let (shared, address, bytes) = (shared.clone(), *address, bytes.clone());
+                // Words may be lost: a peer that cannot be reached at once hears nothing.
+                go!(move || {
+                    let _ = say(&shared, address, bytes);
+                });
+            }
+        }
+        Output::Remember { bytes } => {
+            if let Some(path) = shared.options.remember.clone() {
+                // Files block; coroutines must not.
+                std::thread::spawn(move || {
+                    if let Err(e) = replace_file(&path, &bytes) {
+                        warn!("the list cannot be kept in {}: {e}", path.display());
+                    }
+                });
+            }
+        }
+        Output::Note { text } => info!(host = %shared.me.name, "{text}"),
+        Output::Ended => return true,
+    }
+    false
+}
+
+/// The old file stays whole until the new one is.
+fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let beside = path.with_extension("new");
+    let mut file = File::create(&beside)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(beside, path)
+}
+
+fn accept(listener: &TcpListener, shared: &Shared) {
+    // One descriptor is kept back: when all are used up, it lets a caller in to be turned away, where a
+    // listener without one would spin on a caller that it can neither take nor refuse.
+    let mut spare = File::open("/dev/null").ok();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) if shared.closing.load(Ordering::Relaxed) => drop(stream),
+            Ok((stream, from)) => {
+                if shared.clients.fetch_add(1, Ordering::Relaxed) >= shared.bounds().most_clients {
+                    shared.clients.fetch_sub(1, Ordering::Relaxed);
+                    warn!("{from} turned away: {} connections", shared.bounds().most_clients);
+                    continue;
+                }
+                let shared = shared.clone();
+                go!(move || {
+                    let conn = ConnId(shared.accepted.fetch_add(1, Ordering::Relaxed));
+                    if let Err(why) = serve_caller(&shared, conn, stream) {
+                        warn!(conn = conn.0, %from, "connection closed: {why}");
+                    }
+                    let _ = shared.to_owner.send(Input::ClientGone { conn });
+                    shared.clients.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+            Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE)) => {
+                error!("no file descriptors left; a caller is turned away");
+                drop(spare.take());
+                drop(listener.accept());
+                spare = File::open("/dev/null").ok();
+                coroutine::sleep(Duration::from_millis(10));
+            }
+            Err(e) => {
+                warn!("cannot accept: {e}");
+                coroutine::sleep(Duration::from_millis(10));
+            }
+        }
+    }
+}
+
+fn serve_caller(shared: &Shared, conn: ConnId, stream: TcpStream) -> Result<(), String> {
+    let (bounds, mut reader) = (shared.bounds(), frame::Reader::new(shared.bounds().most_frame));
+    let mut stream = stream;
+    let them = greet(&mut stream, &mut reader, &shared.me, bounds.patience)?;
+    match them.role() {
+        pb::Role::Client => {
+            let up = |outbox| Input::ClientUp { conn, outbox };
+            let frames = |at, frames| Input::ClientFrames { conn, at, frames };
+            converse(shared, conn, stream, reader, &them, up, frames)
+        }
+        pb::Role::Host => {
+            let from = shared.options.settings.hosts.iter().position(|h| h.name == them.name);
+            let from = PeerId(from.ok_or(format!("unknown host {}", them.name))? as u32);
+            let tracer = shared.options.tracer.clone();
+            read_on(&mut stream, &mut reader, bounds.patience, |_, frames| {
+                tracer.read(conn.0, &frames);
+                for f in frames {
+                    let Some(Body::Word(w)) = f.body else { return Err("a host sent no word".into()) };
+                    let _ = shared.to_owner.send(Input::Word { from, bytes: w.text.to_vec() });
+                }
+                Ok(())
+            })
+        }
+        role => Err(format!("{} is no client", role.as_str_name())),
+    }
+}
+
+fn say(shared: &Shared, address: SocketAddr, text: Vec<u8>) -> Result<(), String> {
+    let timeout = shared.bounds().dial_timeout;
+    let mut stream = TcpStream::connect_timeout(&address, timeout).map_err(|e| e.to_string())?;
+    let mut reader = frame::Reader::new(shared.bounds().most_frame);
+    greet(&mut stream, &mut reader, &shared.me, timeout)?;
+    let word = pb::Frame {
+        sent_us: clock::micros(clock::now()),
+        body: Some(Body::Word(pb::Word { text: text.into() })),
+    };
+    let mut bytes = Vec::new();
+    frame::write(&word, &mut bytes);
+    stream.write_all(&bytes).map_err(|e| e.to_string())
+}
+
+/// Both sides say who they are. A peer of another version is told ours before we hang up.
+fn greet(
+    stream: &mut TcpStream, reader: &mut frame::Reader, me: &pb::Hello, patience: Duration,
+) -> Result<pb::Hello, String> {
+    let _ = stream.set_nodelay(true);
+    let sent_us = clock::micros(clock::now());
+    let mut bytes = Vec::new();
+    frame::write(&pb::Frame { sent_us, body: Some(Body::Hello(me.clone())) }, &mut bytes);
+    stream.write_all(&bytes).map_err(|e| e.to_string())?;
+    stream.set_read_timeout(Some(patience)).map_err(|e| e.to_string())?;
+    loop {
+        match reader.next::<pb::Frame>().map_err(|e| e.to_string())?.map(|f| f.body) {
+            Some(Some(Body::Hello(them))) if them.version == VERSION => return Ok(them),
+            Some(Some(Body::Hello(them))) => {
+                return Err(format!("speaks version {}, expected {VERSION}", them.version));
+            }
+            Some(_) => return Err("no greeting".into()),
+            None => match reader.fill(stream) {
+                Ok(0) => return Err("hung up before a greeting".into()),
+                Ok(_) => {}
+                Err(e) => return Err(format!("no greeting: {e}")),
+            },
+        }
+    }
+}
+
+/// A connection that we dialled: greeting, then reading and writing until it ends.
+fn serve(
+    shared: &Shared, conn: ConnId, mut stream: TcpStream, role: pb::Role, timeout: Duration,
+    up: impl FnOnce(Arc<Outbox>) -> Input, frames: impl Fn(Duration, Vec<pb::Frame>) -> Input,
+) -> Result<(), String> {
+    let mut reader = frame::Reader::new(shared.bounds().most_frame);
+    let them = greet(&mut stream, &mut reader, &shared.me, timeout)?;
+    if them.role() != role {
+        return Err(format!("{} where {} was expected", them.role().as_str_name(), role.as_str_name()));
+    }
+    converse(shared, conn, stream, reader, &them, up, frames)
+}
+
+fn converse(
+    shared: &Shared, conn: ConnId, mut stream: TcpStream, mut reader: frame::Reader, them: &pb::Hello,
+    up: impl FnOnce(Arc<Outbox>) -> Input, frames: impl Fn(Duration, Vec<pb::Frame>) -> Input,
+) -> Result<(), String> {
+    let writer = stream.try_clone().map_err(|e| e.to_string())?;
+    let tracer = &shared.options.tracer;
+    tracer.opened(conn.0, &them.name);
+    let outbox = start_writer(writer, conn, tracer.clone());
+    let _ = shared.to_owner.send(up(outbox.clone()));
+    let ended = read_on(&mut stream, &mut reader, shared.bounds().patience, |at, read| {
+        tracer.read(conn.0, &read);
+        shared.to_owner.send(frames(at, read)).map_err(|_| "the host has ended".to_string())
+    });
+    outbox.close();
+    tracer.closed(conn.0, &them.name);
+    ended
+}
+
+/// Reads frames until the peer ends; a frame that has begun must go on within the patience.
+fn read_on(
+    stream: &mut TcpStream, reader: &mut frame::Reader, patience: Duration,
+    mut give: impl FnMut(Duration, Vec<pb::Frame>) -> Result<(), String>,
+) -> Result<(), String> {
+    loop {
+        let mut frames = Vec::new();
+        while let Some(f) = reader.next::<pb::Frame>().map_err(|e| e.to_string())? {
+            frames.push(f);
+        }
+        if !frames.is_empty() {
+            give(clock::now(), frames)?;
+        }
+        let begun = reader.partial() > 0;
+        stream.set_read_timeout(begun.then_some(patience)).map_err(|e| e.to_string())?;
+        match reader.fill(stream) {
+            Ok(0) if begun => return Err("hung up inside a frame".into()),
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
+                return Err("half a frame, then silence".into());
+            }
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+}
+
+/// Starts the coroutine that writes a connection's outbox.
+fn start_writer(mut stream: TcpStream, conn: ConnId, tracer: Tracer) -> Arc<Outbox> {
+    let bell = Arc::new((AtomicBool::new(false), Semphore::new(0)));
+    let ring = bell.clone();
+    // Hanging up must also free a writer that sits in a full socket; the number is void once it has ended.
+    let socket = Arc::new(Mutex::new(Some(stream.as_raw_fd())));
+    let hang_up = socket.clone();
+    let outbox = Arc::new(Outbox::new(
+        move || {
+            if !ring.0.swap(true, Ordering::AcqRel) {
+                ring.1.post();
+            }
+        },
+        move || {
+            if let Some(fd) = *hang_up.lock().unwrap_or_else(|e| e.into_inner()) {
+                // SAFETY: the writer takes the number away, under this lock, before its socket closes.
+                unsafe { libc::shutdown(fd, libc::SHUT_RDWR) };
+            }
+        },
+    ));
+    let out = outbox.clone();
+    go!(move || {
+        let mut bytes = Vec::new();
+        loop {
+            bell.0.store(false, Ordering::Release);
+            let pulled = out.pull(clock::now(), ONE_WRITE);
+            if pulled.frames.is_empty() {
+                if pulled.closed {
+                    break;
+                }
+                bell.1.wait();
+                continue;
+            }
+            tracer.written(conn.0, &pulled.frames);
+            bytes.clear();
+            for f in &pulled.frames {
+                frame::write(f, &mut bytes);
+            }
+            if stream.write_all(&bytes).is_err() {
+                break;
+            }
+            out.wrote();
+            if bytes.capacity() > 4 * ONE_WRITE {
+                bytes = Vec::new(); // one large frame must not be paid for by every idle connection
+            }
+        }
+        *socket.lock().unwrap_or_else(|e| e.into_inner()) = None;
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+    outbox
+}
--- /dev/null
+++ b/crates/host/tests/desk.rs
@@ -0,0 +1,419 @@
+//! The hard cases between decisions and sockets, each caused without a socket: the test is the network.
+
+use bytes::Bytes;
+use grebecleat_host::desk::{ConnId, Desk, Input, Output};
+use grebecleat_host::outbox::Outbox;
+use grebecleat_settings::Settings;
+use grebecleat_wire::pb::{self, frame::Body};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const SETTINGS: &str = r#"
+zone(name = "a")
+stream_type(name = "read", slo = ms(200), expiry = s(2), repeat = "repeatable")
+stream_type(name = "once", slo = ms(200), expiry = s(2), repeat = "unrepeatable", write = True)
+stream_type(name = "row", slo = ms(200), expiry = s(2), repeat = "repeatable", ordered = True)
+plan(name = "p", rate = 1000, reservation = 1000)
+host(name = "h")
+node(id = 1, zone = "a")
+node(id = 2, zone = "a")
+volume(id = 5, plan = "p")
+rules(answer_margin = ms(20))
+"#;
+
+/// A desk and the peers around it. Time stands still unless moved.
+struct Rig {
+    desk: Desk,
+    now: Duration,
+    boxes: BTreeMap<ConnId, Arc<Outbox>>,
+    dialled: Vec<(ConnId, u32)>,
+    notes: Vec<String>,
+    ended: bool,
+}
+
+const CLIENT: ConnId = ConnId(1 << 50);
+
+impl Rig {
+    fn with(more: &str) -> Self {
+        let settings =
+            Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}")).expect("good settings");
+        let mut rig = Rig {
+            desk: Desk::new(Arc::new(settings), 7),
+            now: ms(100_000),
+            boxes: BTreeMap::new(),
+            dialled: Vec::new(),
+            notes: Vec::new(),
+            ended: false,
+        };
+        rig.feed(vec![Input::Remembered {
+            list: list(&[(1, pb::NodeState::Ready), (2, pb::NodeState::Ready)]),
+        }]);
+        let outbox = rig.outbox(CLIENT);
+        rig.feed(vec![Input::ClientUp { conn: CLIENT, outbox }]);
+        rig
+    }
+
+    fn outbox(&mut self, conn: ConnId) -> Arc<Outbox> {
+        let outbox = Arc::new(Outbox::new(|| (), || ()));
+        self.boxes.insert(conn, outbox.clone());
+        outbox
+    }
+
+    fn feed(&mut self, inputs: Vec<Input>) {
+        for out in self.desk.step(self.now, inputs) {
+            match out {
+                Output::Dial { conn, node, .. } => self.dialled.push((conn, node.0)),
+                Output::Note { text } => self.notes.push(text),
+                Output::Ended => self.ended = true,
+                _ => {}
+            }
+        }
+        self.desk.wake_at();
+    }
+
+    fn wait(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.desk.wake_at().clamp(self.now + ms(1), end);
+            self.feed(vec![]);
+        }
+    }
+
+    fn take(&mut self, n: u8, stream_type: u32) {
+        let take = pb::Take {
+            id: Bytes::from(vec![n; 36]),
+            piece: Bytes::from(vec![n; 36]),
+            stream_type,
+            volume: 5,
+            cell: Some(1),
+            key: Some(9),
+            units: 1.0,
+            left_us: 2_000_000,
+            ..Default::default()
+        };
+        self.frames(CLIENT, Body::Take(take));
+    }
+
+    fn frames(&mut self, conn: ConnId, body: Body) {
+        let sent_us = self.now.as_micros() as u64;
+        let (at, frames) = (self.now, vec![pb::Frame { sent_us, body: Some(body) }]);
+        let input = match conn {
+            CLIENT => Input::ClientFrames { conn, at, frames },
+            _ => Input::NodeFrames { conn, at, frames },
+        };
+        self.feed(vec![input]);
+    }
+
+    /// Brings up the connection dialled last.
+    fn connect(&mut self) -> ConnId {
+        let (conn, _) = *self.dialled.last().expect("a dial");
+        let outbox = self.outbox(conn);
+        self.feed(vec![Input::NodeUp { conn, outbox }]);
+        conn
+    }
+
+    /// What a connection's writer now puts on the socket.
+    fn cross(&mut self, conn: ConnId) -> Vec<Body> {
+        let pulled = self.boxes[&conn].pull(self.now, usize::MAX);
+        self.boxes[&conn].wrote();
+        pulled.frames.into_iter().filter_map(|f| f.body).collect()
+    }
+
+    fn legs(&mut self, conn: ConnId) -> Vec<pb::Leg> {
+        let legs = self.cross(conn).into_iter();
+        legs.filter_map(|b| if let Body::Leg(l) = b { Some(l) } else { None }).collect()
+    }
+
+    fn finals(&mut self) -> Vec<(u8, pb::Outcome)> {
+        let finals = self.cross(CLIENT).into_iter();
+        finals
+            .filter_map(|b| if let Body::Final(f) = b { Some((f.id[0], f.outcome())) } else { None })
+            .collect()
+    }
+
+    fn node_answers(&mut self, conn: ConnId, leg: u64, result: pb::Result) {
+        self.frames(
+            conn,
+            Body::LegAnswer(pb::LegAnswer { leg, result: result.into(), ..Default::default() }),
+        );
+    }
+
+    fn listed(&mut self, entries: &[(u32, pb::NodeState)]) {
+        // A change as the list tells it; where it came from does not matter here.
+        self.feed(vec![Input::Remembered { list: list(entries) }]);
+    }
+}
+
+fn list(entries: &[(u32, pb::NodeState)]) -> pb::List {
+    let entry = |(node, state): &(u32, pb::NodeState)| pb::Entry {
+        node: *node,
+        cell: *node,
+        state: (*state).into(),
+        address: "127.0.0.1:9".into(),
+        start: 1,
+        ..Default::default()
+    };
+    let entries = entries.iter().map(entry).collect();
+    pb::List { kind: pb::ListKind::Whole.into(), revision: 1, entries }
+}
+
+use pb::NodeState::{Draining, Ready};
+use pb::Outcome::{Abandoned, Deferred, Done};
+
+#[test]
+fn a_transfer_goes_out_and_comes_back_once() {
+    let mut r = Rig::with("");
+    r.take(1, 0);
+    let conn = r.connect();
+    let legs = r.legs(conn);
+    assert_eq!((legs.len(), legs[0].number, legs[0].node), (1, 0, 1));
+    r.now += ms(10);
+    r.node_answers(conn, legs[0].leg, pb::Result::Ok);
+    assert_eq!(r.finals(), [(1, Done)]);
+    // Twice, and of a leg that nobody sent.
+    r.node_answers(conn, legs[0].leg, pb::Result::Ok);
+    r.node_answers(conn, 99, pb::Result::Error);
+    assert_eq!((r.finals(), r.desk.counts().strays), (vec![], 2));
+    assert_eq!(r.desk.held(), (0, 0, 0));
+}
+
+#[test]
+fn a_leg_in_the_send_buffer_never_crosses_after_its_node_drains() {
+    for waits_for_connection in [true, false] {
+        let mut r = Rig::with("");
+        r.take(1, 1);
+        let conn = (!waits_for_connection).then(|| r.connect());
+        r.listed(&[(1, Draining), (2, Ready)]);
+        if let Some(conn) = conn {
+            assert_eq!(r.legs(conn).len(), 0);
+        }
+        // The decisions know that it never ran: the unrepeatable transfer is deferred, not abandoned.
+        assert_eq!((r.finals(), r.desk.counts().unsent), (vec![(1, Deferred)], 1));
+    }
+}
+
+#[test]
+fn a_leg_in_the_send_buffer_never_crosses_after_its_expiry_and_is_answered_before_it() {
+    let mut r = Rig::with("bounds(linger = s(10), dial_timeout = s(10))");
+    r.take(1, 1);
+    let conn = r.connect();
+    r.wait(ms(1990));
+    assert_eq!(r.finals(), [(1, Deferred)]);
+    assert_eq!((r.legs(conn).len(), r.desk.held()), (0, (0, 0, 0)));
+}
+
+#[test]
+fn a_leg_that_cannot_be_written_is_taken_back_after_a_while() {
+    let mut r = Rig::with("legs(most = 1)\nbounds(linger = ms(100))");
+    r.take(1, 1);
+    let conn = r.connect();
+    r.wait(ms(300));
+    assert_eq!((r.legs(conn).len(), r.finals()), (0, vec![(1, Deferred)]));
+}
+
+#[test]
+fn a_leg_whose_client_leaves_never_crosses() {
+    let mut r = Rig::with("");
+    r.take(1, 0);
+    let conn = r.connect();
+    r.frames(CLIENT, Body::Withdraw(pb::Withdraw { id: Bytes::from(vec![1; 36]) }));
+    assert_eq!((r.legs(conn).len(), r.finals(), r.desk.held()), (0, vec![], (0, 0, 0)));
+}
+
+#[test]
+fn an_answer_after_the_time_out_is_stray_and_changes_nothing() {
+    let mut r = Rig::with("");
+    r.take(1, 1);
+    let conn = r.connect();
+    let legs = r.legs(conn);
+    r.wait(ms(1990));
+    assert_eq!(r.finals(), [(1, Abandoned)], "it may have run");
+    r.node_answers(conn, legs[0].leg, pb::Result::Ok);
+    assert_eq!((r.finals(), r.desk.counts().strays), (vec![], 1));
+}
+
+#[test]
+fn a_reset_with_many_legs_out_ends_each_once_and_an_old_connections_answer_is_stray() {
+    let mut r = Rig::with("legs(most = 1)");
+    (1..=5).for_each(|n| r.take(n, 1));
+    let conn = r.connect();
+    let crossed = r.legs(conn);
+    r.feed(vec![Input::NodeGone { conn }]);
+    r.wait(ms(1990));
+    let mut finals = r.finals();
+    finals.sort_by_key(|f| f.0);
+    let sent = |n: u8| crossed.iter().any(|l| l.id[0] == n);
+    let expected: Vec<_> = (1..=5).map(|n| (n, if sent(n) { Abandoned } else { Deferred })).collect();
+    assert_eq!(finals, expected);
+    r.node_answers(conn, crossed[0].leg, pb::Result::Ok);
+    assert_eq!(r.finals(), []);
+}
+
+#[test]
+fn only_one_dial_at_a_time_and_none_that_hangs_forever() {
+    let mut r = Rig::with("bounds(legs_per_connection = 1, dial_timeout = ms(100))");
+    (1..=4).for_each(|n| r.take(n, 0));
+    assert_eq!(r.dialled.len(), 1);
+    r.wait(ms(1990));
+    assert_eq!(r.finals().len(), 4, "a dial that reports nothing is given up");
+    assert_eq!(r.desk.held(), (0, 0, 0));
+}
+
+#[test]
+fn a_full_answer_lets_even_an_unrepeatable_transfer_go_again() {
+    let mut r = Rig::with("");
+    r.take(1, 1);
+    let conn = r.connect();
+    let first = r.legs(conn);
+    r.node_answers(conn, first[0].leg, pb::Result::Full);
+    r.wait(ms(150));
+    let second = r.legs(conn);
+    assert_eq!((second.len(), second[0].number), (1, 1));
+}
+
+#[test]
+fn what_lies_in_a_socket_during_a_stall_has_less_time_left() {
+    let mut r = Rig::with("");
+    r.take(1, 0);
+    // Sent just before we were stopped for 1.9 s; read after. The client gives up 100 ms from now.
+    let sent_us = r.now.as_micros() as u64;
+    r.now += ms(1900);
+    let id = Bytes::from(vec![2; 36]);
+    let take =
+        pb::Take { id, volume: 5, units: 1.0, left_us: 2_000_000, cell: Some(2), ..Default::default() };
+    let frames = vec![pb::Frame { sent_us, body: Some(Body::Take(take)) }];
+    let at = r.now;
+    r.feed(vec![Input::ClientFrames { conn: CLIENT, at, frames }]);
+    r.wait(ms(95));
+    assert!(r.finals().contains(&(2, Deferred)), "answered before its client gives up");
+}
+
+#[test]
+fn a_stall_of_our_own_is_not_laid_on_the_node_and_timers_ring_once() {
+    let mut r = Rig::with("");
+    r.take(1, 0);
+    let conn = r.connect();
+    let legs = r.legs(conn);
+    r.wait(ms(10));
+    let steps = r.desk.counts().events;
+    r.now += ms(900);
+    assert!(r.desk.stood_still(r.now));
+    // The answer had lain in the socket; it and one timer are all that is heard.
+    r.node_answers(conn, legs[0].leg, pb::Result::Ok);
+    assert_eq!((r.finals(), r.desk.counts().events - steps), (vec![(1, Done)], 2));
+    assert!(!r.notes.iter().any(|n| n.contains("shut")), "{:?}", r.notes);
+}
+
+#[test]
+fn what_is_past_its_expiry_after_a_stall_is_answered_at_once() {
+    let mut r = Rig::with("");
+    (1..=20).for_each(|n| r.take(n, 0));
+    r.now += ms(5000);
+    assert!(r.desk.stood_still(r.now));
+    r.feed(vec![]);
+    assert_eq!(r.finals().len(), 20);
+}
+
+#[test]
+fn a_draining_host_turns_away_answers_what_it_holds_and_ends() {
+    let mut r = Rig::with("");
+    r.take(1, 0);
+    let conn = r.connect();
+    let legs = r.legs(conn);
+    r.feed(vec![Input::Drain]);
+    r.take(2, 0);
+    assert!(!r.ended);
+    assert_eq!(r.finals(), [(2, Deferred)]);
+    r.node_answers(conn, legs[0].leg, pb::Result::Ok);
+    assert!(!r.ended, "the answer is not written yet");
+    assert_eq!(r.finals(), [(1, Done)]);
+    r.wait(ms(200));
+    assert!(r.ended);
+}
+
+#[test]
+fn more_than_the_bounds_is_turned_away_with_an_answer() {
+    let mut r = Rig::with("bounds(most_open = 3)");
+    (1..=5).for_each(|n| r.take(n, 0));
+    let turned: Vec<u8> = r.finals().into_iter().filter(|f| f.1 == Deferred).map(|f| f.0).collect();
+    assert_eq!((turned, r.desk.held().0), (vec![4, 5], 3));
+}
+
+#[test]
+fn a_client_that_never_reads_is_hung_up_on_and_holds_no_memory() {
+    let mut r = Rig::with("bounds(most_unread = 4096, most_open = 1)");
+    r.take(200, 0);
+    (1..=199).for_each(|n| r.take(n, 0));
+    assert!(r.boxes[&CLIENT].is_closed());
+    assert_eq!(r.desk.held(), (0, 0, 0), "{:?}", r.desk.counts());
+    assert!(r.notes.iter().any(|n| n.contains("unread")), "{:?}", r.notes);
+}
+
+#[test]
+fn clients_that_make_no_sense_are_hung_up_on_one_by_one() {
+    let good =
+        pb::Take { id: Bytes::from(vec![1; 36]), volume: 5, units: 1.0, left_us: 1, ..Default::default() };
+    let cases = [
+        pb::Take { id: Bytes::from_static(b"short"), ..good.clone() },
+        pb::Take { stream_type: 77, ..good.clone() },
+        pb::Take { volume: 6, ..good.clone() },
+        pb::Take { units: f64::NAN, ..good.clone() },
+        pb::Take { units: 1e300, ..good.clone() },
+    ];
+    for bad in cases {
+        let mut r = Rig::with("");
+        let other = ConnId((1 << 50) + 1);
+        let outbox = r.outbox(other);
+        r.feed(vec![Input::ClientUp { conn: other, outbox }]);
+        r.take(9, 0);
+        let frames = vec![pb::Frame { sent_us: 1, body: Some(Body::Take(bad.clone())) }];
+        r.feed(vec![Input::ClientFrames { conn: other, at: ms(100_000), frames }]);
+        assert!(r.boxes[&other].is_closed() && !r.boxes[&CLIENT].is_closed(), "{bad:?}");
+        assert_eq!(r.desk.held().0, 1);
+    }
+}
+
+#[test]
+fn one_transfer_of_a_key_at_a_time() {
+    let mut r = Rig::with("");
+    (1..=3).for_each(|n| r.take(n, 2));
+    let conn = r.connect();
+    let first = r.legs(conn);
+    assert_eq!(first.len(), 1);
+    r.node_answers(conn, first[0].leg, pb::Result::Ok);
+    r.wait(ms(30));
+    let second = r.legs(conn);
+    assert_eq!((second.len(), second[0].id[0]), (1, 2));
+}
+
+#[test]
+fn the_list_is_asked_for_again_when_it_is_lost_or_silent() {
+    let mut r = Rig::with("bounds(patience = ms(300))");
+    let dials = |out: Vec<Output>| -> Vec<ConnId> {
+        out.into_iter()
+            .filter_map(|o| if let Output::DialList { conn } = o { Some(conn) } else { None })
+            .collect()
+    };
+    let mut seen = Vec::new();
+    let end = r.now + ms(4000);
+    while r.now < end {
+        r.now = r.desk.wake_at().clamp(r.now + ms(1), end);
+        let out = r.desk.step(r.now, vec![]);
+        for conn in dials(out) {
+            seen.push(conn);
+            match seen.len() {
+                1 => drop(r.desk.step(r.now, vec![Input::ListGone { conn }])),
+                _ => {
+                    let outbox = r.outbox(conn); // comes up and never answers
+                    r.desk.step(r.now, vec![Input::ListUp { conn, outbox }]);
+                }
+            }
+        }
+    }
+    assert!(seen.len() >= 3, "{seen:?}");
+}
--- /dev/null
+++ b/crates/settings/src/settings.rs
@@ -0,0 +1,515 @@
+//! What each call means, and the checks that need more than one of them.
+
+use crate::fields::{span_of, Call, Fault, Fields, Place};
+use crate::kinds::Kind;
+use crate::script::calls_of;
+use grebecleat::interface::*;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const DAY: Duration = Duration::from_secs(86_400);
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[derive(Debug, Clone)]
+pub struct Stream {
+    pub name: String,
+    pub facts: StreamType,
+    /// How long a client waits for all its tries together.
+    pub expiry: Duration,
+    pub write: bool,
+    /// Part of all transfers, and the mean work of one unit, in rehearsals.
+    pub share: f64,
+    pub unit_work: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub struct NamedPlan {
+    pub name: String,
+    pub facts: Plan,
+}
+
+#[derive(Debug, Clone)]
+pub struct VolumeSpec {
+    pub id: u64,
+    pub plan: usize,
+    pub cells: Vec<u32>,
+    /// Places of the hosts through which it works.
+    pub hosts: Vec<usize>,
+    /// Part of its plan's rate that its clients ask for.
+    pub asks: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct NodeSpec {
+    pub id: u32,
+    pub zone: usize,
+    pub cell: u32,
+    pub cores: u32,
+    pub speed: f64,
+    /// Places in its queue, beyond which it turns away.
+    pub queue: usize,
+    pub pause_every: Duration,
+    pub pause: Duration,
+    /// Part of a write's work that is put off, and how often that is done.
+    pub put_off: f64,
+    pub flush_every: Duration,
+    /// Part of the work saved for data among the last few it took.
+    pub warm_saves: f64,
+    pub warm_keys: usize,
+}
+
+#[derive(Debug, Clone)]
+pub struct HostSpec {
+    pub name: String,
+    pub zone: usize,
+    pub listen: Option<SocketAddr>,
+}
+
+#[derive(Debug, Clone)]
+pub struct ListSpec {
+    pub address: Option<SocketAddr>,
+    pub rule: ListRule,
+    /// How late the list is on a node that came, drains or went.
+    pub lag: Duration,
+    /// Part of its calls that fail.
+    pub fails: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Rules {
+    pub drain_grace: Duration,
+    pub cold: ColdRule,
+    pub legs: Option<LegBudget>,
+    pub key_rest: Duration,
+    /// Kept back from every expiry, so that the answer is with the client in time.
+    pub answer_margin: Duration,
+}
+
+/// What one host lets itself hold. Everything that a peer can make grow has a bound here.
+#[derive(Debug, Clone)]
+pub struct Bounds {
+    pub most_open: usize,
+    pub most_held_bytes: usize,
+    pub most_frame: usize,
+    pub most_clients: usize,
+    /// Bytes of answers that a client may leave unread.
+    pub most_unread: usize,
+    pub legs_per_connection: usize,
+    pub connections_per_node: usize,
+    pub dial_timeout: Duration,
+    pub idle: Duration,
+    /// A leg that could not be written for so long is taken back.
+    pub linger: Duration,
+    /// A greeting, or the rest of a frame that has begun, must come within this.
+    pub patience: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub struct Trouble {
+    pub kind: Kind,
+    pub at: Duration,
+    pub len: Duration,
+    /// Part of the nodes, hosts or volumes that it strikes, where it names none.
+    pub part: f64,
+    pub size: f64,
+    pub nodes: Vec<u32>,
+    pub hosts: Vec<usize>,
+    pub zone: Option<usize>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Rehearsal {
+    pub seed: u64,
+    pub length: Duration,
+    /// First tries a second, all volumes together; 0: as the volumes' plans say.
+    pub per_second: f64,
+    pub retries: u32,
+    pub retry_wait: Duration,
+    /// Part of the reads that go to data that the same client has written.
+    pub reread: f64,
+    pub bytes_per_unit: u32,
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub name: String,
+    pub zones: Vec<String>,
+    pub streams: Vec<Stream>,
+    pub plans: Vec<NamedPlan>,
+    pub volumes: Vec<VolumeSpec>,
+    pub nodes: Vec<NodeSpec>,
+    pub hosts: Vec<HostSpec>,
+    pub list: ListSpec,
+    pub units: UnitFacts,
+    pub caps: Caps,
+    pub rules: Rules,
+    pub bounds: Bounds,
+    pub rehearsal: Option<Rehearsal>,
+}
+
+impl Settings {
+    /// Reads a file; all its faults where it has any, and then nothing may be started by it.
+    pub fn load(path: &Path) -> Result<Self, Vec<Fault>> {
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let place = Place { file: path.display().to_string(), line: 0 };
+            vec![Fault { place, what: format!("cannot read: {e}") }]
+        })?;
+        Self::read(path, text)
+    }
+
+    pub fn read(path: &Path, text: String) -> Result<Self, Vec<Fault>> {
+        let calls = calls_of(path, text).map_err(|f| vec![f])?;
+        let mut r = Reader { calls: &calls, file: path.display().to_string(), faults: Vec::new() };
+        let settings = r.settings();
+        match r.faults.is_empty() {
+            true => Ok(settings),
+            false => Err(r.faults),
+        }
+    }
+}
+
+struct Reader<'a> {
+    calls: &'a [Call],
+    file: String,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn each<T>(&mut self, what: &str, mut read: impl FnMut(&mut Fields) -> T) -> Vec<T> {
+        let calls = self.calls.iter().filter(|c| c.what == what);
+        calls
+            .map(|call| {
+                let mut f = Fields::of(call, &mut self.faults);
+                let value = read(&mut f);
+                f.end();
+                value
+            })
+            .collect()
+    }
+
+    /// A call that may stand once; without it all its fields take their defaults.
+    fn once<T>(&mut self, what: &'static str, read: impl FnMut(&mut Fields) -> T) -> T {
+        let mut places = self.calls.iter().filter(|c| c.what == what).map(|c| c.place.clone());
+        if let Some(place) = places.nth(1) {
+            self.faults.push(Fault { place, what: format!("{what}: stands a second time; expected one") });
+        }
+        let blank =
+            [Call { what, place: Place { file: self.file.clone(), line: 0 }, fields: Default::default() }];
+        let mut read = read;
+        if let Some(value) = self.each(what, &mut read).into_iter().next() {
+            return value;
+        }
+        let mut f = Fields::of(&blank[0], &mut self.faults);
+        let value = read(&mut f);
+        f.end();
+        value
+    }
+
+    fn whole_file(&mut self, what: String) {
+        let place = Place { file: self.file.clone(), line: 0 };
+        self.faults.push(Fault { place, what });
+    }
+
+    fn unique<T: Ord + std::fmt::Display>(&mut self, what: &str, field: &str, ids: Vec<T>) {
+        let places: Vec<Place> =
+            self.calls.iter().filter(|c| c.what == what).map(|c| c.place.clone()).collect();
+        let mut seen = BTreeSet::new();
+        for (id, place) in ids.into_iter().zip(places) {
+            let text = format!("{what}: field '{field}': {id} stands a second time; expected each once");
+            if !seen.insert(id) {
+                self.faults.push(Fault { place, what: text });
+            }
+        }
+    }
+
+    fn settings(&mut self) -> Settings {
+        let name = self.once("deployment", |f| f.text("name", Some("unnamed")));
+        let zones = self.each("zone", |f| f.text("name", None));
+        self.unique("zone", "name", zones.clone());
+        let zone_names: Vec<&str> = zones.iter().map(String::as_str).collect();
+        let streams = self.each("stream_type", stream);
+        self.unique("stream_type", "name", streams.iter().map(|s| s.name.clone()).collect());
+        let plans = self.each("plan", plan);
+        self.unique("plan", "name", plans.iter().map(|p| p.name.clone()).collect());
+        let plan_names: Vec<&str> = plans.iter().map(|p| p.name.as_str()).collect();
+        let nodes = self.each("node", |f| node(f, &zone_names));
+        self.unique("node", "id", nodes.iter().map(|n| n.id).collect());
+        let hosts = self.each("host", |f| host(f, &zone_names));
+        self.unique("host", "name", hosts.iter().map(|h| h.name.clone()).collect());
+        let host_names: Vec<&str> = hosts.iter().map(|h| h.name.as_str()).collect();
+        let cells: BTreeSet<u32> = nodes.iter().map(|n| n.cell).collect();
+        let volumes = self.each("volume", |f| volume(f, &plan_names, &host_names, &cells));
+        self.unique("volume", "id", volumes.iter().map(|v| v.id).collect());
+        for (what, none) in [
+            ("zone", zones.is_empty()),
+            ("stream_type", streams.is_empty()),
+            ("plan", plans.is_empty()),
+            ("host", hosts.is_empty()),
+        ] {
+            if none {
+                self.whole_file(format!("no {what}() in the file; expected at least one"));
+            }
+        }
+        let list = self.once("node_list", list);
+        let units = self.once("units", units);
+        let caps = self.once("legs", legs);
+        let hosts_n = hosts.len();
+        let rules = self.once("rules", |f| rules(f, hosts_n));
+        let bounds = self.once("bounds", bounds);
+        // Legs are drawn from a limit when they are decided and cross up to `linger` later, so a burst can
+        // reach the nodes by the rate over that time too much.
+        let slack_short = |p: &NamedPlan| {
+            p.facts.limit > 0.0 && { p.facts.limit_slack < p.facts.limit * bounds.linger.as_secs_f64() }
+        };
+        if let Some(p) = plans.iter().find(|p| slack_short(p)) {
+            let least = p.facts.limit * bounds.linger.as_secs_f64();
+            self.whole_file(format!(
+                "plan: field 'limit_slack': of plan {}: expected at least limit times bounds' linger, {least}",
+                p.name
+            ));
+        }
+        let rehearsal = self.rehearsal(&zone_names, &host_names, &nodes);
+        Settings {
+            name,
+            streams,
+            plans,
+            volumes,
+            nodes,
+            list,
+            units,
+            caps,
+            rules,
+            bounds,
+            rehearsal,
+            zones: zones.clone(),
+            hosts: hosts.clone(),
+        }
+    }
+
+    fn rehearsal(&mut self, zones: &[&str], hosts: &[&str], nodes: &[NodeSpec]) -> Option<Rehearsal> {
+        let ids: BTreeSet<u32> = nodes.iter().map(|n| n.id).collect();
+        let troubles = self.each("trouble", |f| trouble(f, zones, hosts, &ids));
+        if !self.calls.iter().any(|c| c.what == "rehearsal") {
+            return None;
+        }
+        let (seed, length) = self
+            .once("rehearsal", |f| (f.whole("seed", Some(1), (0, u64::MAX)), f.span("length", None, DAY)));
+        Some(self.once("load_of", |f| Rehearsal {
+            seed,
+            length,
+            per_second: f.number("per_second", Some(0.0), (0.0, 1e6)),
+            retries: f.whole("retries", Some(1), (0, 10)) as u32,
+            retry_wait: f.span("retry_wait", Some(ms(100)), DAY),
+            reread: f.number("reread", Some(0.3), (0.0, 1.0)),
+            bytes_per_unit: f.whole("bytes_per_unit", Some(512), (1, 1 << 20)) as u32,
+            troubles: troubles.clone(),
+        }))
+    }
+}
+
+fn stream(f: &mut Fields) -> Stream {
+    let repeat = match f.raw("repeat") {
+        Some(v) if v.as_str() == Some("repeatable") => Repeat::Repeatable,
+        Some(v) if v.as_str() == Some("unrepeatable") => Repeat::Unrepeatable,
+        Some(v) => {
+            let group = match v.get("group").and_then(|g| g.as_str()) {
+                Some("all") => Some(RepeatGroup::All),
+                Some("zone") => Some(RepeatGroup::Zone),
+                Some("cell") => Some(RepeatGroup::Cell),
+                _ => None,
+            };
+            match (group, v.get("remembered").and_then(span_of)) {
+                (Some(group), Some(remembered)) => Repeat::Keyed { group, remembered },
+                _ => {
+                    let expected = "\"repeatable\", \"unrepeatable\" or keyed(group = \"all\", \"zone\" or \
+                                    \"cell\", remembered = a time)";
+                    f.fault("repeat", format!("expected {expected}, found {v}"));
+                    Repeat::Unrepeatable
+                }
+            }
+        }
+        None => Repeat::Unrepeatable,
+    };
+    let name = f.text("name", None);
+    let (slo, expiry) = (f.span("slo", None, DAY), f.span("expiry", None, DAY));
+    if slo > expiry {
+        f.fault("slo", format!("expected at most the expiry, {expiry:?}, found {slo:?}"));
+    }
+    let facts = StreamType {
+        slo,
+        repeat,
+        ordered: f.flag("ordered", Some(false)),
+        benefit: f.number("benefit", Some(1.0), (0.0, 1e6)),
+        late_part: f.number("late_part", Some(0.2), (0.0, 1.0)),
+    };
+    let (write, share) = (f.flag("write", Some(false)), f.number("share", Some(1.0), (0.0, 1e6)));
+    Stream { name, facts, expiry, write, share, unit_work: f.span("unit_work", Some(ms(4)), DAY) }
+}
+
+fn plan(f: &mut Fields) -> NamedPlan {
+    let rate = |f: &mut Fields, name, default| f.number(name, default, (0.0, 1e9));
+    let facts = Plan {
+        base_rate: rate(f, "rate", None),
+        reservation: rate(f, "reservation", Some(0.0)),
+        limit: rate(f, "limit", Some(0.0)),
+        limit_burst: rate(f, "limit_burst", Some(0.0)),
+        limit_slack: rate(f, "limit_slack", Some(0.0)),
+        weight: rate(f, "weight", Some(1.0)),
+        price: rate(f, "price", Some(1.0)),
+    };
+    if facts.limit > 0.0 && facts.limit < facts.reservation {
+        f.fault("limit", format!("expected 0 (none) or at least the reservation, {}", facts.reservation));
+    }
+    if facts.limit > 0.0 && facts.limit_burst <= 0.0 {
+        f.fault("limit_burst", "expected more than 0 where there is a limit".into());
+    }
+    NamedPlan { name: f.text("name", None), facts }
+}
+
+fn volume(f: &mut Fields, plans: &[&str], hosts: &[&str], cells: &BTreeSet<u32>) -> VolumeSpec {
+    let named: Vec<u32> = f.numbers("cells", u64::from(u32::MAX)).into_iter().map(|c| c as u32).collect();
+    if let Some(cell) = named.iter().find(|c| !cells.contains(c)) {
+        f.fault("cells", format!("expected cells that a node() holds, found {cell}"));
+    }
+    let mut through = f.some_of("hosts", hosts);
+    if through.is_empty() {
+        through = (0..hosts.len()).collect();
+    }
+    VolumeSpec {
+        id: f.whole("id", None, (0, u64::MAX)),
+        plan: f.one_of("plan", None, plans),
+        cells: if named.is_empty() { cells.iter().copied().collect() } else { named },
+        hosts: through,
+        asks: f.number("asks", Some(1.0), (0.0, 1e6)),
+    }
+}
+
+fn node(f: &mut Fields, zones: &[&str]) -> NodeSpec {
+    let id = f.whole("id", None, (0, u64::from(u32::MAX))) as u32;
+    NodeSpec {
+        id,
+        zone: f.one_of("zone", None, zones),
+        cell: f.whole("cell", Some(u64::from(id)), (0, u64::from(u32::MAX))) as u32,
+        cores: f.whole("cores", Some(2), (1, 1024)) as u32,
+        speed: f.number("speed", Some(1.0), (0.01, 1000.0)),
+        queue: f.whole("queue", Some(64), (1, 1 << 20)) as usize,
+        pause_every: f.span("pause_every", Some(Duration::ZERO), DAY),
+        pause: f.span("pause", Some(Duration::ZERO), DAY),
+        put_off: f.number("put_off", Some(0.0), (0.0, 0.95)),
+        flush_every: f.span("flush_every", Some(ms(2000)), DAY),
+        warm_saves: f.number("warm_saves", Some(0.4), (0.0, 0.95)),
+        warm_keys: f.whole("warm_keys", Some(2), (0, 1024)) as usize,
+    }
+}
+
+fn address(f: &mut Fields, name: &'static str) -> Option<SocketAddr> {
+    let text = f.maybe_text(name)?;
+    let read = text.parse().ok();
+    if read.is_none() {
+        f.fault(name, format!("expected an address and port such as \"127.0.0.1:7100\", found {text:?}"));
+    }
+    read
+}
+
+fn host(f: &mut Fields, zones: &[&str]) -> HostSpec {
+    HostSpec {
+        name: f.text("name", None),
+        zone: f.one_of("zone", Some(0), zones),
+        listen: address(f, "listen"),
+    }
+}
+
+fn list(f: &mut Fields) -> ListSpec {
+    ListSpec {
+        address: address(f, "address"),
+        rule: ListRule {
+            on_asking: f.flag("on_asking", Some(true)),
+            ask_every: f.span("ask_every", Some(ms(10_000)), DAY),
+        },
+        lag: f.span("lag", Some(ms(1000)), DAY),
+        fails: f.number("fails", Some(0.0), (0.0, 1.0)),
+    }
+}
+
+fn units(f: &mut Fields) -> UnitFacts {
+    UnitFacts {
+        mean: f.number("mean", Some(2.0), (0.01, 1e6)),
+        largest: f.number("largest", Some(8.0), (0.01, 1e6)),
+        meter: f.span("meter", Some(ms(1000)), DAY),
+        share_part: f.number("share_part", Some(0.35), (0.0, 1.0)),
+        spare_part: f.number("spare_part", Some(0.05), (0.0, 1.0)),
+    }
+}
+
+fn legs(f: &mut Fields) -> Caps {
+    let come_back = f.span("come_back_most", Some(ms(2000)), DAY);
+    Caps {
+        most_legs: f.whole("most", Some(3), (1, 100)) as u32,
+        probing: f.flag("probing", Some(false)),
+        come_back: (!come_back.is_zero()).then_some(come_back),
+        answer_slack: f.span("answer_slack", Some(ms(8)), DAY),
+    }
+}
+
+fn rules(f: &mut Fields, hosts: usize) -> Rules {
+    let cold = ColdRule {
+        hosts,
+        units: f.number("cold_units", Some(20.0), (0.0, 1e9)),
+        starts_at: f.number("cold_from", Some(0.2), (0.01, 1.0)),
+        warm_within: f.span("warm_within", Some(ms(10_000)), DAY),
+        fall_within: f.span("fall_within", Some(ms(2000)), DAY),
+        multiple: f.number("fall_multiple", Some(3.0), (1.0, 1000.0)),
+    };
+    let share = f.number("further_share", Some(0.0), (0.0, 100.0));
+    let floor = f.number("further_floor", Some(3.0), (0.0, 1e6));
+    let window = f.span("further_window", Some(ms(5000)), DAY);
+    Rules {
+        drain_grace: f.span("drain_grace", Some(ms(1000)), DAY),
+        cold,
+        legs: (share > 0.0).then_some(LegBudget { floor, share, window }),
+        key_rest: f.span("key_rest", Some(ms(200)), DAY),
+        answer_margin: f.span("answer_margin", Some(ms(20)), DAY),
+    }
+}
+
+fn bounds(f: &mut Fields) -> Bounds {
+    let most = 1u64 << 40;
+    Bounds {
+        most_open: f.whole("most_open", Some(20_000), (1, most)) as usize,
+        most_held_bytes: f.whole("most_held_bytes", Some(256 << 20), (1, most)) as usize,
+        most_frame: f.whole("most_frame", Some((1 << 20) + 4096), (4096, 1 << 30)) as usize,
+        most_clients: f.whole("most_clients", Some(10_000), (1, most)) as usize,
+        most_unread: f.whole("most_unread", Some(8 << 20), (4096, most)) as usize,
+        legs_per_connection: f.whole("legs_per_connection", Some(100), (1, 1 << 20)) as usize,
+        connections_per_node: f.whole("connections_per_node", Some(4), (1, 1024)) as usize,
+        dial_timeout: f.span("dial_timeout", Some(ms(250)), DAY),
+        idle: f.span("idle", Some(ms(15_000)), DAY),
+        linger: f.span("linger", Some(ms(250)), DAY),
+        patience: f.span("patience", Some(ms(5000)), DAY),
+    }
+}
+
+fn trouble(f: &mut Fields, zones: &[&str], hosts: &[&str], nodes: &BTreeSet<u32>) -> Trouble {
+    let names: Vec<&str> = Kind::ALL.iter().map(|(name, _)| *name).collect();
+    let kind = Kind::ALL[f.one_of("kind", None, &names)].1;
+    let struck: Vec<u32> = f.numbers("nodes", u64::from(u32::MAX)).into_iter().map(|n| n as u32).collect();
+    if let Some(n) = struck.iter().find(|n| !nodes.contains(n)) {
+        f.fault("nodes", format!("expected ids of nodes, found {n}"));
+    }
+    let zone = f.raw("zone").is_some().then(|| f.one_of("zone", None, zones));
+    Trouble {
+        kind,
+        at: f.span("at", None, DAY),
+        len: f.span("len", Some(ms(5000)), DAY),
+        part: f.number("part", Some(0.2), (0.0, 1.0)),
+        size: f.number("size", Some(0.9), (0.0, 1000.0)),
+        nodes: struck,
+        hosts: f.some_of("hosts", hosts),
+        zone,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,75 @@
+//! The list of nodes, late and sometimes silent, without sockets.
+
+use grebecleat_wire::{clock, pb};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+struct Line {
+    entry: pb::Entry,
+    /// When the process started, by our clock; None: long ago.
+    since: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+pub struct List {
+    shown: BTreeMap<u32, Line>,
+    coming: Vec<(Duration, Line)>,
+    pub revision: u64,
+}
+
+impl List {
+    /// A node's state was announced; it shows after `lag`.
+    pub fn hear(&mut self, now: Duration, entry: pb::Entry, lag: Duration) {
+        let since = entry.up_us.map(|us| now.saturating_sub(Duration::from_micros(us)));
+        self.coming.push((now + lag, Line { entry, since }));
+        self.coming.sort_by_key(|c| c.0);
+    }
+
+    pub fn due(&self) -> Option<Duration> {
+        self.coming.first().map(|c| c.0)
+    }
+
+    /// What has begun to show; a change for each watcher.
+    pub fn advance(&mut self, now: Duration) -> Option<pb::List> {
+        let ready = self.coming.partition_point(|c| c.0 <= now);
+        let lines: Vec<Line> = self.coming.drain(..ready).map(|c| c.1).collect();
+        if lines.is_empty() {
+            return None;
+        }
+        self.revision += 1;
+        let entries = lines.iter().map(|l| Self::as_of(now, l)).collect();
+        for line in lines {
+            self.shown.insert(line.entry.node, line);
+        }
+        Some(pb::List { kind: pb::ListKind::Changes.into(), revision: self.revision, entries })
+    }
+
+    pub fn whole(&self, now: Duration) -> pb::List {
+        let there = self.shown.values().filter(|l| l.entry.state() != pb::NodeState::Gone);
+        let entries = there.map(|l| Self::as_of(now, l)).collect();
+        pb::List { kind: pb::ListKind::Whole.into(), revision: self.revision, entries }
+    }
+
+    fn as_of(now: Duration, line: &Line) -> pb::Entry {
+        let up_us = line.since.map(|s| clock::micros(now.saturating_sub(s)));
+        pb::Entry { up_us, ..line.entry.clone() }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_change_shows_after_its_lag_and_ages_go_on() {
+        let s = Duration::from_secs;
+        let mut l = List::default();
+        let up =
+            pb::Entry { node: 1, state: pb::NodeState::Ready.into(), up_us: Some(0), ..Default::default() };
+        l.hear(s(10), up, s(2));
+        assert!(l.advance(s(11)).is_none() && l.whole(s(11)).entries.is_empty());
+        assert_eq!(l.advance(s(12)).unwrap().entries[0].up_us, Some(2_000_000));
+        assert_eq!(l.whole(s(15)).entries[0].up_us, Some(5_000_000));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/node.rs
@@ -0,0 +1,402 @@
+//! A node that keeps bytes and does its work in time, without sockets.
+//!
+//! It has cores, a queue that turns away when full, pauses, work of writes put off and done in one go, less
+//! work on data among the last few it took, a cold start during which it can be pushed over, and troubles.
+//! `take`, `advance` and `due` are all of it; times are those of the rehearsal.
+
+use crate::draw::{lot, Strike};
+use bytes::Bytes;
+use grebecleat_settings::{Kind, NodeSpec, Settings};
+use grebecleat_wire::pb;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes of data that one node keeps; a write beyond is turned away.
+const MOST_BYTES: usize = 64 << 20;
+const MOST_REMEMBERED: usize = 100_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    Draining,
+    Down,
+}
+
+/// What a node does at a moment.
+#[derive(Debug, PartialEq)]
+pub enum Deed {
+    Answer {
+        conn: u64,
+        answer: pb::LegAnswer,
+    },
+    /// A write was carried out.
+    Effect {
+        leg: u64,
+        id: Bytes,
+    },
+    Up {
+        started: u64,
+    },
+    Drains,
+    /// The process is gone, or (`fell`) was pushed over.
+    Down {
+        fell: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Job {
+    conn: u64,
+    leg: pb::Leg,
+    until: Duration,
+    work: Duration,
+}
+
+/// Units done for each volume through all nodes, by finished period.
+#[derive(Debug, Default)]
+pub struct Meter {
+    periods: BTreeMap<u64, HashMap<u64, f64>>,
+}
+
+impl Meter {
+    pub fn add(&mut self, period: u64, volume: u64, units: f64) {
+        *self.periods.entry(period).or_default().entry(volume).or_default() += units;
+        while self.periods.len() > 8 {
+            self.periods.pop_first();
+        }
+    }
+
+    pub fn of(&self, period: u64, volume: u64) -> f64 {
+        self.periods.get(&period).and_then(|p| p.get(&volume)).copied().unwrap_or(0.0)
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub spec: NodeSpec,
+    pub life: Life,
+    settings: Arc<Settings>,
+    seed: u64,
+    strikes: Vec<Strike>,
+    /// Moments at which the script does something to it, and what.
+    acts: VecDeque<(Duration, Act)>,
+    starts: u64,
+    cold_since: Option<Duration>,
+    running: BTreeMap<(Duration, u64), Job>,
+    queue: VecDeque<Job>,
+    next: u64,
+    cancelled: BTreeSet<(u64, u64)>,
+    put_off: Duration,
+    flush_at: Duration,
+    still_until: Duration,
+    pause_at: Duration,
+    arrived: VecDeque<(Duration, f64)>,
+    last: VecDeque<u64>,
+    extents: HashMap<(u64, u64), Bytes>,
+    bytes: usize,
+    /// Keyed pieces of work that were carried out, and when.
+    done: HashMap<Bytes, Duration>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Act {
+    Drain,
+    Undrain,
+    Stop,
+    Start,
+}
+
+impl Node {
+    pub fn new(spec: NodeSpec, settings: Arc<Settings>, seed: u64, strikes: &[Strike]) -> Self {
+        let own = |s: &&Strike| s.nodes.contains(&spec.id);
+        let strikes: Vec<Strike> = strikes.iter().filter(own).cloned().collect();
+        let mut acts = Vec::new();
+        for s in &strikes {
+            match s.kind {
+                Kind::MassRestart => {
+                    let down = Duration::from_secs_f64(0.3 + lot(seed, &[u64::from(spec.id), 5]));
+                    acts.extend([(s.at, Act::Stop), (s.at + down, Act::Start)]);
+                }
+                Kind::Drain => acts.extend([(s.at, Act::Drain), (s.at + s.len, Act::Undrain)]),
+                Kind::Ageing => {
+                    let end = s.at + s.len;
+                    acts.extend([(end, Act::Stop), (end + Duration::from_millis(700), Act::Start)]);
+                }
+                _ => {}
+            }
+        }
+        acts.sort_by_key(|a| a.0);
+        let first_pause = spec.pause_every.mul_f64(lot(seed, &[u64::from(spec.id), 6]));
+        Node {
+            spec,
+            life: Life::Up,
+            settings,
+            seed,
+            strikes,
+            acts: acts.into(),
+            starts: 1,
+            cold_since: None,
+            running: BTreeMap::new(),
+            queue: VecDeque::new(),
+            next: 0,
+            cancelled: BTreeSet::new(),
+            put_off: Duration::ZERO,
+            flush_at: Duration::ZERO,
+            still_until: Duration::ZERO,
+            pause_at: first_pause,
+            arrived: VecDeque::new(),
+            last: VecDeque::new(),
+            extents: HashMap::new(),
+            bytes: 0,
+            done: HashMap::new(),
+        }
+    }
+
+    pub fn starts(&self) -> u64 {
+        self.starts
+    }
+
+    pub fn cold_since(&self) -> Option<Duration> {
+        self.cold_since
+    }
+
+    /// Units a second that it can do warm and undisturbed, for the audit.
+    pub fn capacity(&self) -> f64 {
+        let shares: f64 = self.settings.streams.iter().map(|s| s.share).sum();
+        let work: f64 =
+            self.settings.streams.iter().map(|s| s.share * s.unit_work.as_secs_f64()).sum::<f64>() / shares;
+        f64::from(self.spec.cores) * self.spec.speed / work.max(1e-6)
+    }
+
+    fn struck(&self, kind: Kind, now: Duration) -> Option<&Strike> {
+        self.strikes.iter().find(|s| s.kind == kind && (s.at..s.at + s.len).contains(&now))
+    }
+
+    /// The part of its full power that it has now, but for troubles.
+    fn warmth(&self, now: Duration) -> f64 {
+        let (rule, Some(since)) = (&self.settings.rules.cold, self.cold_since) else { return 1.0 };
+        let part = (now.saturating_sub(since)).as_secs_f64() / rule.warm_within.as_secs_f64().max(1e-3);
+        (rule.starts_at + (1.0 - rule.starts_at) * part).min(1.0)
+    }
+
+    fn speed(&self, now: Duration) -> f64 {
+        let mut speed = self.spec.speed * self.warmth(now);
+        if let Some(s) = self.struck(Kind::Slow, now) {
+            speed /= s.size.max(1.0);
+        }
+        if let Some(s) = self.struck(Kind::Neighbour, now) {
+            speed *= if (now - s.at).as_secs() % 4 < 2 { (1.0 - s.size).max(0.05) } else { 1.0 };
+        }
+        if let Some(s) = self.struck(Kind::Ageing, now) {
+            let part = (now - s.at).as_secs_f64() / s.len.as_secs_f64().max(1e-3);
+            speed /= 1.0 + (s.size.max(1.0) - 1.0) * part;
+        }
+        speed.max(1e-3)
+    }
+
+    fn work_of(&mut self, leg: &pb::Leg, now: Duration) -> Duration {
+        let stream = &self.settings.streams[leg.stream_type as usize % self.settings.streams.len()];
+        let words = leg.id.iter().fold(0u64, |h, b| h.wrapping_mul(131) + u64::from(*b));
+        let noise = 0.5 + lot(self.seed, &[words, 1]);
+        let mut work = stream.unit_work.mul_f64(leg.units * noise);
+        if let Some(s) = self.struck(Kind::HeavyTail, now) {
+            if lot(self.seed, &[words, 2]) < 0.02 {
+                work = work.mul_f64(s.size.max(1.0));
+            }
+        }
+        if leg.number == 0 && self.last.contains(&leg.extent) {
+            work = work.mul_f64(1.0 - self.spec.warm_saves);
+        }
+        self.last.push_back(leg.extent);
+        if self.last.len() > self.spec.warm_keys {
+            self.last.pop_front();
+        }
+        if leg.write {
+            let later = work.mul_f64(self.spec.put_off);
+            self.put_off += later;
+            work -= later;
+        }
+        work
+    }
+
+    /// A leg arrives; `left` is what its host still waits.
+    pub fn take(&mut self, now: Duration, conn: u64, leg: pb::Leg, left: Duration, to: &mut Vec<Deed>) {
+        let mut turn = |result: pb::Result| {
+            let answer = pb::LegAnswer { leg: leg.leg, result: result.into(), ..Default::default() };
+            to.push(Deed::Answer { conn, answer });
+        };
+        if leg.node != self.spec.id {
+            return turn(pb::Result::WrongNode);
+        }
+        match self.life {
+            Life::Down => return,
+            Life::Draining => return turn(pb::Result::Full),
+            Life::Up => {}
+        }
+        // Every bit of work that arrives presses on a cold node, also what it turns away.
+        if self.pressed(now, leg.units) {
+            self.stop();
+            return to.push(Deed::Down { fell: true });
+        }
+        if self.struck(Kind::Hang, now).is_some() {
+            return;
+        }
+        let words = leg.leg ^ u64::from(leg.node) << 32;
+        if self.struck(Kind::FastErrors, now).is_some_and(|s| lot(self.seed, &[words, 3]) < s.size) {
+            return turn(pb::Result::Error);
+        }
+        let full = self.queue.len() >= self.spec.queue;
+        if full || (leg.write && self.bytes + leg.data.len() > MOST_BYTES) {
+            return turn(pb::Result::Full);
+        }
+        let work = self.work_of(&leg, now);
+        self.queue.push_back(Job { conn, leg, until: now + left, work });
+        self.begin(now, to);
+    }
+
+    pub fn cancel(&mut self, conn: u64, leg: u64) {
+        self.queue.retain(|j| (j.conn, j.leg.leg) != (conn, leg));
+        if self.running.values().any(|j| (j.conn, j.leg.leg) == (conn, leg)) {
+            self.cancelled.insert((conn, leg));
+        }
+    }
+
+    /// Whether what arrived lately pushes it over.
+    fn pressed(&mut self, now: Duration, units: f64) -> bool {
+        let rule = &self.settings.rules.cold;
+        let Some(since) = self.cold_since.filter(|s| now < *s + rule.warm_within) else { return false };
+        self.arrived.push_back((now, units));
+        while self.arrived.front().is_some_and(|(at, _)| *at + rule.fall_within < now) {
+            self.arrived.pop_front();
+        }
+        let span = rule.fall_within.min(now - since).as_secs_f64();
+        let sum: f64 = self.arrived.iter().map(|a| a.1).sum();
+        let bears = rule.multiple * self.warmth(now) * self.capacity() * span.max(0.5);
+        sum > bears.max(rule.units)
+    }
+
+    fn begin(&mut self, now: Duration, to: &mut Vec<Deed>) {
+        while self.running.len() < self.spec.cores as usize && now >= self.still_until {
+            let Some(job) = self.queue.pop_front() else { return };
+            if now >= job.until {
+                let result = pb::Result::Expired.into();
+                let answer = pb::LegAnswer { leg: job.leg.leg, result, ..Default::default() };
+                to.push(Deed::Answer { conn: job.conn, answer });
+                continue;
+            }
+            self.next += 1;
+            let end = now + job.work.div_f64(self.speed(now));
+            self.running.insert((end, self.next), job);
+        }
+    }
+
+    /// When something next happens by itself.
+    pub fn due(&self) -> Option<Duration> {
+        let act = self.acts.front().map(|a| a.0);
+        if self.life == Life::Down {
+            return act;
+        }
+        let job = self.running.first_key_value().map(|(k, _)| k.0);
+        let waiting = (!self.queue.is_empty() && self.running.len() < self.spec.cores as usize)
+            .then_some(self.still_until);
+        [act, job, waiting].into_iter().flatten().min()
+    }
+
+    pub fn advance(&mut self, now: Duration, meter: &mut Meter, to: &mut Vec<Deed>) {
+        while let Some((_, act)) = self.acts.front().copied().filter(|a| a.0 <= now) {
+            self.acts.pop_front();
+            match act {
+                Act::Drain if self.life == Life::Up => {
+                    self.life = Life::Draining;
+                    to.push(Deed::Drains);
+                }
+                Act::Undrain if self.life == Life::Draining => {
+                    self.life = Life::Up;
+                    to.push(Deed::Up { started: self.starts });
+                }
+                Act::Stop if self.life != Life::Down => {
+                    self.stop();
+                    to.push(Deed::Down { fell: false });
+                }
+                Act::Start => {
+                    self.starts += 1;
+                    (self.life, self.cold_since) = (Life::Up, Some(now));
+                    self.arrived.clear();
+                    to.push(Deed::Up { started: self.starts });
+                }
+                _ => {}
+            }
+        }
+        while let Some(entry) = self.running.first_entry().filter(|e| e.key().0 <= now) {
+            let ((at, _), job) = entry.remove_entry();
+            self.finish(at, now, job, meter, to);
+        }
+        self.stand_still(now);
+        self.begin(now, to);
+    }
+
+    /// Pauses, and work put off that is done in one go, keep it from beginning anything.
+    fn stand_still(&mut self, now: Duration) {
+        if !self.spec.pause.is_zero() && now >= self.pause_at {
+            self.still_until = self.still_until.max(now + self.spec.pause);
+            self.pause_at = now + self.spec.pause_every;
+        }
+        if now >= self.flush_at {
+            let work = std::mem::take(&mut self.put_off).div_f64(f64::from(self.spec.cores));
+            self.still_until = self.still_until.max(now + work.div_f64(self.speed(now)));
+            self.flush_at = now + self.spec.flush_every;
+        }
+    }
+
+    fn finish(&mut self, at: Duration, now: Duration, job: Job, meter: &mut Meter, to: &mut Vec<Deed>) {
+        let (leg, conn) = (job.leg, job.conn);
+        if self.cancelled.remove(&(conn, leg.leg)) {
+            return;
+        }
+        let period = self.settings.units.meter.as_secs_f64().max(0.001);
+        let number = |t: Duration| (t.as_secs_f64() / period) as u64;
+        meter.add(number(at), leg.volume, leg.units);
+        let mut data = Bytes::new();
+        let place = (leg.volume, leg.extent);
+        if leg.write {
+            // A repeat that is remembered has no second effect.
+            let known = self.done.contains_key(&leg.piece);
+            if !known {
+                self.done.insert(leg.piece.clone(), now);
+                self.bytes += leg.data.len();
+                let old = self.extents.insert(place, leg.data.clone());
+                self.bytes -= old.map_or(0, |o| o.len());
+                to.push(Deed::Effect { leg: leg.leg, id: leg.piece.clone() });
+            }
+            if self.done.len() > MOST_REMEMBERED {
+                let oldest = now.saturating_sub(Duration::from_secs(30));
+                self.done.retain(|_, at| *at > oldest);
+            }
+        } else if let Some(kept) = self.extents.get(&place) {
+            data = kept.slice(..kept.len().min(leg.length as usize));
+        }
+        let words = leg.leg ^ 0x10_0000;
+        if self.struck(Kind::AnswerLost, now).is_some_and(|s| lot(self.seed, &[words, 4]) < s.size) {
+            return;
+        }
+        // Late by a period: the one before the last that is whole.
+        let told = number(now).checked_sub(2).map(|p| meter.of(p, leg.volume));
+        let plan = &self.settings.plans[leg.plan as usize % self.settings.plans.len()].facts;
+        let reported = told
+            .filter(|_| !self.settings.units.meter.is_zero() && plan.base_rate > 0.0)
+            .map(|units| units / period / plan.base_rate * 100.0);
+        let busy = Some(self.running.len() as f64 / f64::from(self.spec.cores));
+        let result = pb::Result::Ok.into();
+        let answer = pb::LegAnswer { leg: leg.leg, result, reported, others: 0.0, busy, data };
+        to.push(Deed::Answer { conn, answer });
+    }
+
+    fn stop(&mut self) {
+        self.life = Life::Down;
+        self.queue.clear();
+        self.running.clear();
+        self.cancelled.clear();
+        self.last.clear();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rehearse.rs
@@ -0,0 +1,227 @@
+//! A rehearsal: list, nodes and hosts as processes of this program, clients in this one, and the script's
+//! troubles played on them.
+//!
+//! Everything is on loopback and ends with the script. Each process records what crosses its sockets into the
+//! rehearsal's folder; judging it is the audit's work, not ours.
+
+use crate::clients::{Clients, Progress, Tally};
+use crate::draw::{of_kinds, strikes, Strike};
+use crate::net::hello;
+use grebecleat_settings::{Kind, Settings};
+use grebecleat_wire::pb::{self, marked::What, Marked};
+use grebecleat_wire::{clock, trace::Tracer};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Bytes that one trace may take.
+pub const MOST_TRACE: u64 = 512 << 20;
+/// From the first process's start to the script's start.
+const LEAD: Duration = Duration::from_millis(1500);
+/// A drained host must end within this beyond the longest expiry.
+const END: Duration = Duration::from_secs(10);
+
+/// Puts these kinds of trouble in place of the script's own.
+pub fn with_kinds(settings: &mut Settings, kinds: &[Kind]) {
+    if let Some(r) = settings.rehearsal.as_mut().filter(|_| !kinds.is_empty()) {
+        r.troubles = of_kinds(kinds, r.length, r.seed);
+    }
+}
+
+pub struct Options<'a> {
+    pub settings: &'a Settings,
+    /// The script as the processes read it.
+    pub script: &'a Path,
+    pub kinds: &'a [Kind],
+    pub dir: &'a Path,
+    pub program: &'a Path,
+    pub progress: Progress<'a>,
+}
+
+/// A process that ends with us.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Running {
+    fn signal(&self, signal: &str) -> io::Result<()> {
+        let status = Command::new("kill").args(["-s", signal, &self.0.id().to_string()]).status()?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(io::Error::other(format!("signal {signal} did not reach process {}", self.0.id())))
+    }
+
+    fn ends_within(&mut self, span: Duration) -> io::Result<Option<i32>> {
+        let until = clock::now() + span;
+        while clock::now() < until {
+            if let Some(status) = self.0.try_wait()? {
+                return Ok(status.code());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(None)
+    }
+}
+
+struct Stage<'a> {
+    o: &'a Options<'a>,
+    t0: Duration,
+    list: SocketAddr,
+    hosts: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    tracer: Tracer,
+}
+
+impl Stage<'_> {
+    /// Starts a process and reads the address that it prints once it listens.
+    fn start(&self, name: &str, args: &[String]) -> io::Result<(Running, String)> {
+        let log = File::options().create(true).append(true).open(self.o.dir.join(format!("{name}.log")))?;
+        let mut command = Command::new(self.o.program);
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+        let mut child = Running(command.spawn()?);
+        let mut line = String::new();
+        BufReader::new(child.0.stdout.take().expect("piped")).read_line(&mut line)?;
+        match line.trim().strip_prefix("listening ") {
+            Some(said) => Ok((child, said.to_string())),
+            None => {
+                let log = self.o.dir.join(format!("{name}.log"));
+                Err(io::Error::other(format!("{name} did not start; see {}", log.display())))
+            }
+        }
+    }
+
+    fn args(&self, first: &str, trace: &str) -> Vec<String> {
+        let mut args = vec![first.to_string(), self.o.script.display().to_string()];
+        let trace = self.o.dir.join(format!("{trace}.trace")).display().to_string();
+        args.extend(["--trace".into(), trace]);
+        args
+    }
+
+    fn script_args(&self, first: &str, trace: &str) -> Vec<String> {
+        let mut args = self.args(first, trace);
+        args.extend(["--t0".into(), self.t0.as_nanos().to_string()]);
+        if !self.o.kinds.is_empty() {
+            let names: Vec<&str> = self.o.kinds.iter().map(|k| k.name()).collect();
+            args.extend(["--kinds".into(), names.join("+")]);
+        }
+        args
+    }
+
+    fn host(&self, place: usize, start: u32, listen: &str) -> io::Result<Running> {
+        let name = &self.o.settings.hosts[place].name;
+        let mut args = self.args("run", &format!("{name}-{start}"));
+        let remember = self.o.dir.join(format!("{name}.list")).display().to_string();
+        args.extend(["--host".into(), name.clone(), "--list".into(), self.list.to_string()]);
+        args.extend(["--listen".into(), listen.into(), "--remember".into(), remember]);
+        let (child, said) = self.start(name, &args)?;
+        let address = said.parse().map_err(io::Error::other)?;
+        self.hosts.lock().unwrap_or_else(|e| e.into_inner())[place] = Some(address);
+        Ok(child)
+    }
+
+    fn mark(&self, what: What, place: usize) {
+        let name = self.o.settings.hosts[place].name.clone();
+        self.tracer.mark(Marked { what: what.into(), name, ..Marked::default() });
+    }
+
+    fn sleep_to(&self, at: Duration) {
+        std::thread::sleep((self.t0 + at).saturating_sub(clock::now()));
+    }
+
+    /// Kills, stops and restarts one host as the script says; answers its last process.
+    fn play(&self, place: usize, mut child: Running, strikes: &[Strike]) -> io::Result<Running> {
+        let mut start = 0;
+        let mut own: Vec<&Strike> = strikes.iter().filter(|s| s.hosts.contains(&place)).collect();
+        own.sort_by_key(|s| s.at);
+        for s in own {
+            match s.kind {
+                Kind::HostCrash => {
+                    self.sleep_to(s.at);
+                    let listen = self.hosts.lock().unwrap_or_else(|e| e.into_inner())[place].take();
+                    self.mark(What::Killed, place);
+                    drop(child);
+                    self.sleep_to(s.at + s.len);
+                    start += 1;
+                    let listen = listen.map(|a| a.to_string()).unwrap_or_default();
+                    child = self.host(place, start, &listen)?;
+                }
+                Kind::HostStall => {
+                    self.sleep_to(s.at);
+                    self.mark(What::Stopped, place);
+                    child.signal("STOP")?;
+                    self.sleep_to(s.at + s.len);
+                    child.signal("CONT")?;
+                    self.mark(What::Continued, place);
+                }
+                _ => {}
+            }
+        }
+        Ok(child)
+    }
+}
+
+/// Plays the script; what the clients saw. The folder then holds every trace.
+pub fn rehearse(o: Options) -> io::Result<Tally> {
+    std::fs::create_dir_all(o.dir)?;
+    let me = hello(pb::Role::Client, "clients", 1);
+    let tracer = Tracer::create(&o.dir.join("clients.trace"), MOST_TRACE, me)?;
+    let script = o.settings.rehearsal.as_ref();
+    let script = script.ok_or_else(|| io::Error::other("the script has no rehearsal()"))?;
+    let strikes = strikes(o.settings, script);
+    let hosts = Arc::new(Mutex::new(vec![None; o.settings.hosts.len()]));
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let mut stage = Stage { o: &o, t0: clock::now() + LEAD, list: nowhere, hosts: hosts.clone(), tracer };
+    let mut args = stage.script_args("list-service", "list");
+    args.extend(["--listen".into(), "127.0.0.1:0".into()]);
+    let (_list, said) = stage.start("list", &args)?;
+    stage.list = said.parse().map_err(io::Error::other)?;
+    let mut args = stage.script_args("node", "nodes");
+    args.extend(["--list".into(), stage.list.to_string()]);
+    let (_nodes, _) = stage.start("nodes", &args)?;
+    let children: Vec<Running> = (0..o.settings.hosts.len())
+        .map(|place| stage.host(place, 0, "127.0.0.1:0"))
+        .collect::<io::Result<_>>()?;
+    let clients = Clients::new(o.settings, stage.t0, hosts, stage.tracer.clone());
+    let mut clients = clients.ok_or_else(|| io::Error::other("the script has no rehearsal()"))?;
+    let progress = &o.progress;
+    clients.progress = Box::new(move |now, tally| progress(now, tally));
+    let (stage, strikes) = (&stage, &strikes);
+    let (tally, ended) = std::thread::scope(|scope| {
+        let players: Vec<_> = children
+            .into_iter()
+            .enumerate()
+            .map(|(place, child)| scope.spawn(move || stage.play(place, child, strikes)))
+            .collect();
+        let tally = clients.run();
+        let ended: Vec<io::Result<Running>> = players
+            .into_iter()
+            .map(|p| p.join().unwrap_or_else(|_| Err(io::Error::other("a player panicked"))))
+            .collect();
+        (tally, ended)
+    });
+    let longest = o.settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
+    for (place, child) in ended.into_iter().enumerate() {
+        let (mut child, name) = (child?, &o.settings.hosts[place].name);
+        child.signal("TERM")?;
+        match child.ends_within(longest + END)? {
+            Some(0) => {}
+            Some(code) => return Err(io::Error::other(format!("{name} ended with {code} when drained"))),
+            None => return Err(io::Error::other(format!("{name} did not end when drained"))),
+        }
+    }
+    Ok(tally)
+}
+
+/// A new folder for a rehearsal's traces and logs.
+pub fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("grebecleat-{}-{}", std::process::id(), clock::now().as_millis()))
+}
