--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,377 @@
+//! The program as its users start it: settings, exit codes, rehearsals with faults, signals, descriptors.
+
+use grebecleat_standin::net::hello;
+use grebecleat_wire::pb::{self, frame::Body, Outcome};
+use grebecleat_wire::{clock, frame};
+use std::fs;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_grebecleat");
+
+/// One run at a time: several on one small machine would make each other late.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("grebecleat-test-{}-{name}", std::process::id()));
+        fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn grebecleat(args: &[&str]) -> Output {
+    Command::new(PROGRAM).args(args).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A small site for a short day; the troubles come after.
+const SITE: &str = r#"
+zone(name = "a")
+zone(name = "b")
+stream_type(name = "read", slo = ms(300), expiry = ms(1200), repeat = "repeatable", benefit = 2, share = 0.5,
+            unit_work = ms(4))
+stream_type(name = "row", slo = ms(400), expiry = ms(1500), repeat = keyed(group = "cell", remembered = ms(1500)),
+            ordered = True, write = True, benefit = 2, share = 0.3, unit_work = ms(4))
+stream_type(name = "once", slo = ms(400), expiry = ms(1500), repeat = "unrepeatable", write = True, share = 0.2,
+            unit_work = ms(4))
+plan(name = "basic", rate = 15)
+plan(name = "reserved", rate = 25, reservation = 25, weight = 3, price = 1.4)
+plan(name = "capped", rate = 10, reservation = 5, limit = 12, limit_burst = 60, limit_slack = 6)
+for i in range(6):
+    node(id = i + 1, zone = "a" if i < 3 else "b", cores = 2, queue = 32, pause_every = s(3), pause = ms(40))
+for name in ["h1", "h2", "h3"]:
+    host(name = name)
+for i in range(15):
+    volume(id = i, plan = ["basic", "reserved", "capped"][i % 3], cells = [1 + i % 6, 1 + (i + 2) % 6])
+node_list(lag = ms(700), fails = 0.1)
+rules(drain_grace = ms(400), cold_units = 30, cold_from = 0.25, warm_within = s(4), further_share = 0.25,
+      answer_margin = ms(120))
+rehearsal(seed = 5, length = s(6))
+load_of(retries = 1)
+"#;
+
+/// Plays a day; its output, and the numbers of its last line.
+fn day(folder: &Folder, name: &str, troubles: &str, more: &[&str]) -> (String, [u64; 5]) {
+    let script = folder.file(&format!("{name}.star"), &format!("{SITE}{troubles}"));
+    let dir = folder.0.join(name);
+    let mut args = vec!["--log-level", "warn", "rehearse", script.to_str().unwrap()];
+    args.extend(["--dir", dir.to_str().unwrap()]);
+    args.extend(more);
+    let out = grebecleat(&args);
+    let said = text(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{said}{}", text(&out.stderr));
+    let last = said.lines().last().unwrap().to_string();
+    let numbers: Vec<u64> =
+        last.split(|c: char| !c.is_ascii_digit()).filter_map(|w| w.parse().ok()).collect();
+    let [broken, all, done, deferred, abandoned] = numbers[..] else { panic!("last line: {last}") };
+    let expected =
+        format!("rules broken: 0; transfers {all}, done {done}, deferred {deferred}, abandoned {abandoned}");
+    assert_eq!((last, all), (expected, done + deferred + abandoned));
+    assert!(said.contains("0 answered twice, 0 reads with wrong content"), "{said}");
+    (said, [broken, all, done, deferred, abandoned])
+}
+
+fn pieces(said: &str) -> Vec<String> {
+    let plans = said.lines().filter(|l| l.starts_with("plan "));
+    plans.map(|l| l.split_whitespace().take(3).collect::<Vec<_>>().join(" ")).collect()
+}
+
+#[test]
+fn a_quiet_day_is_served_and_draws_the_same_work_again() {
+    let _alone = alone();
+    let folder = Folder::new("quiet");
+    let (first, [_, all, done, ..]) = day(&folder, "one", "", &[]);
+    assert!(all > 400 && done * 10 > all * 9, "{first}");
+    let (second, _) = day(&folder, "two", "", &[]);
+    assert_eq!(pieces(&first), pieces(&second));
+    // Judged by a rule that the run never had, its traces show the breach, and the code says so.
+    let dir = folder.0.join("one");
+    let strict = SITE.replace(
+        "limit = 12, limit_burst = 60, limit_slack = 6",
+        "limit = 5, limit_burst = 2, limit_slack = 2",
+    );
+    let strict = folder.file("strict.star", &strict);
+    let out = grebecleat(&["audit", dir.to_str().unwrap(), strict.to_str().unwrap()]);
+    let said = text(&out.stdout);
+    assert_eq!(out.status.code(), Some(1), "{said}");
+    assert!(said.contains("rule 7 (limits are kept): volume") && said.contains("OUT conn"), "{said}");
+}
+
+#[test]
+fn a_host_killed_and_started_again_and_one_that_stands_still() {
+    let _alone = alone();
+    let folder = Folder::new("hosts");
+    let troubles = r#"
+trouble(kind = "mass_restart", at = s(1), part = 0.3)
+trouble(kind = "balancer_crash", at = ms(1800), len = ms(1000), hosts = ["h2"])
+trouble(kind = "balancer_stall", at = ms(2500), len = ms(1900), hosts = ["h3"])
+"#;
+    let (said, [_, all, ..]) = day(&folder, "hosts", troubles, &[]);
+    assert!(all > 300, "{said}");
+    assert!(folder.0.join("hosts/h2-1.trace").exists(), "the host came again");
+}
+
+#[test]
+fn a_zone_restarts_while_the_list_lags_and_nodes_fail_fast_under_a_surge() {
+    let _alone = alone();
+    let folder = Folder::new("zone");
+    let troubles = r#"
+trouble(kind = "discovery_stale", at = ms(800), len = s(3), size = 2)
+trouble(kind = "mass_restart", at = s(1), zone = "a", part = 0.4)
+trouble(kind = "fast_errors", at = ms(1500), len = s(3), nodes = [4], size = 0.9)
+trouble(kind = "hot_key", at = ms(1500), len = s(3), part = 0.6, size = 8)
+"#;
+    day(&folder, "zone", troubles, &[]);
+}
+
+#[test]
+fn kinds_of_a_bench_day_by_name_and_from_a_journal() {
+    let _alone = alone();
+    let folder = Folder::new("kinds");
+    let (said, _) = day(&folder, "named", "", &["--kinds", "fast_errors+answer_lost+mass_restart"]);
+    assert!(said.contains("troubles fast_errors+answer_lost+mass_restart"), "{said}");
+    let entry = folder.file("entry.json", r#"{"digest":"i8c21ad: hang+slow+reconnect 0.41"}"#);
+    let (said, _) = day(&folder, "journal", "", &["--journal", entry.to_str().unwrap()]);
+    assert!(said.contains("troubles hang+slow+reconnect"), "{said}");
+}
+
+#[test]
+fn a_node_drains_and_comes_back() {
+    let _alone = alone();
+    let folder = Folder::new("drain");
+    let (said, _) =
+        day(&folder, "drain", "trouble(kind = \"drain\", at = s(2), len = s(2), nodes = [2, 5])", &[]);
+    assert!(said.contains("after a drain was told"), "{said}");
+}
+
+#[test]
+fn a_bad_file_is_told_whole_and_nothing_is_started() {
+    let folder = Folder::new("bad");
+    // file, and what must be said of it
+    let cases: [(&str, &[&str]); 6] = [
+        (
+            "zone(name = \"a\")\nnode(id = 1, zone = \"q\", coers = 3)\nstream_type(name = \"r\", slo = 5, expiry = s(1))",
+            &[
+                ":2: node: field 'zone': expected one of a, found \"q\"",
+                ":2: node: field 'coers': not known; expected one of cell, cores,",
+                ":3: stream_type: field 'slo': expected a time such as ms(250) or s(2)",
+                ": no plan() in the file; expected at least one",
+            ],
+        ),
+        ("zone(name = )", &[":1: "]),
+        ("zone('a')", &[":1: "]),
+        ("node(id = 1, zone = \"a\")\nnode(id = 1, zone = \"a\")", &[":2: node: field 'id': 1 stands a second time"]),
+        ("load(\"nowhere.star\", \"x\")", &[":1: load: cannot read"]),
+        (
+            "plan(name = \"p\", rate = 1, reservation = 9, limit = 4, limit_burst = 1)",
+            &[":1: plan: field 'limit': expected 0 (none) or at least the reservation, 9", "field 'limit_slack'"],
+        ),
+    ];
+    for (n, (script, expected)) in cases.iter().enumerate() {
+        let file = folder.file(&format!("{n}.star"), script);
+        let file = file.to_str().unwrap();
+        for command in ["check", "run", "rehearse"] {
+            let out = grebecleat(&[command, file]);
+            let said = text(&out.stderr);
+            assert_eq!((out.status.code(), text(&out.stdout)), (Some(2), String::new()), "{command}: {said}");
+            for e in *expected {
+                assert!(said.lines().any(|l| l.starts_with(file) && l.contains(e)), "{e}\n{said}");
+            }
+        }
+    }
+    let missing = grebecleat(&["check", "/nowhere.star"]);
+    assert_eq!(missing.status.code(), Some(2));
+}
+
+/// A program in the background, and where it said that it listens.
+struct Started(Child, String);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(command: &mut Command) -> Started {
+    let mut child =
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let said = line.trim().strip_prefix("listening ").expect(&line).to_string();
+    Started(child, said)
+}
+
+/// List, nodes, and the first host, with as many descriptors as given.
+fn site(folder: &Folder, descriptors: u32) -> (Started, Started, Started) {
+    let script =
+        folder.file("site.star", &SITE.replace("rehearsal(", "# rehearsal(").replace("load_of", "# load_of"));
+    let script = script.to_str().unwrap();
+    let list = start(Command::new(PROGRAM).args(["list-service", script, "--listen", "127.0.0.1:0"]));
+    let nodes = start(Command::new(PROGRAM).args(["node", script, "--list", &list.1]));
+    let limited = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+    let mut sh = Command::new("sh");
+    sh.args([
+        "-c",
+        &limited,
+        PROGRAM,
+        "run",
+        script,
+        "--host",
+        "h1",
+        "--listen",
+        "127.0.0.1:0",
+        "--list",
+        &list.1,
+    ]);
+    let host = start(&mut sh);
+    (list, nodes, host)
+}
+
+struct Client(TcpStream, frame::Reader, u64);
+
+impl Client {
+    fn new(host: &str) -> Self {
+        let address: SocketAddr = host.parse().unwrap();
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let mut c = Client(stream, frame::Reader::new(1 << 20), 0);
+        c.put(Body::Hello(hello(pb::Role::Client, "c", 1)));
+        c
+    }
+
+    fn put(&mut self, body: Body) {
+        let mut bytes = Vec::new();
+        let sent_us = clock::micros(clock::now());
+        frame::write(&pb::Frame { sent_us, body: Some(body) }, &mut bytes);
+        self.0.write_all(&bytes).unwrap();
+    }
+
+    /// The next final answer; None once the host has hung up.
+    fn answer(&mut self) -> Option<Outcome> {
+        loop {
+            match self.1.next::<pb::Frame>().unwrap().and_then(|f| f.body) {
+                Some(Body::Final(f)) => return Some(f.outcome()),
+                Some(_) => {}
+                None if self.1.fill(&mut self.0).is_ok_and(|n| n > 0) => {}
+                None => return None,
+            }
+        }
+    }
+
+    fn take(&mut self, n: u64) {
+        let id: Vec<u8> = format!("{n:036}").into();
+        let (volume, units, left_us) = (1, 1.0, 1_200_000);
+        let cell = Some(2);
+        let take = pb::Take { id: id.into(), volume, units, left_us, cell, ..Default::default() };
+        self.put(Body::Take(take));
+    }
+
+    fn read(&mut self) -> Option<Outcome> {
+        self.2 += 1;
+        self.take(self.2);
+        self.answer()
+    }
+
+    fn until_done(&mut self) {
+        let done = (0..300).any(|_| {
+            std::thread::sleep(Duration::from_millis(10));
+            self.read() == Some(Outcome::Done)
+        });
+        assert!(done, "nothing was ever done");
+    }
+}
+
+fn signal(of: &Started, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &of.0.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+}
+
+#[test]
+fn a_host_that_is_told_to_end_answers_what_it_holds_first() {
+    let _alone = alone();
+    let folder = Folder::new("term");
+    let (_list, _nodes, mut host) = site(&folder, 256);
+    let mut c = Client::new(&host.1);
+    c.until_done();
+    (1000..1040).for_each(|n| c.take(n));
+    std::thread::sleep(Duration::from_millis(20));
+    signal(&host, "TERM");
+    let mut answers = 0;
+    while c.answer().is_some() {
+        answers += 1;
+    }
+    assert_eq!(answers, 40);
+    assert_eq!(host.0.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn a_second_signal_ends_it_at_once() {
+    let _alone = alone();
+    let folder = Folder::new("twice");
+    let (_list, nodes, mut host) = site(&folder, 256);
+    let mut c = Client::new(&host.1);
+    c.until_done();
+    drop(nodes);
+    (1000..1010).for_each(|n| c.take(n));
+    std::thread::sleep(Duration::from_millis(50));
+    signal(&host, "TERM");
+    std::thread::sleep(Duration::from_millis(50));
+    signal(&host, "TERM");
+    let code = host.0.wait().unwrap().code();
+    // Where all was answered between the two, it ended by itself.
+    assert!(matches!(code, Some(3 | 0)), "{code:?}");
+}
+
+#[test]
+fn out_of_descriptors_callers_are_turned_away_and_work_is_still_answered() {
+    let _alone = alone();
+    let folder = Folder::new("fds");
+    let (_list, _nodes, host) = site(&folder, 40);
+    let mut c = Client::new(&host.1);
+    c.until_done();
+    let crowd: Vec<Client> = (0..60).map(|_| Client::new(&host.1)).collect();
+    for _ in 0..20 {
+        assert!(c.read().is_some(), "every transfer has its answer");
+    }
+    drop(crowd);
+    c.until_done();
+    Client::new(&host.1).until_done();
+}
+
+#[test]
+fn the_program_explains_itself() {
+    let help = text(&grebecleat(&["--help"]).stdout);
+    for word in ["run", "check", "rehearse", "node", "list-service", "Exit codes", "examples/bad-day.star"] {
+        assert!(help.contains(word), "{word}\n{help}");
+    }
+    let completions = text(&grebecleat(&["completions", "bash"]).stdout);
+    assert!(completions.contains("list-service"));
+    assert_eq!(grebecleat(&["rehearse", "--kinds", "flood"]).status.code(), Some(2));
+    assert!(Path::new(PROGRAM).exists());
+}
