--- a/crates/audit/tests/doctored.rs
+++ b/crates/audit/tests/doctored.rs
@@ -319,6 +319,14 @@
         t.leg(if early { 39 } else { 41 }, 2, 1, 0);
         t.answer(60, 2, Done);
     });
+    // The first was never sent, and is deferred long after.
+    both(5, |t, early| {
+        t.take(10, 1, ROW);
+        t.take(11, 2, ROW);
+        t.leg(if early { 20 } else { 90 }, 2, 1, 0);
+        t.answer(91, 1, Deferred);
+        t.answer(92, 2, Deferred);
+    });
     // Its time was up without an answer: the key rests 200 ms more, from 1020 on.
     both(5, |t, unrested| {
         t.take(10, 1, ROW);
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -304,8 +304,8 @@
             let from = shared.options.settings.hosts.iter().position(|h| h.name == them.name);
             let from = PeerId(from.ok_or(format!("unknown host {}", them.name))? as u32);
             let tracer = shared.options.tracer.clone();
-            read_on(&mut stream, &mut reader, bounds.patience, |_, frames| {
-                tracer.read(conn.0, &frames);
+            read_on(&mut stream, &mut reader, bounds.patience, |at, frames| {
+                tracer.read(conn.0, at, &frames);
                 for f in frames {
                     let Some(Body::Word(w)) = f.body else { return Err("a host sent no word".into()) };
                     let _ = shared.to_owner.send(Input::Word { from, bytes: w.text.to_vec() });
@@ -380,7 +380,7 @@
     let outbox = start_writer(writer, conn, tracer.clone());
     let _ = shared.to_owner.send(up(outbox.clone()));
     let ended = read_on(&mut stream, &mut reader, shared.bounds().patience, |at, read| {
-        tracer.read(conn.0, &read);
+        tracer.read(conn.0, at, &read);
         shared.to_owner.send(frames(at, read)).map_err(|_| "the host has ended".to_string())
     });
     outbox.close();
@@ -440,7 +440,7 @@
         let mut bytes = Vec::new();
         loop {
             bell.0.store(false, Ordering::Release);
-            let pulled = out.pull(clock::now(), ONE_WRITE);
+            let pulled = out.pull(clock::now, ONE_WRITE);
             if pulled.frames.is_empty() {
                 if pulled.closed {
                     break;
@@ -448,7 +448,7 @@
                 bell.1.wait();
                 continue;
             }
-            tracer.written(conn.0, &pulled.frames);
+            tracer.written(conn.0, pulled.at, &pulled.frames);
             bytes.clear();
             for f in &pulled.frames {
                 frame::write(f, &mut bytes);
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -92,7 +92,7 @@
         while let Ok(Some(f)) = reader.next::<pb::Frame>().map_err(|_| own.shutdown(Shutdown::Both)) {
             read.push(f);
         }
-        tracer.read(conn, &read);
+        tracer.read(conn, now, &read);
         for f in read {
             let waited = delay.waited(f.sent_us, now);
             match f.body {
@@ -127,10 +127,11 @@
 fn write_on(mut stream: &TcpStream, conn: u64, tracer: &Tracer, from: &Receiver<Body>) {
     let mut bytes = Vec::new();
     while let Ok(first) = from.recv() {
-        let sent_us = clock::micros(clock::now());
+        let now = clock::now();
+        let sent_us = clock::micros(now);
         let bodies = std::iter::once(first).chain(from.try_iter().take(255));
         let frames: Vec<_> = bodies.map(|b| pb::Frame { sent_us, body: Some(b) }).collect();
-        tracer.written(conn, &frames);
+        tracer.written(conn, now, &frames);
         bytes.clear();
         frames.iter().for_each(|f| _ = frame::write(f, &mut bytes));
         if stream.write_all(&bytes).is_err() {
--- a/crates/wire/src/trace.rs
+++ b/crates/wire/src/trace.rs
@@ -12,6 +12,7 @@
 use std::io::{self, Read, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 #[derive(Debug)]
 struct Sink {
@@ -46,21 +47,24 @@
         self.put([Record { kind: Kind::Closed.into(), conn, peer: peer.into(), ..Record::default() }]);
     }
 
-    pub fn read(&self, conn: u64, frames: &[pb::Frame]) {
-        self.frames(Kind::In, conn, frames);
+    /// Frames read at that moment.
+    pub fn read(&self, conn: u64, at: Duration, frames: &[pb::Frame]) {
+        self.frames(Kind::In, conn, at, frames);
     }
 
-    pub fn written(&self, conn: u64, frames: &[pb::Frame]) {
-        self.frames(Kind::Out, conn, frames);
+    /// Frames that from that moment on can no longer be kept from the socket.
+    pub fn written(&self, conn: u64, at: Duration, frames: &[pb::Frame]) {
+        self.frames(Kind::Out, conn, at, frames);
     }
 
     pub fn mark(&self, mark: pb::Marked) {
         self.put([Record { kind: Kind::Mark.into(), mark: Some(mark), ..Record::default() }]);
     }
 
-    fn frames(&self, kind: Kind, conn: u64, frames: &[pb::Frame]) {
+    fn frames(&self, kind: Kind, conn: u64, at: Duration, frames: &[pb::Frame]) {
+        let at_ns = at.as_nanos() as u64;
         if self.is_on() && !frames.is_empty() {
-            self.put(frames.iter().map(|f| bare(kind, conn, f)));
+            self.put(frames.iter().map(|f| Record { at_ns, ..bare(kind, conn, f) }));
         }
     }
 
@@ -73,7 +77,9 @@
         let mut scratch = std::mem::take(&mut sink.scratch);
         scratch.clear();
         for mut record in records {
-            record.at_ns = clock::now().as_nanos() as u64;
+            if record.at_ns == 0 {
+                record.at_ns = clock::now().as_nanos() as u64;
+            }
             frame::write(&record, &mut scratch);
         }
         sink.left = sink.left.saturating_sub(scratch.len() as u64);
