--- a/crates/iscsi/src/lib.rs
+++ b/crates/iscsi/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod pdu;
 pub mod reservations;
 pub mod scsi;
+pub mod session;
 pub mod window;
