--- /dev/null
+++ b/crates/target/src/blocks.rs
@@ -0,0 +1,194 @@
+//! A command on blocks, in pieces of extents and back.
+//!
+//! A volume's blocks lie in extents of a fixed number of blocks, and a transfer touches one extent. [`Pieces::of`]
+//! splits a range; [`Gather`] takes the pieces' answers, in any order, and makes the one answer of the command:
+//!
+//! | pieces | command | why |
+//! | --- | --- | --- |
+//! | all done | GOOD, with the data of reads | |
+//! | some deferred, none abandoned | BUSY, come back after the longest time told | trying again is harmless for each: what was done is done again with the same data |
+//! | any abandoned | CHECK CONDITION, outcome unknown | nobody may promise either way |
+//!
+//! The answer is given when the last piece has its own: until then a leg may be out, and an answer that came
+//! before it could be overtaken by its effect.
+
+use bytes::{Bytes, BytesMut};
+use grebecleat_iscsi::scsi::{Sense, Status};
+use grebecleat_iscsi::session::Outcome;
+use std::time::Duration;
+
+/// A part of a command inside one extent. Bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Piece {
+    pub extent: u64,
+    /// Where it begins in its extent, and in the command's data.
+    pub offset: u32,
+    pub at: usize,
+    pub length: u32,
+}
+
+/// How a volume's blocks lie in extents.
+#[derive(Debug, Clone, Copy)]
+pub struct Layout {
+    pub block_size: u32,
+    pub extent_blocks: u32,
+}
+
+impl Layout {
+    /// The pieces of a range of blocks, in order.
+    ///
+    /// ```
+    /// use grebecleat_target::blocks::{Layout, Piece};
+    /// let layout = Layout { block_size: 512, extent_blocks: 8 };
+    /// let pieces: Vec<Piece> = layout.pieces(6, 12).collect();
+    /// assert_eq!(pieces[0], Piece { extent: 0, offset: 3072, at: 0, length: 1024 });
+    /// assert_eq!(pieces[1], Piece { extent: 1, offset: 0, at: 1024, length: 4096 });
+    /// assert_eq!(pieces[2], Piece { extent: 2, offset: 0, at: 5120, length: 1024 });
+    /// assert_eq!((pieces.len(), layout.pieces(5, 0).count()), (3, 0));
+    /// ```
+    pub fn pieces(self, lba: u64, blocks: u64) -> impl Iterator<Item = Piece> {
+        let (each, size) = (u64::from(self.extent_blocks), u64::from(self.block_size));
+        let end = lba + blocks;
+        let extents = if blocks == 0 { 0..0 } else { lba / each..end.div_ceil(each) };
+        extents.map(move |extent| {
+            let (from, to) = (lba.max(extent * each), end.min((extent + 1) * each));
+            Piece {
+                extent,
+                offset: ((from - extent * each) * size) as u32,
+                at: ((from - lba) * size) as usize,
+                length: ((to - from) * size) as u32,
+            }
+        })
+    }
+}
+
+/// What a piece's transfer came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// Data of reads; less than asked for is zeroes from there on, for blocks that nobody wrote.
+    Done(Bytes),
+    Deferred(Option<Duration>),
+    Abandoned,
+}
+
+/// The answers of one command's pieces, as they come.
+#[derive(Debug)]
+pub struct Gather {
+    left: Vec<Option<Piece>>,
+    open: usize,
+    data: BytesMut,
+    reads: bool,
+    come_back: Option<Duration>,
+    deferred: bool,
+    abandoned: bool,
+}
+
+/// A command's answer, and after which time a BUSY one may come again.
+#[derive(Debug, PartialEq)]
+pub struct Whole {
+    pub outcome: Outcome,
+    pub come_back: Option<Duration>,
+}
+
+impl Gather {
+    pub fn new(pieces: Vec<Piece>, reads: bool) -> Self {
+        let bytes = pieces.iter().map(|p| p.length as usize).sum();
+        let data = if reads { BytesMut::zeroed(bytes) } else { BytesMut::new() };
+        let (open, left) = (pieces.len(), pieces.into_iter().map(Some).collect());
+        Gather { left, open, data, reads, come_back: None, deferred: false, abandoned: false }
+    }
+
+    /// A command without pieces needs no answers.
+    pub fn is_whole(&self) -> bool {
+        self.open == 0
+    }
+
+    /// One piece's answer, by its place; the command's, once it is the last. A second answer to one changes
+    /// nothing.
+    pub fn take(&mut self, place: usize, answer: Answer) -> Option<Whole> {
+        let piece = self.left.get_mut(place)?.take()?;
+        self.open -= 1;
+        match answer {
+            Answer::Done(data) if self.reads => {
+                let n = data.len().min(piece.length as usize);
+                self.data[piece.at..piece.at + n].copy_from_slice(&data[..n]);
+            }
+            Answer::Done(_) => {}
+            Answer::Deferred(wait) => {
+                self.deferred = true;
+                self.come_back = self.come_back.max(wait);
+            }
+            Answer::Abandoned => self.abandoned = true,
+        }
+        self.is_whole().then(|| self.whole())
+    }
+
+    pub fn whole(&mut self) -> Whole {
+        let outcome = match (self.abandoned, self.deferred) {
+            (true, _) => Outcome::check(Sense::OUTCOME_UNKNOWN),
+            (false, true) => Outcome::status(Status::Busy),
+            (false, false) => Outcome::good(std::mem::take(&mut self.data).freeze()),
+        };
+        let busy = outcome.status == Status::Busy;
+        Whole { outcome, come_back: self.come_back.filter(|_| busy) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LAYOUT: Layout = Layout { block_size: 512, extent_blocks: 4 };
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn pieces_cover_a_range_without_a_gap_or_an_overlap() {
+        for lba in 0..12 {
+            for blocks in 0..20 {
+                let (mut at, mut byte) = (0, lba * 512);
+                for p in LAYOUT.pieces(lba, blocks) {
+                    assert_eq!((p.at, p.extent * 2048 + u64::from(p.offset)), (at, byte));
+                    assert!(p.length > 0 && p.offset + p.length <= 2048);
+                    (at, byte) = (at + p.length as usize, byte + u64::from(p.length));
+                }
+                assert_eq!(at as u64, blocks * 512);
+            }
+        }
+    }
+
+    #[test]
+    fn the_command_is_what_its_worst_piece_is_and_only_when_the_last_is_in() {
+        let done = || Answer::Done(Bytes::new());
+        let deferred = |n| Answer::Deferred(Some(ms(n)));
+        let cases = [
+            (vec![done(), done(), done()], Status::Good, None),
+            (vec![done(), deferred(200), deferred(90)], Status::Busy, Some(ms(200))),
+            (vec![Answer::Deferred(None), done(), done()], Status::Busy, None),
+            (vec![deferred(200), Answer::Abandoned, done()], Status::CheckCondition, None),
+        ];
+        for (answers, status, come_back) in cases {
+            let mut g = Gather::new(LAYOUT.pieces(2, 8).collect(), false);
+            let last = answers.len() - 1;
+            for (i, a) in answers.into_iter().enumerate() {
+                let whole = g.take(i, a);
+                assert_eq!(whole.is_some(), i == last);
+                if let Some(w) = whole {
+                    assert_eq!((w.outcome.status, w.come_back), (status, come_back));
+                }
+            }
+            assert_eq!(g.take(0, Answer::Abandoned), None, "answered once");
+        }
+    }
+
+    #[test]
+    fn a_read_is_put_together_and_what_nobody_wrote_is_zeroes() {
+        let mut g = Gather::new(LAYOUT.pieces(3, 6).collect(), true);
+        assert!(g.take(2, Answer::Done(Bytes::from(vec![3; 512]))).is_none());
+        assert!(g.take(0, Answer::Done(Bytes::from(vec![1; 512]))).is_none());
+        let whole = g.take(1, Answer::Done(Bytes::from(vec![2; 100]))).unwrap();
+        let d = whole.outcome.data;
+        assert_eq!((d.len(), d[0], d[512], d[611], d[612], d[2560]), (3072, 1, 2, 2, 0, 3));
+    }
+}
--- /dev/null
+++ b/crates/target/src/pressure.rs
@@ -0,0 +1,242 @@
+//! How many commands each session of a volume may have open: back-pressure by the command window.
+//!
+//! Called by the target: `opened` and `closed` for each command, `step` now and then, which answers the sessions
+//! whose window is to change. The wanted state is one budget of open commands for each volume, dealt out among its
+//! sessions by max-min fairness; `step` diffs it against what was last told.
+//!
+//! The budget learns by answers and not by intervals: it grows by one for each budget's worth of done commands
+//! while it is what holds sessions back, and falls when commands are deferred, once for each come-back time,
+//! since all deferrals of one moment tell the same. Guards against initiators that fill a volume's queue only to
+//! have most of it sent back as BUSY. Harm: after a short jam a volume is slow for some round trips.
+//!
+//! A window that was granted is not taken back (RFC 7143, 4.2.2.1); a session learns of less as it uses it up.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const DOWN: f64 = 0.7; // of the budget, on deferrals; a half would empty short queues at each jam
+const LEAST_EACH: u32 = 1; // a session without any window could never learn that it is open again
+
+/// A session, by its owner's number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionNo(pub u64);
+
+/// What became of a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    Done,
+    Deferred { come_back: Duration },
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figures {
+    /// Commands of one volume, over all its sessions, at the start and at the most.
+    pub first: f64,
+    pub most: f64,
+    /// Of one session.
+    pub most_each: u32,
+}
+
+#[derive(Debug, Default)]
+struct Session {
+    open: u32,
+    /// The most it has had open since the last step: what it asks for.
+    peak: u32,
+    told: u32,
+}
+
+/// The windows of one volume's sessions. Its memory is a few words for each session.
+#[derive(Debug)]
+pub struct Pressure {
+    figures: Figures,
+    budget: f64,
+    /// Deferrals before that moment belong to a fall that was made.
+    deaf_until: Duration,
+    sessions: BTreeMap<SessionNo, Session>,
+}
+
+impl Pressure {
+    pub fn new(figures: Figures) -> Self {
+        Pressure { figures, budget: figures.first, deaf_until: Duration::ZERO, sessions: BTreeMap::new() }
+    }
+
+    pub fn budget(&self) -> f64 {
+        self.budget
+    }
+
+    pub fn join(&mut self, session: SessionNo) {
+        self.sessions.entry(session).or_default();
+    }
+
+    pub fn leave(&mut self, session: SessionNo) {
+        self.sessions.remove(&session);
+    }
+
+    pub fn opened(&mut self, session: SessionNo) {
+        let s = self.sessions.entry(session).or_default();
+        s.open += 1;
+        s.peak = s.peak.max(s.open);
+    }
+
+    pub fn closed(&mut self, now: Duration, session: SessionNo, ended: Ended) {
+        let open: u32 = self.sessions.values().map(|s| s.open).sum();
+        if let Some(s) = self.sessions.get_mut(&session) {
+            s.open = s.open.saturating_sub(1);
+        }
+        match ended {
+            // A budget that nobody uses up says nothing of what the volume could bear.
+            Ended::Done if f64::from(open) >= self.budget.floor() => {
+                self.budget = (self.budget + 1.0 / self.budget).min(self.figures.most);
+            }
+            Ended::Deferred { come_back } if now >= self.deaf_until => {
+                self.budget = (self.budget * DOWN).max(self.sessions.len().max(1) as f64);
+                self.deaf_until = now + come_back;
+            }
+            _ => {}
+        }
+    }
+
+    /// The sessions whose window is now another, with its size.
+    pub fn step(&mut self) -> Vec<(SessionNo, u32)> {
+        let asks: Vec<u32> = self.sessions.values().map(|s| self.asks(s)).collect();
+        let given = fair(self.budget.floor() as u32, &asks);
+        let mut changed = Vec::new();
+        for ((id, s), given) in self.sessions.iter_mut().zip(given) {
+            let size = given.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH));
+            s.peak = s.open;
+            if size != s.told {
+                s.told = size;
+                changed.push((*id, size));
+            }
+        }
+        changed
+    }
+
+    /// What a session could use: one that fills its window asks for twice of it, one that does not for what it
+    /// had open at most, and one more.
+    fn asks(&self, s: &Session) -> u32 {
+        let more = if s.peak >= s.told.max(1) { s.peak.saturating_mul(2) } else { s.peak + 1 };
+        more.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH))
+    }
+}
+
+/// Deals out so many by max-min fairness: nobody gets more than it asks, and what one leaves goes to the others
+/// evenly. What cannot be dealt evenly goes to those that ask most.
+///
+/// ```
+/// use grebecleat_target::pressure::fair;
+/// assert_eq!(fair(10, &[2, 20, 20]), [2, 4, 4]);
+/// assert_eq!(fair(7, &[9, 9, 9]), [2, 2, 3]);
+/// assert_eq!(fair(100, &[1, 2]), [1, 2]);
+/// assert_eq!(fair(1, &[5, 5]), [0, 1]);
+/// ```
+pub fn fair(whole: u32, asks: &[u32]) -> Vec<u32> {
+    let mut order: Vec<usize> = (0..asks.len()).collect();
+    order.sort_by_key(|i| asks[*i]);
+    let (mut left, mut given) = (whole, vec![0; asks.len()]);
+    for (at, i) in order.iter().enumerate() {
+        let share = left / (asks.len() - at) as u32;
+        given[*i] = asks[*i].min(share);
+        left -= given[*i];
+    }
+    given
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{Rng, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+    const FIGURES: Figures = Figures { first: 16.0, most: 64.0, most_each: 32 };
+
+    fn sum(p: &Pressure) -> u32 {
+        p.sessions.values().map(|s| s.told).sum()
+    }
+
+    #[test]
+    fn deferrals_of_one_moment_count_once_and_done_commands_open_it_again() {
+        let (mut p, a) = (Pressure::new(FIGURES), SessionNo(1));
+        (0..16).for_each(|_| p.opened(a));
+        let deferred = Ended::Deferred { come_back: ms(500) };
+        (0..10).for_each(|i| p.closed(ms(1000 + i), a, deferred));
+        assert!((p.budget() - 11.2).abs() < 1e-9, "{}", p.budget());
+        p.closed(ms(1500), a, deferred);
+        assert!(p.budget() < 8.0);
+        let low = p.budget();
+        for t in 2000..2200 {
+            (0..20).for_each(|_| p.opened(a));
+            (0..20).for_each(|_| p.closed(ms(t), a, Ended::Done));
+        }
+        assert!(p.budget() > low * 2.0 && p.budget() <= 64.0);
+    }
+
+    #[test]
+    fn an_unused_budget_does_not_grow() {
+        let (mut p, a) = (Pressure::new(FIGURES), SessionNo(1));
+        for t in 0..1000 {
+            p.opened(a);
+            p.closed(ms(t), a, Ended::Done);
+        }
+        assert_eq!(p.budget(), 16.0);
+    }
+
+    #[test]
+    fn a_greedy_session_leaves_the_others_their_part() {
+        let (mut p, greedy, modest) = (Pressure::new(FIGURES), SessionNo(1), SessionNo(2));
+        p.join(modest);
+        for round in 0..6 {
+            for _ in 0..32 {
+                p.opened(greedy);
+            }
+            (0..3).for_each(|_| p.opened(modest));
+            p.step();
+            (0..32).for_each(|_| p.closed(ms(round), greedy, Ended::Other));
+            (0..3).for_each(|_| p.closed(ms(round), modest, Ended::Other));
+        }
+        let told = |s: SessionNo| p.sessions[&s].told;
+        assert!(told(modest) >= 4 && told(greedy) >= 10, "{} {}", told(modest), told(greedy));
+        assert!(sum(&p) <= 16);
+    }
+
+    #[test]
+    fn windows_never_pass_the_budget_but_for_the_one_that_each_keeps() {
+        for seed in 0..300 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut p = Pressure::new(FIGURES);
+            for t in 0..200 {
+                let s = SessionNo(rng.random_range(0..30));
+                match rng.random_range(0..6) {
+                    0 => p.join(s),
+                    1 => p.leave(s),
+                    2 => p.closed(ms(t), s, Ended::Deferred { come_back: ms(3) }),
+                    3 => p.closed(ms(t), s, Ended::Done),
+                    _ => p.opened(s),
+                }
+                p.step();
+                let n = p.sessions.len() as u32;
+                assert!(p.sessions.values().all(|s| (1..=32).contains(&s.told)));
+                assert!(sum(&p) <= (p.budget().floor() as u32).max(n) + n, "seed {seed}");
+            }
+        }
+    }
+
+    #[test]
+    fn fair_shares_are_whole_and_nobody_gets_more_than_it_asks() {
+        for seed in 0..500 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let asks: Vec<u32> = (0..rng.random_range(1..12)).map(|_| rng.random_range(0..20)).collect();
+            let whole = rng.random_range(0..100);
+            let given = fair(whole, &asks);
+            assert_eq!(given.iter().sum::<u32>(), whole.min(asks.iter().sum()), "{whole} {asks:?}");
+            assert!(given.iter().zip(&asks).all(|(g, a)| g <= a));
+            // Who got less than it asks got no less than anyone, but for the one that could not be halved.
+            let short = given.iter().zip(&asks).filter(|(g, a)| g < a).map(|(g, _)| *g).min();
+            assert!(short.is_none_or(|s| given.iter().all(|g| *g <= s + 1)), "{whole} {asks:?} {given:?}");
+        }
+    }
+}
