The iSCSI target's engine: commands become transfers, checked against a history of writes

Need: what lies between sessions and the host must hold when transfers are deferred, abandoned, aborted and late.

Change: engine.rs joins logins, sessions, reservations, overlaps, pressure and extents, free of I/O. An initiator before a closed window is told by a NOP-In when it opens.

--- a/crates/iscsi/src/session.rs
+++ b/crates/iscsi/src/session.rs
@@ -242,9 +242,16 @@
         self.window.room()
     }
 
-    /// Takes so many commands from here on.
-    pub fn grant(&mut self, size: u32) {
+    /// Takes so many commands from here on. An initiator that sat before a closed window is told by a NOP-In
+    /// that asks for no answer (section 11.19), as nothing else may be on its way to it.
+    pub fn grant(&mut self, size: u32) -> Vec<Act> {
+        let closed = self.window.room() == 0;
         self.window.grant(size);
+        if let (true, Some(cid)) = (closed && self.window.room() > 0, self.conns.keys().next().copied()) {
+            let header = Header::new(Opcode::NopIn).set_flags(0x80).set_itt(NO_TAG).set_ttt(NO_TAG);
+            self.send(cid, Pdu::new(header, Bytes::new()), false);
+        }
+        std::mem::take(&mut self.acts)
     }
 
     /// ExpCmdSN and MaxCmdSN.
@@ -436,7 +443,6 @@
                 .set_word36(r2t_sn)
                 .set_word40(offset)
                 .set_word44(wanted);
-            // It carries the next StatSN without using it up.
             self.send(cid, Pdu::new(header, Bytes::new()), false);
         }
     }
@@ -757,7 +763,8 @@
         let (expected, most) = self.sns();
         let Some(c) = self.conns.get_mut(&cid) else { return pdu };
         let mut header = pdu.header.set_exp_stat_sn(expected).set_word32(most);
-        if status || header.opcode() == Some(Opcode::R2t) {
+        // R2T and a NOP-In of our own carry the next StatSN without using it up.
+        if status || matches!(header.opcode(), Some(Opcode::R2t | Opcode::NopIn)) {
             header = header.set_cmd_sn(c.stat_sn);
         }
         let pdu = Pdu { header, ..pdu };
--- a/crates/iscsi/tests/session.rs
+++ b/crates/iscsi/tests/session.rs
@@ -443,7 +443,11 @@
     assert_eq!((r.s.room(), r.s.sns()), (0, (3, 2)));
     r.command(3, READ, 8, &[]);
     assert_eq!(r.started().len(), 2, "outside the window, so never heard of");
-    r.s.grant(4);
+    let acts = r.s.grant(4);
+    assert!(
+        matches!(&acts[..], [Act::Send { pdu, .. }] if pdu.header.opcode() == Some(Opcode::NopIn)),
+        "it is told"
+    );
     r.sn -= 1;
     r.command(3, READ, 8, &[]);
     assert_eq!((r.started().len(), r.s.sns()), (1, (4, 6)));
@@ -523,7 +527,7 @@
                     answered += 1;
                     r.done(task, Outcome::good(pattern(100)));
                 }
-                2 => r.s.grant(rng.random_range(0..8)),
+                2 => drop(r.s.grant(rng.random_range(0..8))),
                 _ => r.hear(cid, Pdu::new(h, data)),
             }
             open.extend(r.started().into_iter().map(|s| s.0));
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -3,8 +3,9 @@
 //! For: what lies between `grebecleat_iscsi`'s sessions and the host, without input or output: [`blocks`]
 //! (commands into pieces of extents and back into one answer), [`overlaps`] (which commands must wait for which)
 //! and [`pressure`] (how many commands each session may have in its window). It must never answer a command
-//! twice, nor choose where a transfer goes. Begin with [`blocks`].
+//! twice, nor choose where a transfer goes. Begin with [`engine`], which joins them.
 
 pub mod blocks;
+pub mod engine;
 pub mod overlaps;
 pub mod pressure;
