--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -88,6 +88,9 @@
     /// Keeps the last list of nodes here for the next start.
     #[arg(long)]
     pub remember: Option<PathBuf>,
+    /// Keeps where extents lie, for an iSCSI portal of this host in the settings.
+    #[arg(long)]
+    pub places: Option<PathBuf>,
     /// Seed of the decisions; new at each start if left out.
     #[arg(long)]
     pub seed: Option<u64>,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -140,7 +140,21 @@
         seed,
         workers: a.workers,
     };
+    let portals: Vec<_> = settings.portals.iter().filter(|p| p.host == host).cloned().collect();
+    if let (true, None) = (!portals.is_empty(), &a.places) {
+        return Err(bad("--places: needed, since the settings give this host a portal".into()));
+    }
     let counts = host::run(options, |address, handle| {
+        for spec in &portals {
+            let places = a.places.clone().unwrap_or_default();
+            match grebecleat_target::portal::start(&settings, spec, &handle, &places) {
+                Ok(at) => info!(host = %name, portal = %at, "iscsi portal up"),
+                Err(why) => {
+                    eprintln!("grebecleat: {why}");
+                    std::process::exit(3);
+                }
+            }
+        }
         listening(address);
         info!(host = %name, %address, "up");
         host::on_signals(handle);
--- /dev/null
+++ b/crates/cli/tests/iscsi.rs
@@ -0,0 +1,203 @@
+//! iSCSI over TCP through the whole program: initiator, portal, decisions, nodes; and after the host is killed.
+
+use grebecleat_standin::initiator::{Initiator, Wish};
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_grebecleat");
+const NAME: &str = "iqn.2026-12.org.example:bookings";
+
+struct Started(Child, String);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(args: &[&str]) -> Started {
+    let mut command = Command::new(PROGRAM);
+    let mut child =
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let said = line.trim().strip_prefix("listening ").expect("it listens").to_string();
+    Started(child, said)
+}
+
+/// A site of three nodes with a portal on a port that was free a moment ago.
+struct Site {
+    dir: PathBuf,
+    script: String,
+    portal: SocketAddr,
+    list: Started,
+    _nodes: Started,
+}
+
+impl Site {
+    fn new(name: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).unwrap();
+        let portal = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let text = format!(
+            r#"
+zone(name = "a")
+stream_type(name = "read", slo = s(1), expiry = s(3), repeat = "repeatable", unit_work = ms(1))
+stream_type(name = "write", slo = s(1), expiry = s(3), repeat = "repeatable", ordered = True, write = True,
+            unit_work = ms(1))
+plan(name = "p", rate = 10000, reservation = 10000)
+host(name = "h")
+for i in range(3):
+    node(id = i + 1, zone = "a", cores = 4)
+volume(id = 100, plan = "p", blocks = 65536)
+volume(id = 101, plan = "p", blocks = 65536)
+node_list(lag = ms(10))
+units(mean = 2, largest = 8)
+portal(listen = "{portal}", read = "read", write = "write", large_read = "read")
+target(name = "{NAME}", volumes = [100, 101], chap_name = "alice", chap_secret = "a secret of sixteen")
+"#
+        );
+        let script = dir.join("site.star");
+        fs::write(&script, text).unwrap();
+        let script = script.to_str().unwrap().to_string();
+        let list = start(&["list-service", &script, "--listen", "127.0.0.1:0"]);
+        let nodes = start(&["node", &script, "--list", &list.1]);
+        Site { dir, script, portal, list, _nodes: nodes }
+    }
+
+    fn host(&self) -> Started {
+        let (places, trace) = (self.dir.join("places"), self.dir.join("h.trace"));
+        let path = |p: &Path| p.to_str().unwrap().to_string();
+        let args = ["run", &self.script, "--list", &self.list.1, "--listen", "127.0.0.1:0"];
+        start(&[&args[..], &["--places", &path(&places), "--trace", &path(&trace)]].concat())
+    }
+
+    fn initiator(&self, isid: u8, digests: bool) -> Initiator {
+        let chap = Some(("alice".to_string(), "a secret of sixteen".to_string()));
+        let wish = Wish { initiator: "iqn.client".into(), target: NAME.into(), isid, digests, chap };
+        let mut i = Initiator::login(self.portal, &wish).expect("login");
+        for lun in 0..2 {
+            assert_eq!(i.command(lun, &[0], &[], 0).unwrap().sense.0, 6, "the unit came up");
+        }
+        i
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn pattern(seed: u32, blocks: usize) -> Vec<u8> {
+    (0..blocks * 512).map(|i| (i as u32 / 64).wrapping_mul(31).wrapping_add(seed) as u8).collect()
+}
+
+/// Until it is GOOD: what is BUSY may come again.
+fn write(i: &mut Initiator, lun: u64, lba: u64, data: &[u8]) {
+    for _ in 0..200 {
+        match i.write(lun, lba, data).unwrap() {
+            a if a.status == 0 => return,
+            a => assert_eq!(a.status, 8, "{a:?}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("never written");
+}
+
+fn read(i: &mut Initiator, lun: u64, lba: u64, blocks: u32) -> Vec<u8> {
+    for _ in 0..200 {
+        match i.read(lun, lba, blocks).unwrap() {
+            a if a.status == 0 => return a.data,
+            a => assert_eq!(a.status, 8, "{a:?}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("never read");
+}
+
+#[test]
+fn what_is_acknowledged_is_read_back_after_the_host_was_killed() {
+    let site = Site::new("restart");
+    let host = site.host();
+    let writes: Vec<(u64, u64, Vec<u8>)> =
+        (0..24).map(|n| (u64::from(n) % 2, u64::from(n) * 300, pattern(n, 1 + n as usize * 16))).collect();
+    let mut i = site.initiator(1, true);
+    assert_eq!(i.command(0, &[0x25], &[], 8).unwrap().data, [0, 0, 0xff, 0xff, 0, 0, 2, 0]);
+    assert_eq!(i.command(5, &[0x25], &[], 8).unwrap().sense, (5, 0x25, 0), "no such unit");
+    for (lun, lba, data) in &writes {
+        write(&mut i, *lun, *lba, data);
+    }
+    for (lun, lba, data) in &writes {
+        assert!(read(&mut i, *lun, *lba, (data.len() / 512) as u32) == *data, "before");
+    }
+    drop(host); // killed outright
+    let _host = site.host();
+    let mut i = site.initiator(1, false);
+    for (lun, lba, data) in &writes {
+        assert!(read(&mut i, *lun, *lba, (data.len() / 512) as u32) == *data, "after");
+    }
+    assert_eq!(read(&mut i, 0, 60_000, 4), vec![0; 2048], "nobody wrote there");
+    assert_eq!(i.strays, 0);
+}
+
+#[test]
+fn many_commands_out_on_several_sessions_each_have_one_answer() {
+    let site = Site::new("many");
+    let _host = site.host();
+    std::thread::scope(|s| {
+        for n in 0..4u8 {
+            let site = &site;
+            s.spawn(move || {
+                let mut i = site.initiator(n, n % 2 == 0);
+                let base = u64::from(n) * 8000;
+                let (mut open, mut answered, mut good) = (Vec::new(), 0, 0);
+                for k in 0..200u64 {
+                    let data = pattern(k as u32, 8);
+                    open.push(
+                        i.submit(0, &grebecleat_standin::initiator::cdb16(0x8a, base + k * 8, 8), &data, 0)
+                            .unwrap(),
+                    );
+                    while open.len() > 16 {
+                        let (itt, answer) = i.any().unwrap();
+                        open.retain(|o| *o != itt);
+                        answered += 1;
+                        good += u32::from(answer.status == 0);
+                    }
+                }
+                while !open.is_empty() {
+                    let (itt, answer) = i.any().unwrap();
+                    open.retain(|o| *o != itt);
+                    answered += 1;
+                    good += u32::from(answer.status == 0);
+                }
+                assert_eq!((answered, i.strays), (200, 0));
+                assert!(good > 100, "{good} of 200 good");
+            });
+        }
+    });
+}
+
+#[test]
+fn who_cannot_prove_itself_stays_out() {
+    let site = Site::new("chap");
+    let _host = site.host();
+    let wish = |chap: Option<(&str, &str)>| Wish {
+        initiator: "iqn.client".into(),
+        target: NAME.into(),
+        isid: 1,
+        digests: false,
+        chap: chap.map(|(n, s)| (n.to_string(), s.to_string())),
+    };
+    for chap in [None, Some(("alice", "the wrong secret")), Some(("bob", "a secret of sixteen"))] {
+        let refused = Initiator::login(site.portal, &wish(chap)).err().expect("refused").to_string();
+        assert!(refused.contains("0201"), "{refused}");
+    }
+    site.initiator(1, true);
+}
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -599,6 +599,7 @@
                 write: t.write,
                 piece: t.piece.clone(),
                 data: t.data.clone(),
+                offset: t.offset,
             };
             let c = self.conns.get_mut(&conn).expect("found above");
             c.legs.insert(leg);
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -76,11 +76,52 @@
 
 /// A handle by which a running host is told to drain.
 #[derive(Clone)]
-pub struct Handle(Sender<Input>);
+pub struct Handle {
+    to_owner: Sender<Input>,
+    tracer: Tracer,
+    numbers: Arc<AtomicU64>,
+}
+
+/// A client inside this process: what it sends and gets passes no socket, but is recorded as if it did, so that
+/// the audit sees one host whatever its clients speak.
+pub struct Local {
+    conn: ConnId,
+    outbox: Arc<Outbox>,
+    to_owner: Sender<Input>,
+    tracer: Tracer,
+}
+
+impl Local {
+    pub fn send(&self, bodies: impl IntoIterator<Item = Body>) {
+        let at = clock::now();
+        let sent_us = clock::micros(at);
+        let frames: Vec<_> = bodies.into_iter().map(|b| pb::Frame { sent_us, body: Some(b) }).collect();
+        self.tracer.read(self.conn.0, at, &frames);
+        let _ = self.to_owner.send(Input::ClientFrames { conn: self.conn, at, frames });
+    }
+
+    /// What has come since the last look.
+    pub fn read(&self) -> Vec<Body> {
+        let pulled = self.outbox.pull(clock::now, usize::MAX);
+        self.tracer.written(self.conn.0, pulled.at, &pulled.frames);
+        self.outbox.wrote();
+        pulled.frames.into_iter().filter_map(|f| f.body).collect()
+    }
+}
 
 impl Handle {
+    /// A client in this process; `wake` is called when there is something to read.
+    pub fn local(&self, wake: impl Fn() + Send + Sync + 'static) -> Local {
+        let conn = ConnId(self.numbers.fetch_add(1, Ordering::Relaxed));
+        let outbox = Arc::new(Outbox::new(wake, || ()));
+        let (to_owner, tracer) = (self.to_owner.clone(), self.tracer.clone());
+        tracer.opened(conn.0, "inside");
+        let _ = to_owner.send(Input::ClientUp { conn, outbox: outbox.clone() });
+        Local { conn, outbox, to_owner, tracer }
+    }
+
     pub fn drain(&self) {
-        let _ = self.0.send(Input::Drain);
+        let _ = self.to_owner.send(Input::Drain);
     }
 }
 
@@ -109,7 +150,8 @@
     go!(move || accept(&listener, &accepting));
     let (owner, owning) = (std::thread::Builder::new().name("owner".into()), shared.clone());
     let owner = owner.spawn(move || own(&owning, &inputs))?;
-    started(address, Handle(to_owner));
+    let (tracer, numbers) = (shared.options.tracer.clone(), shared.accepted.clone());
+    started(address, Handle { to_owner, tracer, numbers });
     owner.join().map_err(|_| io::Error::other("the owner of the decisions panicked"))
 }
 
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -96,6 +96,8 @@
     legs,
     rules,
     bounds,
+    portal,
+    target,
     rehearsal,
     load_of,
     trouble
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -41,6 +41,8 @@
     pub hosts: Vec<usize>,
     /// Part of its plan's rate that its clients ask for.
     pub asks: f64,
+    /// Size as a logical unit, in blocks of 512 bytes.
+    pub blocks: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -108,6 +110,36 @@
     pub patience: Duration,
 }
 
+/// An iSCSI target: its volumes are its logical units, in order.
+#[derive(Debug, Clone)]
+pub struct TargetSpec {
+    pub name: String,
+    /// Places among the volumes.
+    pub volumes: Vec<usize>,
+    /// Initiators that may log in; None: all.
+    pub initiators: Option<Vec<String>>,
+    /// Name and secret that an initiator must prove to know, and ours.
+    pub chap: Option<(String, String)>,
+    pub mutual: Option<(String, String)>,
+}
+
+/// Where and how a host serves iSCSI.
+#[derive(Debug, Clone)]
+pub struct PortalSpec {
+    pub listen: SocketAddr,
+    pub host: usize,
+    pub group: u16,
+    /// Stream types of reads, writes, and reads of at least so many bytes.
+    pub read: usize,
+    pub write: usize,
+    pub large_read: usize,
+    pub large_from: u32,
+    pub unit_bytes: u32,
+    pub extent_blocks: u32,
+    /// Commands of one volume at the start and at the most, and of one session.
+    pub commands: (f64, f64, u32),
+}
+
 #[derive(Debug, Clone)]
 pub struct Trouble {
     pub kind: Kind,
@@ -149,6 +181,8 @@
     pub caps: Caps,
     pub rules: Rules,
     pub bounds: Bounds,
+    pub portals: Vec<PortalSpec>,
+    pub targets: Vec<TargetSpec>,
     pub rehearsal: Option<Rehearsal>,
 }
 
@@ -273,6 +307,11 @@
                 p.name
             ));
         }
+        let stream_names: Vec<&str> = streams.iter().map(|s| s.name.as_str()).collect();
+        let portals = self.each("portal", |f| portal(f, &host_names, &stream_names));
+        let volume_ids: Vec<u64> = volumes.iter().map(|v| v.id).collect();
+        let targets = self.each("target", |f| target(f, &volume_ids));
+        self.unique("target", "name", targets.iter().map(|t| t.name.clone()).collect());
         let rehearsal = self.rehearsal(&zone_names, &host_names, &nodes);
         Settings {
             name,
@@ -285,6 +324,8 @@
             caps,
             rules,
             bounds,
+            portals,
+            targets,
             rehearsal,
             zones: zones.clone(),
             hosts: hosts.clone(),
@@ -386,6 +427,7 @@
         cells: if named.is_empty() { cells.iter().copied().collect() } else { named },
         hosts: through,
         asks: f.number("asks", Some(1.0), (0.0, 1e6)),
+        blocks: f.whole("blocks", Some(1 << 21), (1, 1 << 48)),
     }
 }
 
@@ -494,6 +536,64 @@
     }
 }
 
+fn portal(f: &mut Fields, hosts: &[&str], streams: &[&str]) -> PortalSpec {
+    let listen = address(f, "listen");
+    if listen.is_none() && f.raw("listen").is_none() {
+        f.fault("listen", "missing; expected an address and port such as \"127.0.0.1:3260\"".into());
+    }
+    PortalSpec {
+        listen: listen.unwrap_or(([127, 0, 0, 1], 0).into()),
+        host: f.one_of("host", Some(0), hosts),
+        group: f.whole("group", Some(1), (1, 65_535)) as u16,
+        read: f.one_of("read", None, streams),
+        write: f.one_of("write", None, streams),
+        large_read: f.one_of("large_read", None, streams),
+        large_from: f.whole("large_from", Some(64 << 10), (512, 1 << 24)) as u32,
+        unit_bytes: f.whole("unit_bytes", Some(16 << 10), (512, 1 << 24)) as u32,
+        extent_blocks: f.whole("extent_blocks", Some(128), (1, 1 << 16)) as u32,
+        commands: (
+            f.number("first_commands", Some(64.0), (1.0, 1e6)),
+            f.number("most_commands", Some(512.0), (1.0, 1e6)),
+            f.whole("commands_each", Some(128), (1, 65_535)) as u32,
+        ),
+    }
+}
+
+fn target(f: &mut Fields, volumes: &[u64]) -> TargetSpec {
+    let ids = f.numbers("volumes", u64::MAX);
+    let found: Vec<Option<usize>> = ids.iter().map(|id| volumes.iter().position(|v| v == id)).collect();
+    if ids.is_empty() || found.contains(&None) {
+        f.fault("volumes", "expected a list of ids of volumes, at least one".into());
+    }
+    let mut secret = |name: &'static str, field: &'static str| {
+        let (name, secret) = (f.maybe_text(name)?, f.text(field, None));
+        if secret.len() < 12 {
+            f.fault(field, format!("expected at least 12 bytes, found {}", secret.len()));
+        }
+        Some((name, secret))
+    };
+    let chap = secret("chap_name", "chap_secret");
+    let mutual = secret("mutual_name", "mutual_secret");
+    // With one secret both ways, an initiator's proof could be had from us (RFC 7143, 9.2.1).
+    if chap.as_ref().zip(mutual.as_ref()).is_some_and(|(a, b)| a.1 == b.1) {
+        f.fault("mutual_secret", "expected another than chap_secret".into());
+    }
+    let initiators = f.raw("initiators").map(|v| {
+        let all = v.as_array().map(|a| a.iter().map(|i| i.as_str().map(str::to_string)).collect());
+        all.flatten().unwrap_or_else(|| {
+            f.fault("initiators", format!("expected a list of names, found {v}"));
+            Vec::new()
+        })
+    });
+    TargetSpec {
+        name: f.text("name", None),
+        volumes: found.into_iter().flatten().collect(),
+        initiators,
+        chap,
+        mutual,
+    }
+}
+
 fn trouble(f: &mut Fields, zones: &[&str], hosts: &[&str], nodes: &BTreeSet<u32>) -> Trouble {
     let names: Vec<&str> = Kind::ALL.iter().map(|(name, _)| *name).collect();
     let kind = Kind::ALL[f.one_of("kind", None, &names)].1;
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -318,6 +318,7 @@
             length: p.units * self.script.bytes_per_unit,
             write: stream.write,
             data,
+            offset: None,
         }));
         let host = p.host;
         self.tally.tries += 1;
--- /dev/null
+++ b/crates/standin/src/initiator.rs
@@ -0,0 +1,285 @@
+//! An iSCSI initiator over TCP: logs in, sends commands, gathers their answers. Small: one connection a session.
+//!
+//! It shares the PDU codec with the target and nothing else; numbering, login and data are its own, so that a
+//! misreading on one side shows.
+
+use grebecleat_iscsi::chap::{from_text, to_text, Algorithm};
+use grebecleat_iscsi::pdu::{write, Digests, Header, Opcode, Pdu, Reader, NO_TAG};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const SEGMENT: usize = 64 << 10;
+
+/// How it logs in.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    pub initiator: String,
+    pub target: String,
+    pub isid: u8,
+    pub digests: bool,
+    pub chap: Option<(String, String)>,
+}
+
+/// What a command came to.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Answer {
+    pub status: u8,
+    /// Key, code, qualifier.
+    pub sense: (u8, u8, u8),
+    pub data: Vec<u8>,
+}
+
+struct Command {
+    out: Vec<u8>,
+    lun: u64,
+    answer: Answer,
+}
+
+pub struct Initiator {
+    stream: TcpStream,
+    reader: Reader,
+    digests: Digests,
+    cmd_sn: u32,
+    max_cmd_sn: u32,
+    exp_stat_sn: u32,
+    itt: u32,
+    open: BTreeMap<u32, Command>,
+    done: BTreeMap<u32, Answer>,
+    /// Answers that came a second time, or to nothing.
+    pub strays: u64,
+}
+
+fn text(pairs: &[(&str, &str)]) -> Vec<u8> {
+    pairs.iter().flat_map(|(k, v)| format!("{k}={v}\0").into_bytes()).collect()
+}
+
+fn pairs(data: &[u8]) -> BTreeMap<String, String> {
+    let text = String::from_utf8_lossy(data);
+    text.split('\0').filter_map(|p| p.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
+}
+
+fn other(what: impl Into<String>) -> io::Error {
+    io::Error::other(what.into())
+}
+
+impl Initiator {
+    pub fn login(at: SocketAddr, wish: &Wish) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&at, Duration::from_secs(2))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        let mut i = Initiator {
+            stream,
+            reader: Reader::new(SEGMENT),
+            digests: Digests::default(),
+            cmd_sn: 1,
+            max_cmd_sn: 1,
+            exp_stat_sn: 0,
+            itt: 0,
+            open: BTreeMap::new(),
+            done: BTreeMap::new(),
+            strays: 0,
+        };
+        let first = [
+            ("InitiatorName", wish.initiator.as_str()),
+            ("SessionType", "Normal"),
+            ("TargetName", &wish.target),
+        ];
+        if let Some((name, secret)) = &wish.chap {
+            i.step(wish, 0, 0, &[&first[..], &[("AuthMethod", "CHAP")]].concat())?;
+            let told = i.step(wish, 0, 0, &[("CHAP_A", "7,5")])?;
+            let get = |k: &str| told.get(k).cloned().ok_or_else(|| other(format!("{k} is missing")));
+            let by = Algorithm::choose(&get("CHAP_A")?).ok_or_else(|| other("no algorithm"))?;
+            let id = get("CHAP_I")?.parse().map_err(io::Error::other)?;
+            let challenge = from_text(&get("CHAP_C")?).ok_or_else(|| other("no challenge"))?;
+            let response = to_text(&by.response(id, secret.as_bytes(), &challenge));
+            i.step(wish, 0, 0x81, &[("CHAP_N", name), ("CHAP_R", &response)])?;
+        }
+        let digest = if wish.digests { "CRC32C" } else { "None" };
+        let keys = [
+            ("HeaderDigest", digest),
+            ("DataDigest", digest),
+            ("InitialR2T", "No"),
+            ("ImmediateData", "Yes"),
+            ("MaxRecvDataSegmentLength", "65536"),
+            ("MaxBurstLength", "131072"),
+            ("FirstBurstLength", "65536"),
+            ("ErrorRecoveryLevel", "0"),
+        ];
+        let all = if wish.chap.is_some() { keys.to_vec() } else { [&first[..], &keys].concat() };
+        i.step(wish, 1, 0x80 | 3, &all)?;
+        i.digests = Digests { header: wish.digests, data: wish.digests };
+        i.reader.digests = i.digests;
+        Ok(i)
+    }
+
+    /// One login request and its answer. `to` is 0, or T with the next stage.
+    fn step(
+        &mut self, wish: &Wish, stage: u8, to: u8, keys: &[(&str, &str)],
+    ) -> io::Result<BTreeMap<String, String>> {
+        let h = Header::new(Opcode::LoginRequest).set_immediate(true).set_flags(to | stage << 2);
+        let h = h.set_isid([0x80, 0, 0, 0, 0, wish.isid]).set_itt(0).set_cmd_sn(self.cmd_sn);
+        self.send(&Pdu::new(h.set_exp_stat_sn(self.exp_stat_sn), text(keys)))?;
+        let p = self.next()?;
+        if p.header.opcode() != Some(Opcode::LoginResponse) || p.header.byte(36) != 0 {
+            return Err(other(format!("login refused: {:02x}{:02x}", p.header.byte(36), p.header.byte(37))));
+        }
+        self.numbers(&p.header, true);
+        Ok(pairs(&p.data))
+    }
+
+    fn numbers(&mut self, h: &Header, status: bool) {
+        if status {
+            self.exp_stat_sn = h.cmd_sn().wrapping_add(1);
+        }
+        self.max_cmd_sn = h.word32();
+    }
+
+    fn send(&mut self, pdu: &Pdu) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        write(pdu, self.digests, &mut bytes);
+        self.stream.write_all(&bytes)
+    }
+
+    fn next(&mut self) -> io::Result<Pdu> {
+        let mut buffer = [0; 16 << 10];
+        loop {
+            if let Some(p) = self.reader.next().map_err(io::Error::other)? {
+                return Ok(p);
+            }
+            match self.stream.read(&mut buffer)? {
+                0 => return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "target hung up")),
+                n => self.reader.push(&buffer[..n]),
+            }
+        }
+    }
+
+    /// Whether the target takes another command now.
+    pub fn may_send(&self) -> bool {
+        (self.max_cmd_sn.wrapping_sub(self.cmd_sn) as i32) >= 0
+    }
+
+    /// Sends a command; its tag. Waits while the window is closed.
+    pub fn submit(&mut self, lun: u64, cdb: &[u8], out: &[u8], most_in: u32) -> io::Result<u32> {
+        while !self.may_send() {
+            self.hear()?;
+        }
+        self.itt += 1;
+        let mut block = [0; 16];
+        block[..cdb.len()].copy_from_slice(cdb);
+        let immediate = &out[..out.len().min(8192)];
+        let flags = 0x80 | if most_in > 0 { 0x40 } else { 0 } | if out.is_empty() { 0 } else { 0x20 };
+        let length = if out.is_empty() { most_in } else { out.len() as u32 };
+        let h = Header::new(Opcode::ScsiCommand).set_flags(flags).set_lun(lun << 48).set_itt(self.itt);
+        let h = h.set_ttt(length).set_cmd_sn(self.cmd_sn).set_exp_stat_sn(self.exp_stat_sn).set_cdb(block);
+        self.cmd_sn = self.cmd_sn.wrapping_add(1);
+        let command = Command { out: out.to_vec(), lun, answer: Answer::default() };
+        self.open.insert(self.itt, command);
+        self.send(&Pdu::new(h, immediate.to_vec()))?;
+        Ok(self.itt)
+    }
+
+    /// The answer to a command.
+    pub fn wait(&mut self, itt: u32) -> io::Result<Answer> {
+        loop {
+            if let Some(answer) = self.done.remove(&itt) {
+                return Ok(answer);
+            }
+            self.hear()?;
+        }
+    }
+
+    /// Whichever is answered next.
+    pub fn any(&mut self) -> io::Result<(u32, Answer)> {
+        while self.done.is_empty() {
+            self.hear()?;
+        }
+        Ok(self.done.pop_first().expect("looked at above"))
+    }
+
+    pub fn command(&mut self, lun: u64, cdb: &[u8], out: &[u8], most_in: u32) -> io::Result<Answer> {
+        let itt = self.submit(lun, cdb, out, most_in)?;
+        self.wait(itt)
+    }
+
+    /// READ (16) and WRITE (16) of whole blocks of 512 bytes.
+    pub fn read(&mut self, lun: u64, lba: u64, blocks: u32) -> io::Result<Answer> {
+        self.command(lun, &cdb16(0x88, lba, blocks), &[], blocks * 512)
+    }
+
+    pub fn write(&mut self, lun: u64, lba: u64, data: &[u8]) -> io::Result<Answer> {
+        self.command(lun, &cdb16(0x8a, lba, (data.len() / 512) as u32), data, 0)
+    }
+
+    fn hear(&mut self) -> io::Result<()> {
+        let p = self.next()?;
+        let (h, itt) = (p.header, p.header.itt());
+        match h.opcode() {
+            Some(Opcode::DataIn) => {
+                let last = h.flags() & 1 != 0;
+                self.numbers(&h, last);
+                let Some(c) = self.open.get_mut(&itt) else {
+                    self.strays += 1;
+                    return Ok(());
+                };
+                let at = h.word40() as usize;
+                c.answer.data.resize(c.answer.data.len().max(at + p.data.len()), 0);
+                c.answer.data[at..at + p.data.len()].copy_from_slice(&p.data);
+                if last {
+                    self.finish(itt);
+                }
+            }
+            Some(Opcode::ScsiResponse) => {
+                self.numbers(&h, true);
+                let Some(c) = self.open.get_mut(&itt) else {
+                    self.strays += 1;
+                    return Ok(());
+                };
+                c.answer.status = h.byte(3);
+                if let Some(s) = p.data.get(2..16) {
+                    c.answer.sense = (s[2] & 0xf, s[12], s[13]);
+                }
+                self.finish(itt);
+            }
+            Some(Opcode::R2t) => {
+                self.numbers(&h, false);
+                self.data_out(&h)?;
+            }
+            Some(Opcode::NopIn) if itt == NO_TAG => self.numbers(&h, false),
+            Some(Opcode::Reject) => return Err(other(format!("rejected: reason {:#x}", h.byte(2)))),
+            _ => self.numbers(&h, true),
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, itt: u32) {
+        if let Some(c) = self.open.remove(&itt) {
+            self.done.insert(itt, c.answer);
+        }
+    }
+
+    fn data_out(&mut self, r2t: &Header) -> io::Result<()> {
+        let Some(c) = self.open.get(&r2t.itt()) else { return Ok(()) };
+        let (lun, from) = (c.lun, r2t.word40() as usize);
+        let wanted = c.out[from..from + r2t.word44() as usize].to_vec();
+        for (sn, piece) in wanted.chunks(SEGMENT).enumerate() {
+            let at = sn * SEGMENT;
+            let last = at + piece.len() == wanted.len();
+            let h = Header::new(Opcode::DataOut).set_flags(if last { 0x80 } else { 0 }).set_lun(lun << 48);
+            let h = h.set_itt(r2t.itt()).set_ttt(r2t.ttt()).set_exp_stat_sn(self.exp_stat_sn);
+            let h = h.set_word36(sn as u32).set_word40((from + at) as u32);
+            self.send(&Pdu::new(h, piece.to_vec()))?;
+        }
+        Ok(())
+    }
+}
+
+/// A command block of 16 bytes with a block and a length.
+pub fn cdb16(code: u8, lba: u64, blocks: u32) -> [u8; 16] {
+    let mut cdb = [0; 16];
+    cdb[0] = code;
+    cdb[2..10].copy_from_slice(&lba.to_be_bytes());
+    cdb[10..14].copy_from_slice(&blocks.to_be_bytes());
+    cdb
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! For: rehearsals and tests. [`node`] and [`list`] are models without sockets, stepped with a time;
 //! [`draw`] turns a script's troubles and load into who is struck when, the same each time; [`net`] and
-//! [`serve`] put the models on sockets; [`clients`] are the clients; [`rehearse`] runs it all as processes.
+//! [`serve`] put the models on sockets; [`clients`] are the clients; [`initiator`] is an
+//! iSCSI initiator; [`rehearse`] runs it all as processes.
 //! They share only the wire and the settings with the host, and must never look into it.
 
 pub mod clients;
 pub mod draw;
+pub mod initiator;
 pub mod list;
 pub mod net;
 pub mod node;
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -99,6 +99,14 @@
     done: HashMap<Bytes, Duration>,
 }
 
+/// An extent with a part of it written anew; what lies between is zeroes.
+fn patched(old: &Bytes, at: usize, data: &Bytes) -> Bytes {
+    let mut new = old.to_vec();
+    new.resize(new.len().max(at + data.len()), 0);
+    new[at..at + data.len()].copy_from_slice(data);
+    new.into()
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Act {
     Drain,
@@ -364,9 +372,13 @@
             let known = self.done.contains_key(&leg.piece);
             if !known {
                 self.done.insert(leg.piece.clone(), now);
-                self.bytes += leg.data.len();
-                let old = self.extents.insert(place, leg.data.clone());
-                self.bytes -= old.map_or(0, |o| o.len());
+                let old = self.extents.get(&place).cloned().unwrap_or_default();
+                let new = match leg.offset {
+                    None => leg.data.clone(),
+                    Some(at) => patched(&old, at as usize, &leg.data),
+                };
+                self.bytes = self.bytes + new.len() - old.len();
+                self.extents.insert(place, new);
                 to.push(Deed::Effect { leg: leg.leg, id: leg.piece.clone() });
             }
             if self.done.len() > MOST_REMEMBERED {
@@ -374,7 +386,8 @@
                 self.done.retain(|_, at| *at > oldest);
             }
         } else if let Some(kept) = self.extents.get(&place) {
-            data = kept.slice(..kept.len().min(leg.length as usize));
+            let from = (leg.offset.unwrap_or(0) as usize).min(kept.len());
+            data = kept.slice(from..kept.len().min(from + leg.length as usize));
         }
         let words = leg.leg ^ 0x10_0000;
         if self.struck(Kind::AnswerLost, now).is_some_and(|s| lot(self.seed, &[words, 4]) < s.size) {
--- /dev/null
+++ b/crates/target/src/portal.rs
@@ -0,0 +1,382 @@
+//! The iSCSI portal: sockets on one side, the host on the other, the engine between.
+//!
+//! One thread owns the [`Engine`]; each connection has a coroutine that reads and one that writes, as the host's
+//! own connections have. Towards the host the engine is a client inside the process: its transfers go through the
+//! same desk and the same decisions as any other's, with ids of their own.
+
+use crate::blocks::Answer;
+use crate::engine::{ConnNo, Engine, Input, Output, Request, TargetFacts, VolumeFacts, XferNo};
+use crate::pressure::Figures;
+use crate::store::{Place, Store};
+use bytes::Bytes;
+use grebecleat_host::run::Handle;
+use grebecleat_iscsi::login::{Portal, Secret, Target};
+use grebecleat_iscsi::pdu::{self, Digests, Pdu, Reader};
+use grebecleat_iscsi::scsi::Unit;
+use grebecleat_settings::{PortalSpec, Settings};
+use grebecleat_wire::pb::{self, frame::Body, Outcome};
+use grebecleat_wire::{clock, pb::Final};
+use may::go;
+use may::net::{TcpListener, TcpStream};
+use may::sync::Semphore;
+use rand::rngs::OsRng;
+use rand::TryRngCore;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsRawFd;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+const BLOCK: u32 = 512;
+const ONE_READ: usize = 64 << 10;
+/// PDU bytes that a connection may leave unread.
+const MOST_UNREAD: usize = 16 << 20;
+const IDLE: Duration = Duration::from_secs(1);
+/// Inputs of one step.
+const ONE_STEP: usize = 1024;
+
+/// What wakes the owner.
+enum Event {
+    Input(Input),
+    Up(ConnNo, Arc<Line>),
+    /// The host has answered something.
+    Answers,
+    Failed(String),
+}
+
+/// The way out of one connection, and what its reader expects.
+struct Line {
+    out: Mutex<(VecDeque<(Pdu, Digests)>, usize, bool)>,
+    bell: (AtomicBool, Semphore),
+    fd: Mutex<Option<i32>>,
+    reads: Mutex<(Digests, usize)>,
+}
+
+impl Line {
+    fn ring(&self) {
+        if !self.bell.0.swap(true, Ordering::AcqRel) {
+            self.bell.1.post();
+        }
+    }
+
+    /// Whether there is still room for what it leaves unread.
+    fn put(&self, pdu: Pdu, digests: Digests) -> bool {
+        let mut out = self.out.lock().unwrap_or_else(|e| e.into_inner());
+        out.1 += pdu.data.len() + pdu::BHS;
+        out.0.push_back((pdu, digests));
+        let fits = out.1 <= MOST_UNREAD;
+        drop(out);
+        self.ring();
+        fits
+    }
+
+    /// Ends the connection once what lies here is written.
+    fn finish(&self) {
+        self.out.lock().unwrap_or_else(|e| e.into_inner()).2 = true;
+        self.ring();
+    }
+
+    fn hang_up(&self) {
+        self.finish();
+        if let Some(fd) = *self.fd.lock().unwrap_or_else(|e| e.into_inner()) {
+            // SAFETY: the writer takes the number away, under this lock, before its socket closes.
+            unsafe { libc::shutdown(fd, libc::SHUT_RDWR) };
+        }
+    }
+}
+
+/// Starts a portal beside a running host; where it listens.
+pub fn start(
+    settings: &Arc<Settings>, spec: &PortalSpec, host: &Handle, store: &Path,
+) -> Result<SocketAddr, String> {
+    let (to, events) = mpsc::channel();
+    let (kept, failed) = (to.clone(), to.clone());
+    let store = Store::open(
+        store,
+        move |no| drop(kept.send(Event::Input(Input::Stored { no }))),
+        move |why| drop(failed.send(Event::Failed(why))),
+    )?;
+    let listener = TcpListener::bind(spec.listen).map_err(|e| format!("portal on {}: {e}", spec.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let engine = engine(settings, spec, address, &store);
+    let wake = to.clone();
+    let local = host.local(move || drop(wake.send(Event::Answers)));
+    let accepting = to.clone();
+    go!(move || accept(&listener, &accepting));
+    let owner = Owner {
+        engine,
+        local,
+        store: Some(store),
+        lines: BTreeMap::new(),
+        start: u64::from(std::process::id()) << 32 ^ clock::now().as_nanos() as u64,
+        settings: settings.clone(),
+        spec: spec.clone(),
+    };
+    let thread = std::thread::Builder::new().name("iscsi".into());
+    thread.spawn(move || owner.run(&events)).map_err(|e| e.to_string())?;
+    Ok(address)
+}
+
+fn engine(settings: &Settings, spec: &PortalSpec, address: SocketAddr, store: &Store) -> Engine {
+    let secret = |s: &Option<(String, String)>| {
+        s.as_ref().map(|(name, secret)| Secret { name: name.clone(), secret: secret.clone().into_bytes() })
+    };
+    let targets = settings.targets.iter().map(|t| Target {
+        name: t.name.clone(),
+        initiators: t.initiators.clone(),
+        chap: secret(&t.chap),
+        mutual: secret(&t.mutual),
+    });
+    let portal = Portal { targets: targets.collect(), group: spec.group, ..Portal::default() };
+    let volumes = settings.volumes.iter().map(|v| VolumeFacts {
+        volume: v.id,
+        unit: Unit {
+            blocks: v.blocks,
+            block_size: BLOCK,
+            id: v.id,
+            serial: format!("{:016x}", v.id),
+            most_blocks: (1 << 20) / BLOCK,
+            read_only: false,
+        },
+        extent_blocks: spec.extent_blocks,
+        placed: store.places.get(&v.id).cloned().unwrap_or_default(),
+    });
+    let facts = settings
+        .targets
+        .iter()
+        .map(|t| TargetFacts { name: t.name.clone(), luns: t.volumes.clone() })
+        .collect();
+    let (first, most, most_each) = spec.commands;
+    // As long as a leg of a transfer that was given up may still begin at a node, and then the key's rest.
+    let longest = settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
+    let chance = || {
+        let mut bytes = [0; 17];
+        // Without chance there is no login: a challenge that can be told beforehand proves nothing.
+        OsRng.try_fill_bytes(&mut bytes).expect("the system has chance to give");
+        bytes
+    };
+    Engine::new(
+        portal,
+        vec![format!("{address},{}", spec.group)],
+        facts,
+        volumes.collect(),
+        Figures { first, most, most_each },
+        longest + settings.rules.key_rest,
+        Box::new(chance),
+    )
+}
+
+struct Owner {
+    engine: Engine,
+    local: grebecleat_host::run::Local,
+    /// None once it can no longer be written.
+    store: Option<Store>,
+    lines: BTreeMap<ConnNo, Arc<Line>>,
+    /// Tells this start's transfers from another's.
+    start: u64,
+    settings: Arc<Settings>,
+    spec: PortalSpec,
+}
+
+impl Owner {
+    fn run(mut self, events: &Receiver<Event>) {
+        loop {
+            let now = clock::now();
+            let wait = self.engine.wake_at().map_or(IDLE, |at| at.saturating_sub(now).min(IDLE));
+            let first = match events.recv_timeout(wait) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut inputs = Vec::new();
+            for event in first.into_iter().chain(events.try_iter().take(ONE_STEP)) {
+                match event {
+                    Event::Input(input) => inputs.push(input),
+                    Event::Up(conn, line) => {
+                        self.lines.insert(conn, line);
+                        inputs.push(Input::Up { conn });
+                    }
+                    Event::Answers => {
+                        let read = self.local.read();
+                        inputs.extend(read.into_iter().filter_map(|b| self.final_of(b)));
+                    }
+                    Event::Failed(why) => {
+                        error!("places can no longer be kept: {why}; nothing new is written");
+                        self.store = None;
+                    }
+                }
+            }
+            for input in &inputs {
+                if let Input::Gone { conn } = input {
+                    self.lines.remove(conn);
+                }
+            }
+            let mut takes = Vec::new();
+            for output in self.engine.step(clock::now(), inputs) {
+                self.carry_out(output, &mut takes);
+            }
+            if !takes.is_empty() {
+                self.local.send(takes);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output, takes: &mut Vec<Body>) {
+        match output {
+            Output::Send { conn, pdu, digests } => {
+                if let Some(line) = self.lines.get(&conn).filter(|l| !l.put(pdu, digests)) {
+                    warn!(conn = conn.0, "initiator leaves its answers unread");
+                    line.hang_up();
+                }
+            }
+            Output::Reads { conn, digests, most } => {
+                if let Some(line) = self.lines.get(&conn) {
+                    *line.reads.lock().unwrap_or_else(|e| e.into_inner()) = (digests, most);
+                }
+            }
+            Output::Close { conn } => self.lines.get(&conn).into_iter().for_each(|l| l.finish()),
+            Output::Take(r) => takes.push(self.take(r)),
+            Output::Store { no, volume, extent, cell } => {
+                // Without a store the command stays without an answer that nobody could keep.
+                if let Some(store) = &self.store {
+                    store.keep(Place { no, volume, extent, cell });
+                }
+            }
+            Output::Note { text } => info!("{text}"),
+        }
+    }
+
+    fn take(&self, r: Request) -> Body {
+        let stream = match r.write {
+            true => self.spec.write,
+            false if r.length >= self.spec.large_from => self.spec.large_read,
+            false => self.spec.read,
+        };
+        let units = f64::from(r.length.div_ceil(self.spec.unit_bytes).max(1));
+        let id = Bytes::from(format!("{:016x}-{:019}", self.start, r.no.0));
+        Body::Take(pb::Take {
+            piece: id.clone(),
+            id,
+            stream_type: stream as u32,
+            volume: r.volume,
+            cell: r.cell,
+            key: Some(r.volume << 40 ^ r.extent),
+            units: units.min(self.settings.units.largest),
+            left_us: clock::micros(self.settings.streams[stream].expiry),
+            extent: r.extent,
+            length: r.length,
+            write: r.write,
+            data: r.data,
+            offset: Some(r.offset),
+        })
+    }
+
+    fn final_of(&self, body: Body) -> Option<Input> {
+        let Body::Final(f) = body else { return None };
+        let no = XferNo(std::str::from_utf8(&f.id).ok()?.get(17..)?.parse().ok()?);
+        let cell = f.cell;
+        let answer = answer_of(f);
+        Some(Input::Final { no, answer, cell })
+    }
+}
+
+fn answer_of(f: Final) -> Answer {
+    match f.outcome() {
+        Outcome::Done => Answer::Done(f.data),
+        Outcome::Deferred => Answer::Deferred(f.come_back_us.map(Duration::from_micros)),
+        Outcome::Abandoned | Outcome::Unknown => Answer::Abandoned,
+    }
+}
+
+fn accept(listener: &TcpListener, to: &Sender<Event>) {
+    static NUMBERS: AtomicU64 = AtomicU64::new(1);
+    loop {
+        match listener.accept() {
+            Ok((stream, from)) => {
+                let to = to.clone();
+                go!(move || {
+                    let conn = ConnNo(NUMBERS.fetch_add(1, Ordering::Relaxed));
+                    if let Err(why) = serve(stream, conn, &to) {
+                        info!(conn = conn.0, %from, "iscsi connection over: {why}");
+                    }
+                    let _ = to.send(Event::Input(Input::Gone { conn }));
+                });
+            }
+            Err(e) => {
+                warn!("portal cannot accept: {e}");
+                may::coroutine::sleep(Duration::from_millis(10));
+            }
+        }
+    }
+}
+
+fn serve(mut stream: TcpStream, conn: ConnNo, to: &Sender<Event>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let writer = stream.try_clone()?;
+    let line = Arc::new(Line {
+        out: Mutex::default(),
+        bell: (AtomicBool::new(false), Semphore::new(0)),
+        fd: Mutex::new(Some(writer.as_raw_fd())),
+        // Before the login is through, a segment is the standard's default length at most.
+        reads: Mutex::new((Digests::default(), 8192)),
+    });
+    let _ = to.send(Event::Up(conn, line.clone()));
+    let writing = line.clone();
+    go!(move || write_on(writer, &writing));
+    let (mut reader, mut buffer) = (Reader::new(8192), vec![0; ONE_READ]);
+    let ended = loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break Ok(()),
+            Err(e) => break Err(e),
+            Ok(n) => reader.push(&buffer[..n]),
+        }
+        loop {
+            // An initiator sends by what was agreed on only after it has our answer, which follows this.
+            (reader.digests, reader.most_data) = *line.reads.lock().unwrap_or_else(|e| e.into_inner());
+            let read = match reader.next() {
+                Ok(None) => break,
+                Ok(Some(pdu)) => Ok(pdu),
+                Err(fault) => Err(fault),
+            };
+            let over = matches!(&read, Err(f) if !matches!(f, pdu::Fault::DataDigest(_)));
+            let _ = to.send(Event::Input(Input::Pdu { conn, read }));
+            if over {
+                line.finish();
+                return Err(io::Error::other("bytes that are no PDU"));
+            }
+        }
+    };
+    line.finish();
+    ended
+}
+
+fn write_on(mut stream: TcpStream, line: &Line) {
+    let mut bytes = Vec::new();
+    loop {
+        line.bell.0.store(false, Ordering::Release);
+        let (pdus, over) = {
+            let mut out = line.out.lock().unwrap_or_else(|e| e.into_inner());
+            out.1 = 0;
+            (std::mem::take(&mut out.0), out.2)
+        };
+        if pdus.is_empty() {
+            if over {
+                break;
+            }
+            line.bell.1.wait();
+            continue;
+        }
+        bytes.clear();
+        pdus.iter().for_each(|(p, digests)| pdu::write(p, *digests, &mut bytes));
+        if stream.write_all(&bytes).is_err() {
+            break;
+        }
+    }
+    *line.fd.lock().unwrap_or_else(|e| e.into_inner()) = None;
+    let _ = stream.shutdown(Shutdown::Both);
+}
