--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -49,9 +49,17 @@
     Failed(String),
 }
 
+/// What is to be written, how many bytes that is, and whether the connection ends behind it.
+#[derive(Default)]
+struct Unsent {
+    pdus: VecDeque<(Pdu, Digests)>,
+    bytes: usize,
+    last: bool,
+}
+
 /// The way out of one connection, and what its reader expects.
 struct Line {
-    out: Mutex<(VecDeque<(Pdu, Digests)>, usize, bool)>,
+    out: Mutex<Unsent>,
     bell: (AtomicBool, Semphore),
     fd: Mutex<Option<i32>>,
     reads: Mutex<(Digests, usize)>,
@@ -67,9 +75,9 @@
     /// Whether there is still room for what it leaves unread.
     fn put(&self, pdu: Pdu, digests: Digests) -> bool {
         let mut out = self.out.lock().unwrap_or_else(|e| e.into_inner());
-        out.1 += pdu.data.len() + pdu::BHS;
-        out.0.push_back((pdu, digests));
-        let fits = out.1 <= MOST_UNREAD;
+        out.bytes += pdu.data.len() + pdu::BHS;
+        out.pdus.push_back((pdu, digests));
+        let fits = out.bytes <= MOST_UNREAD;
         drop(out);
         self.ring();
         fits
@@ -77,7 +85,7 @@
 
     /// Ends the connection once what lies here is written.
     fn finish(&self) {
-        self.out.lock().unwrap_or_else(|e| e.into_inner()).2 = true;
+        self.out.lock().unwrap_or_else(|e| e.into_inner()).last = true;
         self.ring();
     }
 
@@ -361,8 +369,8 @@
         line.bell.0.store(false, Ordering::Release);
         let (pdus, over) = {
             let mut out = line.out.lock().unwrap_or_else(|e| e.into_inner());
-            out.1 = 0;
-            (std::mem::take(&mut out.0), out.2)
+            out.bytes = 0;
+            (std::mem::take(&mut out.pdus), out.last)
         };
         if pdus.is_empty() {
             if over {
