--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -59,6 +59,28 @@
         }
     }
     for h in &run.hosts {
+        // What came by another protocol has no client's trace: the host's own tells when it came and went.
+        for t in h.taken.iter().filter(|t| h.inside.contains(&t.conn)) {
+            let expiry = t.seen.at + Duration::from_micros(t.take.left_us) + s.caps.answer_slack;
+            let last = run.extended(&h.name, t.seen.at, expiry, CATCH_UP);
+            match t.finals.first() {
+                None if h.end < last => v.lost += 1,
+                None => breach(v, 1, format!("{}: no answer from {}", text(&t.take.id), h.name), &[&t.seen]),
+                Some((seen, _)) if seen.at > last => {
+                    breach(
+                        v,
+                        1,
+                        format!("{}: answered after its expiry", text(&t.take.id)),
+                        &[&t.seen, seen],
+                    );
+                }
+                Some((_, f)) => match f.outcome() {
+                    Outcome::Done => v.done += 1,
+                    Outcome::Deferred => v.deferred += 1,
+                    _ => v.abandoned += 1,
+                },
+            }
+        }
         for t in &h.taken {
             if let [first, second, ..] = &t.finals[..] {
                 let what = format!("{}: {} answered twice", text(&t.take.id), h.name);
--- a/crates/audit/src/run.rs
+++ b/crates/audit/src/run.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use grebecleat_wire::pb::{self, frame::Body, marked::What, record::Kind, Record};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 pub type Id = Bytes;
@@ -56,6 +56,10 @@
     pub by_id: HashMap<Id, usize>,
     pub legs: Vec<Leg>,
     pub closed: HashMap<u64, Duration>,
+    /// Connections of clients inside the host's own process.
+    pub inside: HashSet<u64>,
+    /// When its trace ends.
+    pub end: Duration,
     /// What the list said of each node: when, its state, which start.
     pub told: BTreeMap<u32, Vec<(Duration, pb::NodeState, u64)>>,
 }
@@ -146,7 +150,9 @@
         for r in records {
             let at = Duration::from_nanos(r.at_ns);
             let seen = || Seen { at, show: show(name, r) };
+            h.end = h.end.max(at);
             match (r.kind(), r.frame.as_ref().and_then(|f| f.body.as_ref())) {
+                (Kind::Opened, _) if r.peer == "inside" => drop(h.inside.insert(r.conn)),
                 (Kind::Closed, _) => {
                     h.closed.insert(r.conn, at);
                     for t in h.taken.iter_mut().filter(|t| t.conn == r.conn && t.withdrawn.is_none()) {
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -88,6 +88,9 @@
     /// Keeps the last list of nodes here for the next start.
     #[arg(long)]
     pub remember: Option<PathBuf>,
+    /// Where this host's iSCSI portal listens; overrides the settings.
+    #[arg(long)]
+    pub portal: Option<SocketAddr>,
     /// Keeps where extents lie, for an iSCSI portal of this host in the settings.
     #[arg(long)]
     pub places: Option<PathBuf>,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -140,7 +140,10 @@
         seed,
         workers: a.workers,
     };
-    let portals: Vec<_> = settings.portals.iter().filter(|p| p.host == host).cloned().collect();
+    let mut portals: Vec<_> = settings.portals.iter().filter(|p| p.host == host).cloned().collect();
+    if let (Some(portal), Some(at)) = (portals.first_mut(), a.portal) {
+        portal.listen = at;
+    }
     if let (true, None) = (!portals.is_empty(), &a.places) {
         return Err(bad("--places: needed, since the settings give this host a portal".into()));
     }
@@ -248,17 +251,30 @@
             bar.set_message(format!("{} done, {} deferred", tally.done, tally.deferred));
         }),
     };
-    let tally = rehearse::rehearse(options)?;
+    let (tally, disks) = rehearse::rehearse(options)?;
     bar.finish_and_clear();
     report(&settings, &tally);
     let judged = Case::open(&dir)?.judge(&settings).map_err(Stop::Failed)?;
     show(&judged, &dir);
-    let fine = judged.breaches.is_empty() && tally.wrong_content == 0 && tally.doubled == 0;
+    let fine = judged.breaches.is_empty()
+        && tally.wrong_content == 0
+        && tally.doubled == 0
+        && (disks.wrong, disks.missing, disks.doubled) == (0, 0, 0);
     if fine && a.dir.is_none() && !a.keep {
         std::fs::remove_dir_all(&dir)?;
     } else {
         println!("traces and logs: {}", dir.display());
     }
+    if disks.commands > 0 {
+        println!(
+            "iscsi: {} good, {} busy, {} of unknown outcome, {} logins; {} blocks checked, {} wrong",
+            disks.good, disks.busy, disks.unknown, disks.logins, disks.blocks_checked, disks.wrong
+        );
+        println!(
+            "commands {}, answered {}, missing {}, doubled {}",
+            disks.commands, disks.answered, disks.missing, disks.doubled
+        );
+    }
     println!("{}", judged.line());
     if fine {
         Ok(())
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -164,6 +164,8 @@
     /// Part of the reads that go to data that the same client has written.
     pub reread: f64,
     pub bytes_per_unit: u32,
+    /// iSCSI sessions at each target of each portal.
+    pub sessions: u8,
     pub troubles: Vec<Trouble>,
 }
 
@@ -348,6 +350,7 @@
             retry_wait: f.span("retry_wait", Some(ms(100)), DAY),
             reread: f.number("reread", Some(0.3), (0.0, 1.0)),
             bytes_per_unit: f.whole("bytes_per_unit", Some(512), (1, 1 << 20)) as u32,
+            sessions: f.whole("sessions", Some(4), (0, 64)) as u8,
             troubles: troubles.clone(),
         }))
     }
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -112,6 +112,11 @@
     id.iter().copied().cycle().take(len).collect()
 }
 
+/// What initiators have as their disk is nobody else's to write.
+fn disk(settings: &Settings, volume: &usize) -> bool {
+    settings.targets.iter().any(|t| t.volumes.contains(volume))
+}
+
 impl<'a> Clients<'a> {
     /// `hosts` tells where each host listens now; it may change while the clients run.
     pub fn new(
@@ -166,11 +171,12 @@
     pub fn run(mut self) -> Tally {
         let (to, heard) = mpsc::channel();
         (0..self.lines.len()).for_each(|host| self.plan(Duration::ZERO, What::Reconnect { host }));
-        for volume in 0..self.settings.volumes.len() {
+        for volume in (0..self.settings.volumes.len()).filter(|v| !disk(self.settings, v)) {
             self.plan(Duration::ZERO, What::Arrive { volume, surge: None });
         }
         for (i, s) in self.strikes.clone().iter().enumerate() {
-            for volume in s.volumes.iter().filter(|_| matches!(s.kind, Kind::HotKey | Kind::Scan)) {
+            let surges = matches!(s.kind, Kind::HotKey | Kind::Scan);
+            for volume in s.volumes.iter().filter(|v| surges && !disk(self.settings, v)) {
                 self.plan(s.at, What::Arrive { volume: *volume, surge: Some(i) });
             }
         }
--- a/crates/standin/src/initiator.rs
+++ b/crates/standin/src/initiator.rs
@@ -5,7 +5,7 @@
 
 use grebecleat_iscsi::chap::{from_text, to_text, Algorithm};
 use grebecleat_iscsi::pdu::{write, Digests, Header, Opcode, Pdu, Reader, NO_TAG};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -46,7 +46,8 @@
     exp_stat_sn: u32,
     itt: u32,
     open: BTreeMap<u32, Command>,
-    done: BTreeMap<u32, Answer>,
+    /// In the order they came: a read that was answered before a write saw what was there before it.
+    done: VecDeque<(u32, Answer)>,
     /// Answers that came a second time, or to nothing.
     pub strays: u64,
 }
@@ -78,7 +79,7 @@
             exp_stat_sn: 0,
             itt: 0,
             open: BTreeMap::new(),
-            done: BTreeMap::new(),
+            done: VecDeque::new(),
             strays: 0,
         };
         let first = [
@@ -183,8 +184,8 @@
     /// The answer to a command.
     pub fn wait(&mut self, itt: u32) -> io::Result<Answer> {
         loop {
-            if let Some(answer) = self.done.remove(&itt) {
-                return Ok(answer);
+            if let Some(at) = self.done.iter().position(|d| d.0 == itt) {
+                return Ok(self.done.remove(at).expect("found above").1);
             }
             self.hear()?;
         }
@@ -195,7 +196,7 @@
         while self.done.is_empty() {
             self.hear()?;
         }
-        Ok(self.done.pop_first().expect("looked at above"))
+        Ok(self.done.pop_front().expect("looked at above"))
     }
 
     pub fn command(&mut self, lun: u64, cdb: &[u8], out: &[u8], most_in: u32) -> io::Result<Answer> {
@@ -255,7 +256,7 @@
 
     fn finish(&mut self, itt: u32) {
         if let Some(c) = self.open.remove(&itt) {
-            self.done.insert(itt, c.answer);
+            self.done.push_back((itt, c.answer));
         }
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! They share only the wire and the settings with the host, and must never look into it.
 
 pub mod clients;
+pub mod disks;
 pub mod draw;
 pub mod initiator;
 pub mod list;
--- a/crates/standin/src/rehearse.rs
+++ b/crates/standin/src/rehearse.rs
@@ -5,6 +5,7 @@
 //! rehearsal's folder; judging it is the audit's work, not ours.
 
 use crate::clients::{Clients, Progress, Tally};
+use crate::disks::{self, Disks};
 use crate::draw::{of_kinds, strikes, Strike};
 use crate::net::hello;
 use grebecleat_settings::{Kind, Settings};
@@ -12,7 +13,7 @@
 use grebecleat_wire::{clock, trace::Tracer};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -81,6 +82,8 @@
     t0: Duration,
     list: SocketAddr,
     hosts: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    /// Where each host's portal listens, over its restarts.
+    portals: Vec<Option<SocketAddr>>,
     tracer: Tracer,
 }
 
@@ -128,6 +131,10 @@
         let remember = self.o.dir.join(format!("{name}.list")).display().to_string();
         args.extend(["--host".into(), name.clone(), "--list".into(), self.list.to_string()]);
         args.extend(["--listen".into(), listen.into(), "--remember".into(), remember]);
+        if let Some(portal) = self.portals[place] {
+            let places = self.o.dir.join(format!("{name}.places")).display().to_string();
+            args.extend(["--portal".into(), portal.to_string(), "--places".into(), places]);
+        }
         let (child, said) = self.start(name, &args)?;
         let address = said.parse().map_err(io::Error::other)?;
         self.hosts.lock().unwrap_or_else(|e| e.into_inner())[place] = Some(address);
@@ -175,8 +182,15 @@
     }
 }
 
-/// Plays the script; what the clients saw. The folder then holds every trace.
-pub fn rehearse(o: Options) -> io::Result<Tally> {
+/// A port for each host that has a portal: free now, and asked for again at every start of the host.
+fn portals(settings: &Settings) -> io::Result<Vec<Option<SocketAddr>>> {
+    let has = |place: usize| settings.portals.iter().any(|p| p.host == place);
+    let free = || TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr());
+    (0..settings.hosts.len()).map(|place| has(place).then(free).transpose()).collect()
+}
+
+/// Plays the script; what the clients and the initiators saw. The folder then holds every trace.
+pub fn rehearse(o: Options) -> io::Result<(Tally, Disks)> {
     std::fs::create_dir_all(o.dir)?;
     let me = hello(pb::Role::Client, "clients", 1);
     let tracer = Tracer::create(&o.dir.join("clients.trace"), MOST_TRACE, me)?;
@@ -185,7 +199,9 @@
     let strikes = strikes(o.settings, script);
     let hosts = Arc::new(Mutex::new(vec![None; o.settings.hosts.len()]));
     let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
-    let mut stage = Stage { o: &o, t0: clock::now() + LEAD, list: nowhere, hosts: hosts.clone(), tracer };
+    let portals = portals(o.settings)?;
+    let mut stage =
+        Stage { o: &o, t0: clock::now() + LEAD, list: nowhere, hosts: hosts.clone(), portals, tracer };
     let mut args = stage.script_args("list-service", "list");
     args.extend(["--listen".into(), "127.0.0.1:0".into()]);
     let (_list, said) = stage.start("list", &args)?;
@@ -207,12 +223,30 @@
             .enumerate()
             .map(|(place, child)| scope.spawn(move || stage.play(place, child, strikes)))
             .collect();
+        // Every portal has as many sessions as the script says at every target.
+        let at = stage.portals.iter().flatten();
+        let sessions = at.flat_map(|at| o.settings.targets.iter().map(move |t| (*at, t)));
+        let sessions: Vec<_> = sessions
+            .flat_map(|(at, target)| {
+                (0..script.sessions).map(move |number| disks::Session {
+                    at,
+                    target,
+                    settings: o.settings,
+                    number,
+                    t0: stage.t0,
+                    length: script.length,
+                })
+            })
+            .map(|session| scope.spawn(move || session.run(script.seed)))
+            .collect();
         let tally = clients.run();
+        let mut seen = Disks::default();
+        sessions.into_iter().filter_map(|s| s.join().ok()).for_each(|d| seen.add(&d));
         let ended: Vec<io::Result<Running>> = players
             .into_iter()
             .map(|p| p.join().unwrap_or_else(|_| Err(io::Error::other("a player panicked"))))
             .collect();
-        (tally, ended)
+        ((tally, seen), ended)
     });
     let longest = o.settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
     for (place, child) in ended.into_iter().enumerate() {
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -199,6 +199,9 @@
     xfers: BTreeMap<XferNo, Transfer>,
     /// Blocks that stay closed for a while: until when, of which volume, by which op.
     resting: VecDeque<(Duration, usize, u64)>,
+    /// Until when writes wait after a start, and those that do.
+    quiet_until: Option<Duration>,
+    quiet: Vec<u64>,
     now: Duration,
     next: u64,
     next_tsih: u16,
@@ -236,6 +239,8 @@
             ops: BTreeMap::new(),
             xfers: BTreeMap::new(),
             resting: VecDeque::new(),
+            quiet_until: None,
+            quiet: Vec::new(),
             now: Duration::ZERO,
             next: 0,
             next_tsih: 0,
@@ -252,11 +257,17 @@
     pub fn wake_at(&self) -> Option<Duration> {
         let logins = self.conns.values().filter(|c| matches!(c.phase, Phase::Login(_)));
         let login = logins.map(|c| c.since + LOGIN_TIME).min();
-        [login, self.resting.front().map(|r| r.0)].into_iter().flatten().min()
+        let quiet = self.quiet_until.filter(|_| !self.quiet.is_empty());
+        [login, quiet, self.resting.front().map(|r| r.0)].into_iter().flatten().min()
     }
 
     pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.now = now;
+        // An earlier life's legs may still be queued at nodes, and nobody remembers which: until none can begin
+        // any more, a write that was GOOD could be overwritten by one. Where nothing was ever placed there are
+        // none. Harm: after each start writes wait that long.
+        let wrote = self.volumes.iter().any(|v| !v.facts.placed.is_empty());
+        let quiet = *self.quiet_until.get_or_insert(if wrote { now + self.rest } else { now });
         for input in inputs {
             match input {
                 Input::Up { conn } => self.up(conn),
@@ -273,6 +284,9 @@
             self.resting.pop_front();
             self.free(volume, op);
         }
+        if now >= quiet {
+            std::mem::take(&mut self.quiet).into_iter().for_each(|no| self.launch(no, false));
+        }
         self.press();
         std::mem::take(&mut self.out)
     }
@@ -688,6 +702,10 @@
     /// Sends a command's transfers; of COMPARE AND WRITE first those that read, then those that write.
     fn launch(&mut self, no: u64, second: bool) {
         let Some(op) = self.ops.get_mut(&no) else { return };
+        let writes = matches!(op.deed, Deed::Write(_) | Deed::Compare { .. });
+        if writes && self.quiet_until.is_some_and(|until| self.now < until) {
+            return self.quiet.push(no);
+        }
         let data = match (&op.deed, second) {
             (Deed::Write(data), _) => Some(data.clone()),
             (Deed::Compare { then, .. }, true) => Some(then.clone()),
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -247,7 +247,7 @@
     let mut again = Rig::with(r.stores.iter().map(|(_, extent, cell)| (*extent, *cell)).collect());
     again.kept = r.kept;
     let c = again.login(1, 1);
-    again.read(c, 8, 10, 40);
+    again.read(c, 8, 10, 40); // reads need not wait
     again.host_all();
     assert_eq!(again.one(c), (0, data));
 }
@@ -323,6 +323,33 @@
     assert_eq!(data, fill(2, 1));
 }
 
+#[test]
+fn after_a_restart_a_late_leg_of_the_earlier_life_cannot_overwrite() {
+    let mut r = Rig::new();
+    let c = r.login(1, 1);
+    r.write(c, 6, 0, &fill(9, 1));
+    r.host_all();
+    r.write(c, 7, 0, &fill(1, 1));
+    let late = r.open[0].clone(); // queued at its node when the host is killed
+    let mut again = Rig::with(r.stores.iter().map(|(_, extent, cell)| (*extent, *cell)).collect());
+    again.kept = r.kept;
+    let c = again.login(1, 1);
+    again.write(c, 8, 0, &fill(2, 1));
+    again.read(c, 9, 4, 1);
+    assert_eq!((again.open.len(), again.open[0].write), (1, false), "reads go, the write waits");
+    again.host_all();
+    again.wait(REST - ms(1));
+    assert!(again.open.is_empty());
+    let cell = late.cell.expect("written before");
+    again.kept.get_mut(&(0, cell)).unwrap()[..BLOCK].copy_from_slice(&late.data);
+    again.wait(ms(2));
+    again.host_all();
+    again.got(c);
+    again.read(c, 10, 0, 1);
+    again.host_all();
+    assert_eq!(again.one(c), (0, fill(2, 1)));
+}
+
 #[test]
 fn an_abort_and_a_reinstated_session_wait_for_what_is_under_way() {
     let mut r = Rig::new();
