--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -1,4 +1,5 @@
-//! iSCSI over TCP through the whole program: initiator, portal, decisions, nodes; and after the host is killed.
+//! iSCSI over TCP through the whole program: initiator, portal, decisions, nodes; and after the host is
+//! killed.
 
 use grebecleat_standin::initiator::{Initiator, Wish};
 use std::fs;
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -490,7 +490,8 @@
         self.settle(id);
     }
 
-    /// After a transfer is over: legs of it that have not crossed never do, and its record goes with the last.
+    /// After a transfer is over: legs of it that have not crossed never do, and its record goes with the
+    /// last.
     fn settle(&mut self, id: XferId) {
         let Some(x) = self.xfers.get(&id).filter(|x| x.over) else { return };
         for leg in x.out.clone() {
--- a/crates/host/src/listing.rs
+++ b/crates/host/src/listing.rs
@@ -1,8 +1,8 @@
 //! What the list of nodes said, as the decisions read it, and as it is remembered over a restart.
 //!
-//! The list gives ages, since nobody's clocks are compared; an age read twice gives two moments that differ by
-//! what the messages waited. Each start of a node therefore keeps the moment reckoned first, or the decisions
-//! would see a restart in every list.
+//! The list gives ages, since nobody's clocks are compared; an age read twice gives two moments that differ
+//! by what the messages waited. Each start of a node therefore keeps the moment reckoned first, or the
+//! decisions would see a restart in every list.
 
 use grebecleat::interface::{CellId, ListEntry, NodeId, NodeState, ZoneId};
 use grebecleat_wire::{clock, frame, pb};
--- a/crates/host/src/outbox.rs
+++ b/crates/host/src/outbox.rs
@@ -43,7 +43,8 @@
 /// What a writer is to write now.
 #[derive(Debug, Default, PartialEq)]
 pub struct Pulled {
-    /// When they were taken: of two pulls, the later has the later moment, whichever connections they are for.
+    /// When they were taken: of two pulls, the later has the later moment, whichever connections they are
+    /// for.
     pub at: Duration,
     pub frames: Vec<pb::Frame>,
     pub closed: bool,
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -1,11 +1,11 @@
 //! The sockets, on `may` coroutines.
 //!
 //! One thread owns the [`Desk`] and with it the decisions; it is no coroutine, since its clock must be right
-//! and `may`'s timers, kept by length, can lose one (docs/design/host.md). Each connection has one that reads and one that
-//! writes; a listener and the dials have their own. Readers hand whole frames to the owner; the owner puts
-//! frames into outboxes, from which writers pull. So a peer that sends garbage, reads nothing or stands still
-//! blocks its own two coroutines and nobody else. Nothing here decides more than when to hang up on a peer
-//! that breaks the wire.
+//! and `may`'s timers, kept by length, can lose one (docs/design/host.md). Each connection has one that reads
+//! and one that writes; a listener and the dials have their own. Readers hand whole frames to the owner; the
+//! owner puts frames into outboxes, from which writers pull. So a peer that sends garbage, reads nothing or
+//! stands still blocks its own two coroutines and nobody else. Nothing here decides more than when to hang up
+//! on a peer that breaks the wire.
 
 use crate::desk::{ConnId, Counts, Desk, Input, Output};
 use crate::listing::Listing;
@@ -82,8 +82,8 @@
     numbers: Arc<AtomicU64>,
 }
 
-/// A client inside this process: what it sends and gets passes no socket, but is recorded as if it did, so that
-/// the audit sees one host whatever its clients speak.
+/// A client inside this process: what it sends and gets passes no socket, but is recorded as if it did, so
+/// that the audit sees one host whatever its clients speak.
 pub struct Local {
     conn: ConnId,
     outbox: Arc<Outbox>,
--- a/crates/iscsi/src/keys.rs
+++ b/crates/iscsi/src/keys.rs
@@ -1,7 +1,7 @@
 //! Text keys and their negotiation (RFC 7143, sections 6.1, 6.2 and 13).
 //!
-//! [`TABLE`] stands beside section 13: for each key its kind, its range, its result function and where it may be
-//! used. [`Negotiation`] answers an initiator's offers by that table and keeps what is agreed.
+//! [`TABLE`] stands beside section 13: for each key its kind, its range, its result function and where it may
+//! be used. [`Negotiation`] answers an initiator's offers by that table and keeps what is agreed.
 
 use std::collections::BTreeSet;
 use std::fmt;
--- a/crates/iscsi/src/login.rs
+++ b/crates/iscsi/src/login.rs
@@ -1,8 +1,8 @@
 //! The login phase of one connection, target side (RFC 7143, sections 6.3 and 11.12, 11.13).
 //!
-//! [`Login::request`] takes each login request and answers the response and where the login stands. The stages
-//! and the transitions between them are [`MAY_MOVE`]; whatever is not in it is an initiator error. Secrets and
-//! names come from [`Target`]s; challenges from the caller, who has the source of chance.
+//! [`Login::request`] takes each login request and answers the response and where the login stands. The
+//! stages and the transitions between them are [`MAY_MOVE`]; whatever is not in it is an initiator error.
+//! Secrets and names come from [`Target`]s; challenges from the caller, who has the source of chance.
 //!
 //! A login that never ends is the caller's to cut off, by time and by how many are open; here each is bounded
 //! in text ([`MOST_TEXT`]) and in requests ([`MOST_REQUESTS`]).
--- a/crates/iscsi/src/pdu.rs
+++ b/crates/iscsi/src/pdu.rs
@@ -1,9 +1,9 @@
 //! Protocol data units (RFC 7143, section 11).
 //!
-//! A PDU is a basic header segment of 48 bytes, additional header segments, a header digest, data padded to four
-//! bytes, and a data digest. Numbers are big-endian. [`Reader`] takes bytes as they come and gives whole PDUs;
-//! a length is judged before anything is kept for it. Digests are CRC32C (section 13.1), sent least byte first
-//! as in the standard's examples (RFC 3720, appendix B.4).
+//! A PDU is a basic header segment of 48 bytes, additional header segments, a header digest, data padded to
+//! four bytes, and a data digest. Numbers are big-endian. [`Reader`] takes bytes as they come and gives whole
+//! PDUs; a length is judged before anything is kept for it. Digests are CRC32C (section 13.1), sent least
+//! byte first as in the standard's examples (RFC 3720, appendix B.4).
 
 use bytes::{Buf, Bytes, BytesMut};
 use std::fmt;
@@ -197,7 +197,7 @@
 
     words! {
         itt, set_itt, 16, "Initiator task tag.";
-        ttt, set_ttt, 20, "Target transfer tag; expected data transfer length of a command; referenced task tag.";
+        ttt, set_ttt, 20, "Target transfer tag; a command's expected length; referenced task tag.";
         cmd_sn, set_cmd_sn, 24, "CmdSN of requests; StatSN of responses.";
         exp_stat_sn, set_exp_stat_sn, 28, "ExpStatSN of requests; ExpCmdSN of responses.";
         word32, set_word32, 32, "MaxCmdSN of responses; DataSN place of no request.";
@@ -248,8 +248,8 @@
 /// let down: Vec<u8> = (0..32).rev().collect();
 /// assert_eq!(digest(&down), [0x5c, 0xdb, 0x3f, 0x11]);
 /// let read10 = [
-///     0x01, 0xc0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x14, 0, 0, 0, 0, 0, 0x04, 0, 0, 0, 0, 0x14, 0, 0, 0,
-///     0x18, 0x28, 0, 0, 0, 0, 0, 0, 0, 0x02, 0, 0, 0, 0, 0, 0, 0,
+///     0x01, 0xc0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x14, 0, 0, 0, 0, 0, 0x04, 0, 0, 0, 0, 0x14,
+///     0, 0, 0, 0x18, 0x28, 0, 0, 0, 0, 0, 0, 0, 0x02, 0, 0, 0, 0, 0, 0, 0,
 /// ];
 /// assert_eq!(digest(&read10), [0x56, 0x3a, 0x96, 0xd9]);
 /// ```
@@ -343,8 +343,8 @@
         self.held.len()
     }
 
-    /// The next whole PDU; None until more bytes have come. A data digest fault has taken its PDU off, so that
-    /// reading can go on; after any other fault it cannot.
+    /// The next whole PDU; None until more bytes have come. A data digest fault has taken its PDU off, so
+    /// that reading can go on; after any other fault it cannot.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Pdu>, Fault> {
         let Some(first) = self.held.first_chunk::<BHS>() else { return Ok(None) };
--- a/crates/iscsi/src/scsi.rs
+++ b/crates/iscsi/src/scsi.rs
@@ -1,8 +1,8 @@
 //! SCSI commands of a disk, as bytes and as what they ask (SPC-4, SBC-3, SAM-5).
 //!
-//! [`decode`] reads a command descriptor block into a [`Command`] or the sense that refuses it; [`Unit::answer`]
-//! answers those that need no data of the disk (INQUIRY and its pages, capacity, mode pages, ...). What reads and
-//! writes mean for a gateway is not decided here.
+//! [`decode`] reads a command descriptor block into a [`Command`] or the sense that refuses it;
+//! [`Unit::answer`] answers those that need no data of the disk (INQUIRY and its pages, capacity, mode pages,
+//! ...). What reads and writes mean for a gateway is not decided here.
 
 /// Status codes (SAM-5, table 31).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -205,7 +205,8 @@
 /// let cdb = |bytes: &[u8]| { let mut c = [0; 16]; c[..bytes.len()].copy_from_slice(bytes); c };
 /// let read = decode(&cdb(&[0x28, 0x08, 0, 0, 1, 0, 0, 0, 8, 0]));
 /// assert_eq!(read, Ok(Command::Read { lba: 256, blocks: 8, fua: true }));
-/// assert_eq!(decode(&cdb(&[0x08, 0x1f, 0xff, 0xff, 0])), Ok(Command::Read { lba: 0x1f_ffff, blocks: 256, fua: false }));
+/// let last = Command::Read { lba: 0x1f_ffff, blocks: 256, fua: false };
+/// assert_eq!(decode(&cdb(&[0x08, 0x1f, 0xff, 0xff, 0])), Ok(last));
 /// assert_eq!(decode(&cdb(&[0xff])), Err(Sense::INVALID_OPCODE));
 /// ```
 pub fn decode(cdb: &[u8; 16]) -> Result<Command, Sense> {
--- a/crates/iscsi/src/session.rs
+++ b/crates/iscsi/src/session.rs
@@ -1,12 +1,12 @@
 //! The full feature phase of one session, target side (RFC 7143, sections 4.2, 7 and 11).
 //!
-//! Called with each PDU of each of its connections and with what became of its tasks; answers [`Act`]s. It keeps
-//! commands in CmdSN order over all connections, gathers the data of writes (immediate, unsolicited, solicited),
-//! splits that of reads, numbers and keeps responses until they are acknowledged, and carries out task
-//! management. What a command means is the device's, to which [`Act::Start`] hands it whole.
+//! Called with each PDU of each of its connections and with what became of its tasks; answers [`Act`]s. It
+//! keeps commands in CmdSN order over all connections, gathers the data of writes (immediate, unsolicited,
+//! solicited), splits that of reads, numbers and keeps responses until they are acknowledged, and carries out
+//! task management. What a command means is the device's, to which [`Act::Start`] hands it whole.
 //!
-//! Memory: commands wait within the window; a write's data is kept up to [`Limits::most_data`]; a response and a
-//! read's data are kept until ExpStatSN acknowledges them.
+//! Memory: commands wait within the window; a write's data is kept up to [`Limits::most_data`]; a response
+//! and a read's data are kept until ExpStatSN acknowledges them.
 
 use crate::keys::{parse, Params};
 use crate::pdu::{Fault, Header, Opcode, Pdu, NO_TAG};
@@ -382,7 +382,8 @@
         let State::Collecting(c) = &mut t.state else { return };
         let first = params.first_burst.min(length);
         let came = immediate.len() as u32;
-        // More than was agreed on, or data of a command that writes nothing, ends the command (section 11.3.4).
+        // More than was agreed on, or data of a command that writes nothing, ends the command (section
+        // 11.3.4).
         let wrong = (came > 0 && (!params.immediate_data || !writes || came > first))
             || (!is_final && (params.initial_r2t || !writes));
         if wrong {
@@ -489,8 +490,8 @@
         }
     }
 
-    /// A PDU whose data was damaged (section 7.8). Of Data-Out, the lost range is asked for again where recovery
-    /// within a command was agreed on; else its command ends. All else the initiator sends again.
+    /// A PDU whose data was damaged (section 7.8). Of Data-Out, the lost range is asked for again where
+    /// recovery within a command was agreed on; else its command ends. All else the initiator sends again.
     fn damaged(&mut self, cid: Cid, h: Header) {
         self.reject(cid, Reason::DataDigest, &h);
         if h.opcode() != Some(Opcode::DataOut) {
@@ -643,8 +644,8 @@
         self.respond(cid, Pdu::new(header, Bytes::new()));
     }
 
-    /// Task management (sections 11.5 and 11.6). The response waits until the tasks have ended at the device: an
-    /// initiator that has it may rely on nothing of them being done any more.
+    /// Task management (sections 11.5 and 11.6). The response waits until the tasks have ended at the device:
+    /// an initiator that has it may rely on nothing of them being done any more.
     fn manage(&mut self, cid: Cid, h: &Header) {
         let (lun, tag) = (h.lun(), h.ttt());
         let (why, reset) = match h.flags() & 0x7f {
--- a/crates/iscsi/src/window.rs
+++ b/crates/iscsi/src/window.rs
@@ -1,7 +1,7 @@
 //! Command numbering and the command window (RFC 7143, section 4.2.2.1).
 //!
-//! An initiator numbers its commands over all connections of a session; the target delivers them in that order
-//! and tells by ExpCmdSN and MaxCmdSN which it is ready for. Numbers wrap; they are compared by serial
+//! An initiator numbers its commands over all connections of a session; the target delivers them in that
+//! order and tells by ExpCmdSN and MaxCmdSN which it is ready for. Numbers wrap; they are compared by serial
 //! arithmetic (RFC 1982). Memory: at most a window's worth of commands wait for an earlier one.
 
 use std::collections::BTreeMap;
--- a/crates/iscsi/tests/session.rs
+++ b/crates/iscsi/tests/session.rs
@@ -495,8 +495,8 @@
     assert_eq!((got[0].data.len(), got[0].data[1], got[0].data[4]), (20, 18, 0x0b));
 }
 
-/// Whole sessions of malformed and reordered PDUs, seeded: whatever comes, no more good statuses go out than the
-/// device gave, and nothing stays behind at the device.
+/// Whole sessions of malformed and reordered PDUs, seeded: whatever comes, no more good statuses go out than
+/// the device gave, and nothing stays behind at the device.
 #[test]
 fn noise_over_whole_sessions() {
     for seed in 0..300 {
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -1,8 +1,8 @@
 //! Runs a script and collects its calls. Nothing is understood here beyond the words of the language.
 //!
 //! Each call such as `node(id = 1, zone = "a")` is kept with its place. `ms(250)` and `s(2)` make spans;
-//! `keyed(group = "zone", remembered = s(2))` makes a kind of repeat. A file may `load` another one beside it,
-//! whose calls come first.
+//! `keyed(group = "zone", remembered = s(2))` makes a kind of repeat. A file may `load` another one beside
+//! it, whose calls come first.
 
 use crate::fields::{Call, Fault, Place};
 use serde_json::{json, Map, Value as Json};
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -305,7 +305,7 @@
         if let Some(p) = plans.iter().find(|p| slack_short(p)) {
             let least = p.facts.limit * bounds.linger.as_secs_f64();
             self.whole_file(format!(
-                "plan: field 'limit_slack': of plan {}: expected at least limit times bounds' linger, {least}",
+                "plan: field 'limit_slack': of {}: expected at least limit times bounds' linger, {least}",
                 p.name
             ));
         }
--- a/crates/standin/src/initiator.rs
+++ b/crates/standin/src/initiator.rs
@@ -1,4 +1,5 @@
-//! An iSCSI initiator over TCP: logs in, sends commands, gathers their answers. Small: one connection a session.
+//! An iSCSI initiator over TCP: logs in, sends commands, gathers their answers. Small: one connection a
+//! session.
 //!
 //! It shares the PDU codec with the target and nothing else; numbering, login and data are its own, so that a
 //! misreading on one side shows.
--- a/crates/target/src/blocks.rs
+++ b/crates/target/src/blocks.rs
@@ -1,12 +1,13 @@
 //! A command on blocks, in pieces of extents and back.
 //!
-//! A volume's blocks lie in extents of a fixed number of blocks, and a transfer touches one extent. [`Pieces::of`]
-//! splits a range; [`Gather`] takes the pieces' answers, in any order, and makes the one answer of the command:
+//! A volume's blocks lie in extents of a fixed number of blocks, and a transfer touches one extent.
+//! [`Pieces::of`] splits a range; [`Gather`] takes the pieces' answers, in any order, and makes the one
+//! answer of the command:
 //!
 //! | pieces | command | why |
 //! | --- | --- | --- |
 //! | all done | GOOD, with the data of reads | |
-//! | some deferred, none abandoned | BUSY, come back after the longest time told | trying again is harmless for each: what was done is done again with the same data |
+//! | some deferred, none abandoned | BUSY, come back after the longest time told | done again with the same data |
 //! | any abandoned | CHECK CONDITION, outcome unknown | nobody may promise either way |
 //!
 //! The answer is given when the last piece has its own: until then a leg may be out, and an answer that came
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -1,12 +1,12 @@
 //! The target: connections, logins, sessions and commands, between the sockets and the host.
 //!
-//! Called as `step(now, inputs) -> outputs`, without input or output of its own. A command on blocks becomes a
-//! transfer for each extent it touches; the host answers each by its number. Three promises:
+//! Called as `step(now, inputs) -> outputs`, without input or output of its own. A command on blocks becomes
+//! a transfer for each extent it touches; the host answers each by its number. Three promises:
 //!
-//! - a command is answered when the last of its transfers is, and an aborted one ends then too: the response to
-//!   an abort or a reset says that nothing of the command is still under way at the host;
-//! - a write of which the outcome is not known keeps its blocks closed for the rest, so that a leg that is still
-//!   queued somewhere cannot overwrite what is written after;
+//! - a command is answered when the last of its transfers is, and an aborted one ends then too: the response
+//!   to an abort or a reset says that nothing of the command is still under way at the host;
+//! - a write of which the outcome is not known keeps its blocks closed for the rest, so that a leg that is
+//!   still queued somewhere cannot overwrite what is written after;
 //! - an extent is first written by one transfer alone, and GOOD follows only once its place is kept.
 
 use crate::blocks::{Answer, Gather, Layout, Piece};
@@ -263,9 +263,9 @@
 
     pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.now = now;
-        // An earlier life's legs may still be queued at nodes, and nobody remembers which: until none can begin
-        // any more, a write that was GOOD could be overwritten by one. Where nothing was ever placed there are
-        // none. Harm: after each start writes wait that long.
+        // An earlier life's legs may still be queued at nodes, and nobody remembers which: until none can
+        // begin any more, a write that was GOOD could be overwritten by one. Where nothing was ever placed
+        // there are none. Harm: after each start writes wait that long.
         let wrote = self.volumes.iter().any(|v| !v.facts.placed.is_empty());
         let quiet = *self.quiet_until.get_or_insert(if wrote { now + self.rest } else { now });
         for input in inputs {
@@ -732,8 +732,8 @@
         }
     }
 
-    /// Sends a transfer to where its extent lies. Of an extent that lies nowhere, reads are zeroes, and the first
-    /// write goes alone.
+    /// Sends a transfer to where its extent lies. Of an extent that lies nowhere, reads are zeroes, and the
+    /// first write goes alone.
     fn send(&mut self, volume: usize, no: XferNo) {
         let Some(x) = self.xfers.get_mut(&no) else { return };
         let v = &mut self.volumes[volume];
--- a/crates/target/src/overlaps.rs
+++ b/crates/target/src/overlaps.rs
@@ -1,13 +1,13 @@
 //! Which commands of one volume must wait for which: those whose blocks overlap, where at least one writes.
 //!
-//! SAM-5 lets simple tasks pass each other, but initiators that send a read behind a write of the same blocks in
-//! one window expect no surprise, and two writes that race through different legs could end in either order on
-//! different extents. So overlapping ones go in the order they came. A command that waits also holds back later
-//! ones that overlap it, or a stream of reads could starve a write.
+//! SAM-5 lets simple tasks pass each other, but initiators that send a read behind a write of the same blocks
+//! in one window expect no surprise, and two writes that race through different legs could end in either
+//! order on different extents. So overlapping ones go in the order they came. A command that waits also holds
+//! back later ones that overlap it, or a stream of reads could starve a write.
 //!
-//! Ranges are kept by their first block. A look-up for `[a, b)` goes from the first range that can reach `a`, told
-//! by the longest range there is, which SCSI's block limits bound; it is measured against a plain list in the
-//! tests by what it visits.
+//! Ranges are kept by their first block. A look-up for `[a, b)` goes from the first range that can reach `a`,
+//! told by the longest range there is, which SCSI's block limits bound; it is measured against a plain list
+//! in the tests by what it visits.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -1,8 +1,8 @@
 //! The iSCSI portal: sockets on one side, the host on the other, the engine between.
 //!
-//! One thread owns the [`Engine`]; each connection has a coroutine that reads and one that writes, as the host's
-//! own connections have. Towards the host the engine is a client inside the process: its transfers go through the
-//! same desk and the same decisions as any other's, with ids of their own.
+//! One thread owns the [`Engine`]; each connection has a coroutine that reads and one that writes, as the
+//! host's own connections have. Towards the host the engine is a client inside the process: its transfers go
+//! through the same desk and the same decisions as any other's, with ids of their own.
 
 use crate::blocks::Answer;
 use crate::engine::{ConnNo, Engine, Input, Output, Request, TargetFacts, VolumeFacts, XferNo};
--- a/crates/target/src/pressure.rs
+++ b/crates/target/src/pressure.rs
@@ -1,15 +1,17 @@
 //! How many commands each session of a volume may have open: back-pressure by the command window.
 //!
-//! Called by the target: `opened` and `closed` for each command, `step` now and then, which answers the sessions
-//! whose window is to change. The wanted state is one budget of open commands for each volume, dealt out among its
-//! sessions by max-min fairness; `step` diffs it against what was last told.
+//! Called by the target: `opened` and `closed` for each command, `step` now and then, which answers the
+//! sessions whose window is to change. The wanted state is one budget of open commands for each volume, dealt
+//! out among its sessions by max-min fairness; `step` diffs it against what was last told.
 //!
-//! The budget learns by answers and not by intervals: it grows by one for each budget's worth of done commands
-//! while it is what holds sessions back, and falls when commands are deferred, once for each come-back time,
-//! since all deferrals of one moment tell the same. Guards against initiators that fill a volume's queue only to
-//! have most of it sent back as BUSY. Harm: after a short jam a volume is slow for some round trips.
+//! The budget learns by answers and not by intervals: it grows by one for each budget's worth of done
+//! commands while it is what holds sessions back, and falls when commands are deferred, once for each
+//! come-back time, since all deferrals of one moment tell the same. Guards against initiators that fill a
+//! volume's queue only to have most of it sent back as BUSY. Harm: after a short jam a volume is slow for
+//! some round trips.
 //!
-//! A window that was granted is not taken back (RFC 7143, 4.2.2.1); a session learns of less as it uses it up.
+//! A window that was granted is not taken back (RFC 7143, 4.2.2.1); a session learns of less as it uses it
+//! up.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -113,16 +115,16 @@
         changed
     }
 
-    /// What a session could use: one that fills its window asks for twice of it, one that does not for what it
-    /// had open at most, and one more.
+    /// What a session could use: one that fills its window asks for twice of it, one that does not for what
+    /// it had open at most, and one more.
     fn asks(&self, s: &Session) -> u32 {
         let more = if s.peak >= s.told.max(1) { s.peak.saturating_mul(2) } else { s.peak + 1 };
         more.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH))
     }
 }
 
-/// Deals out so many by max-min fairness: nobody gets more than it asks, and what one leaves goes to the others
-/// evenly. What cannot be dealt evenly goes to those that ask most.
+/// Deals out so many by max-min fairness: nobody gets more than it asks, and what one leaves goes to the
+/// others evenly. What cannot be dealt evenly goes to those that ask most.
 ///
 /// ```
 /// use grebecleat_target::pressure::fair;
--- a/crates/target/src/store.rs
+++ b/crates/target/src/store.rs
@@ -1,9 +1,9 @@
 //! Where extents lie, kept through a crash.
 //!
-//! One table of an embedded store: volume and extent to cell. Places are committed in batches, each durable before
-//! it is told, by a thread of its own, since commits block. `redb` is taken for it: a single file, copy on write, a
-//! commit that is whole or was not, and no thread or log of its own. A place is never changed here: a write whose
-//! place was not kept was not GOOD, and its extent is placed anew.
+//! One table of an embedded store: volume and extent to cell. Places are committed in batches, each durable
+//! before it is told, by a thread of its own, since commits block. `redb` is taken for it: a single file,
+//! copy on write, a commit that is whole or was not, and no thread or log of its own. A place is never
+//! changed here: a write whose place was not kept was not GOOD, and its extent is placed anew.
 
 use crate::engine::XferNo;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
@@ -29,8 +29,8 @@
 }
 
 impl Store {
-    /// Opens or makes the file. `kept` is called for each place once it is durable; `failed` once, when the file
-    /// can no longer be written: from then on nothing new is placed.
+    /// Opens or makes the file. `kept` is called for each place once it is durable; `failed` once, when the
+    /// file can no longer be written: from then on nothing new is placed.
     pub fn open(
         path: &Path, kept: impl Fn(XferNo) + Send + 'static, failed: impl Fn(String) + Send + 'static,
     ) -> Result<Store, String> {
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -1,5 +1,5 @@
-//! The target between initiators and a host that the test plays: it keeps bytes by extent, answers in any order,
-//! defers and abandons; and every read is checked against what was written.
+//! The target between initiators and a host that the test plays: it keeps bytes by extent, answers in any
+//! order, defers and abandons; and every read is checked against what was written.
 
 use bytes::Bytes;
 use grebecleat_iscsi::keys::format;
@@ -372,8 +372,8 @@
         (got.len(), got[0].header.opcode(), got[0].header.byte(2)),
         (1, Some(Opcode::TaskManagementResponse), 0)
     );
-    // The same initiator port logs in again while a write is under way: the old session is gone, its write is not
-    // answered, and the repeat in the new session goes behind it.
+    // The same initiator port logs in again while a write is under way: the old session is gone, its write is
+    // not answered, and the repeat in the new session goes behind it.
     r.write(c, 9, 3, &fill(5, 1));
     let again = r.login(2, 1);
     assert_eq!(r.closed, [c]);
@@ -466,8 +466,8 @@
 }
 
 /// Many sessions, overlapping reads and writes, a host that answers in any order, defers and abandons: every
-/// command gets one answer, and every block that is read holds what the last write that was GOOD put there, or what
-/// one put there since of which nobody told the outcome.
+/// command gets one answer, and every block that is read holds what the last write that was GOOD put there,
+/// or what one put there since of which nobody told the outcome.
 #[test]
 fn every_read_is_checked_against_the_history_of_writes() {
     let (mut checked, mut busy) = (0, 0);
--- a/examples/iscsi-path.star
+++ b/examples/iscsi-path.star
@@ -1,5 +1,5 @@
-# A bad day over iSCSI: sessions of several initiators write and read through a portal while nodes fail fast, lose
-# answers, hang and restart, and the host itself is killed and started again.
+# A bad day over iSCSI: sessions of several initiators write and read through a portal while nodes fail fast,
+# lose answers, hang and restart, and the host itself is killed and started again.
 #
 # Play it with: grebecleat rehearse examples/iscsi-path.star
 
@@ -9,8 +9,8 @@
 
 stream_type(name = "read", slo = ms(300), expiry = ms(1500), repeat = "repeatable", benefit = 2, share = 0.6,
             unit_work = ms(2))
-stream_type(name = "write", slo = ms(400), expiry = ms(2000), repeat = "repeatable", ordered = True, write = True,
-            benefit = 2, share = 0.4, unit_work = ms(2))
+stream_type(name = "write", slo = ms(400), expiry = ms(2000), repeat = "repeatable", ordered = True,
+            write = True, benefit = 2, share = 0.4, unit_work = ms(2))
 
 plan(name = "standard", rate = 100, reservation = 60)
 plan(name = "priority", rate = 160, reservation = 160, weight = 3, price = 1.4)
@@ -20,7 +20,8 @@
 for name in ["host-1", "host-2"]:
     host(name = name)
 for i in range(4):
-    volume(id = 200 + i, plan = "priority" if i % 2 else "standard", blocks = 65536, hosts = ["host-1"], asks = 0.1)
+    volume(id = 200 + i, plan = "priority" if i % 2 else "standard", blocks = 65536,
+           hosts = ["host-1"], asks = 0.1)
 volume(id = 300, plan = "standard", hosts = ["host-2"], asks = 0.5)
 
 node_list(lag = ms(700), fails = 0.1)
--- a/src/control.rs
+++ b/src/control.rs
@@ -255,9 +255,9 @@
         v.reported = told.map(|percent| (percent / 100.0 * base, now)).or(v.reported);
         nd.leg_over(&x.x);
         self.bk.stirred.insert(node);
-        // A limit counts what crosses, when it crosses. What was never sent gives its units back; what found no
-        // connection draws them again when it goes, or units drawn long before would add to a full store's.
-        // Harm: where the store counts a leg without a connection, as much is lost to the volume.
+        // A limit counts what crosses, when it crosses. What was never sent gives its units back; what found
+        // no connection draws them again when it goes, or units drawn long before would add to a full
+        // store's. Harm: where the store counts a leg without a connection, as much is lost to the volume.
         if x.legs == 1 && matches!(end, LegEnd::Moot | LegEnd::NoConnection) {
             x.drawn = false;
             let back = if end == LegEnd::Moot { units } else { 0.0 };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -318,7 +318,8 @@
 
 #[test]
 fn of_thousands_held_each_is_answered_before_its_expiry() {
-    // Without lines in order, each answer cost a look at all that is held, and ranking took a host's whole time.
+    // Without lines in order, each answer cost a look at all that is held, and ranking took a host's whole
+    // time.
     let mut c = host(vec![stream(Repeat::Repeatable)], vec![plan(5.0)], None);
     let mut expiries = std::collections::BTreeMap::new();
     let mut events = Vec::new();
