--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -202,3 +202,47 @@
     }
     site.initiator(1, true);
 }
+
+#[test]
+fn a_short_day_over_iscsi_with_the_host_killed() {
+    let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-day-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&dir);
+    fs::create_dir_all(&dir).unwrap();
+    let script = dir.join("day.star");
+    let text = r#"
+zone(name = "a")
+stream_type(name = "read", slo = ms(500), expiry = s(2), repeat = "repeatable", unit_work = ms(1))
+stream_type(name = "write", slo = ms(500), expiry = s(2), repeat = "repeatable", ordered = True, write = True,
+            unit_work = ms(1))
+plan(name = "p", rate = 200, reservation = 200)
+for name in ["h1", "h2"]:
+    host(name = name)
+for i in range(4):
+    node(id = i + 1, zone = "a", cores = 3)
+for i in range(2):
+    volume(id = 100 + i, plan = "p", blocks = 65536, hosts = ["h1"])
+volume(id = 300, plan = "p", hosts = ["h2"], asks = 0.2)
+node_list(lag = ms(300))
+rules(answer_margin = ms(150), cold_units = 40)
+portal(listen = "127.0.0.1:3260", host = "h1", read = "read", write = "write", large_read = "read")
+target(name = "iqn.2026-12.org.example:day", volumes = [100, 101])
+rehearsal(seed = 3, length = s(6))
+load_of(sessions = 3)
+trouble(kind = "fast_errors", at = s(1), len = s(2), part = 0.3, size = 0.8)
+trouble(kind = "answer_lost", at = s(2), len = s(1), part = 0.3, size = 0.4)
+trouble(kind = "balancer_crash", at = s(3), len = ms(700), hosts = ["h1"])
+"#;
+    fs::write(&script, text).unwrap();
+    let run = dir.join("run");
+    let args = ["--log-level", "warn", "rehearse", script.to_str().unwrap(), "--dir", run.to_str().unwrap()];
+    let out = Command::new(PROGRAM).args(args).output().unwrap();
+    let said = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert_eq!(out.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&out.stderr));
+    let lines: Vec<&str> = said.lines().rev().collect();
+    assert!(lines[0].starts_with("rules broken: 0; transfers "), "{said}");
+    let counts: Vec<u64> =
+        lines[1].split(|c: char| !c.is_ascii_digit()).filter_map(|w| w.parse().ok()).collect();
+    assert!(counts[0] > 100 && counts[..] == [counts[0], counts[0], 0, 0], "{said}");
+    assert!(said.contains(" wrong") && said.contains(", 0 wrong"), "{said}");
+    let _ = fs::remove_dir_all(&dir);
+}
