A window that stays as large is granted again as it is used up

Cause: windows were told only when their size changed; it had been hidden by every step dealing out every volume anew. With only touched volumes dealt out, a session used up its window and waited for ever: the restart test caught it.

Change: each step grants the size of every session of a touched volume, and whatever a session sends touches its volumes. Measured: tests of target and iSCSI pass again.

--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -330,6 +330,8 @@
                     self.note(format!("iscsi connection {}: {fault}", conn.0));
                 }
                 if let Some(s) = self.sessions.get_mut(&session) {
+                    // Whatever used up a number narrows the window, until it is granted again.
+                    self.pressed.extend(s.target.iter().flat_map(|t| self.targets[*t].luns.iter()));
                     let acts = s.session.hear(cid, read);
                     self.acts(session, acts);
                 }
--- a/crates/target/src/pressure.rs
+++ b/crates/target/src/pressure.rs
@@ -99,20 +99,18 @@
         }
     }
 
-    /// The sessions whose window is now another, with its size.
+    /// The size of each session's window from here on. All are told, since a window that stays as large must be
+    /// granted again as it is used up.
     pub fn step(&mut self) -> Vec<(SessionNo, u32)> {
         let asks: Vec<u32> = self.sessions.values().map(|s| self.asks(s)).collect();
         let given = fair(self.budget.floor() as u32, &asks);
-        let mut changed = Vec::new();
+        let mut sizes = Vec::new();
         for ((id, s), given) in self.sessions.iter_mut().zip(given) {
-            let size = given.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH));
+            s.told = given.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH));
             s.peak = s.open;
-            if size != s.told {
-                s.told = size;
-                changed.push((*id, size));
-            }
+            sizes.push((*id, s.told));
         }
-        changed
+        sizes
     }
 
     /// What a session could use: one that fills its window asks for twice of it, one that does not for what
