--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -15,7 +15,6 @@
 use crate::outbox::{LegNo, Outbox};
 use crate::pool::{Pool, Present, Step};
 use crate::stall::Stalls;
-use bytes::Bytes;
 use grebecleat::control::Control;
 use grebecleat::interface::*;
 use grebecleat_settings::{Bounds, Settings};
@@ -139,6 +138,8 @@
     expiry: Duration,
     /// It has had its final answer, or nobody waits for one.
     over: bool,
+    /// A leg of it ended without word from its node: it may still run.
+    unsure: bool,
     legs: u32,
     out: Vec<LegNo>,
 }
@@ -434,7 +435,9 @@
         if let Err(turned) = admit(held, t.data.len(), self.bounds()) {
             self.counts.turned_away += 1;
             let come_back = self.settings.caps.come_back.map(|most| turned.come_back().min(most));
-            return self.answer(conn, &t.id, pb::Outcome::Deferred, come_back, None, Bytes::new());
+            let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+            let outcome = pb::Outcome::Deferred.into();
+            return self.answer(conn, pb::Final { id: t.id, outcome, come_back_us, ..pb::Final::default() });
         }
         self.counts.taken += 1;
         self.held_bytes += t.data.len();
@@ -452,21 +455,14 @@
             expiry,
             volume,
         }));
-        self.xfers.insert(id, Open { client: conn, take: t, expiry, over: false, legs: 0, out: Vec::new() });
+        let open =
+            Open { client: conn, take: t, expiry, over: false, unsure: false, legs: 0, out: Vec::new() };
+        self.xfers.insert(id, open);
     }
 
-    fn answer(
-        &mut self, conn: ConnId, id: &Bytes, outcome: pb::Outcome, come_back: Option<Duration>,
-        cell: Option<CellId>, data: Bytes,
-    ) {
+    fn answer(&mut self, conn: ConnId, told: pb::Final) {
         let Some(client) = self.clients.get(&conn) else { return };
-        client.outbox.put(frame(Body::Final(pb::Final {
-            id: id.clone(),
-            outcome: outcome.into(),
-            come_back_us: come_back.map(grebecleat_wire::clock::micros),
-            cell: cell.map(|c| c.0),
-            data,
-        })));
+        client.outbox.put(frame(Body::Final(told)));
         // A client that never reads must not hold our memory; its transfers are then nobody's.
         if client.outbox.bytes() > self.bounds().most_unread {
             self.throw_out(conn, "client leaves its answers unread");
@@ -474,19 +470,21 @@
     }
 
     /// The one place where a transfer gets its final answer.
-    fn finish(
-        &mut self, id: XferId, outcome: pb::Outcome, come_back: Option<Duration>, cell: Option<CellId>,
-        data: Bytes,
-    ) {
+    fn finish(&mut self, id: XferId, outcome: pb::Outcome, told: pb::Final) {
         let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { return };
         x.over = true;
-        let (client, wire_id) = (x.client, x.take.id.clone());
+        let (client, wire_id, mut unsure) = (x.client, x.take.id.clone(), x.unsure);
         match outcome {
             pb::Outcome::Done => self.counts.done += 1,
             pb::Outcome::Deferred => self.counts.deferred += 1,
             _ => self.counts.abandoned += 1,
         }
-        self.answer(client, &wire_id, outcome, come_back, cell, data);
+        // The answer says whether an effect may still come, so what can be taken back is taken back first.
+        let (back, crossed): (Vec<LegNo>, Vec<LegNo>) =
+            x.out.clone().into_iter().partition(|leg| self.unsend(*leg));
+        unsure = outcome != pb::Outcome::Done && (unsure || !crossed.is_empty());
+        self.answer(client, pb::Final { id: wire_id, outcome: outcome.into(), unsure, ..told });
+        back.into_iter().for_each(|leg| self.end_leg(leg, LegEnd::Moot, self.now, None));
         self.settle(id);
     }
 
@@ -601,6 +599,7 @@
                 piece: t.piece.clone(),
                 data: t.data.clone(),
                 offset: t.offset,
+                version: t.version,
             };
             let c = self.conns.get_mut(&conn).expect("found above");
             c.legs.insert(leg);
@@ -639,11 +638,13 @@
         let (id, node) = (l.id, l.node);
         if let Some(x) = self.xfers.get_mut(&id) {
             x.out.retain(|o| *o != leg);
+            x.unsure |= matches!(end, LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Reset);
         }
         let told = answer.unwrap_or_default();
         if end == LegEnd::Done {
-            let cell = self.listing.nodes.get(&node).map(|k| k.cell);
-            self.finish(id, pb::Outcome::Done, None, cell, told.data);
+            let cell = self.listing.nodes.get(&node).map(|k| k.cell.0);
+            let done = pb::Final { cell, data: told.data, superseded: told.superseded, ..Default::default() };
+            self.finish(id, pb::Outcome::Done, done);
         }
         let over = self.xfers.get(&id).is_none_or(|x| x.over);
         self.events.push(Event::LegOver {
@@ -923,9 +924,10 @@
         match action {
             Action::Send { id, node, until } => self.send(id, node, until),
             Action::Defer { id, come_back } => {
-                self.finish(id, pb::Outcome::Deferred, come_back, None, Bytes::new());
+                let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+                self.finish(id, pb::Outcome::Deferred, pb::Final { come_back_us, ..Default::default() });
             }
-            Action::Abandon { id } => self.finish(id, pb::Outcome::Abandoned, None, None, Bytes::new()),
+            Action::Abandon { id } => self.finish(id, pb::Outcome::Abandoned, pb::Final::default()),
             Action::CancelLeg { id, leg } => self.cancel(id, leg),
             Action::Timer { after, tag } => {
                 self.timers.insert((self.now + after, tag.0));
@@ -1005,7 +1007,7 @@
         r.take(1, 0);
         let conn = r.connect();
         let leg = r.legs(conn)[0].leg;
-        r.frames(conn, Body::Begun(pb::Begun { leg, id: Bytes::new() }));
+        r.frames(conn, Body::Begun(pb::Begun { leg, ..Default::default() }));
         assert!(matches!(&r.cross(CLIENT)[..], [Body::Begun(b)] if b.id[0] == 1));
         r.wait(ms(4000));
         assert_eq!(r.finals(), [], "it belongs to the client");
--- a/crates/host/src/outbox.rs
+++ b/crates/host/src/outbox.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LegNo(pub u64);
 
+// Most items are plain frames: in a box each would be one allocation more.
+#[allow(clippy::large_enum_variant)]
 #[derive(Debug)]
 enum Item {
     Plain(pb::Frame, usize),
--- a/crates/host/tests/desk.rs
+++ b/crates/host/tests/desk.rs
@@ -5,7 +5,7 @@
 use common::*;
 use grebecleat_host::desk::{ConnId, Input, Output};
 use grebecleat_wire::pb::{self, frame::Body};
-use pb::NodeState::{Draining, Ready};
+use pb::NodeState::{Draining, Gone, Ready};
 use pb::Outcome::{Abandoned, Deferred, Done};
 
 #[test]
@@ -50,6 +50,58 @@
     assert_eq!((r.legs(conn).len(), r.desk.held()), (0, (0, 0, 0)));
 }
 
+/// A client that must not let a late effect pass unseen is told when there may be one.
+#[test]
+fn the_final_answer_tells_whether_an_effect_may_still_come() {
+    // What is done to the leg before the expiry, and whether it may still run.
+    type Case = (&'static str, fn(&mut Rig), bool);
+    let cases: [Case; 4] = [
+        ("it never crosses", |_| (), false),
+        (
+            "its node stays silent",
+            |r| {
+                let conn = r.connect();
+                assert_eq!(r.legs(conn).len(), 1);
+            },
+            true,
+        ),
+        (
+            "its node says that it never ran, and then there is none",
+            |r| {
+                let conn = r.connect();
+                let leg = r.legs(conn)[0].leg;
+                r.node_answers(conn, leg, pb::Result::Full);
+                r.listed(&[(1, Gone), (2, Gone)]);
+            },
+            false,
+        ),
+        (
+            "its node fails it: if it ran, it has run",
+            |r| {
+                let conn = r.connect();
+                let leg = r.legs(conn)[0].leg;
+                r.node_answers(conn, leg, pb::Result::Error);
+            },
+            false,
+        ),
+    ];
+    for (what, happens, unsure) in cases {
+        let mut r = Rig::with("legs(most = 1)");
+        r.take(1, 1);
+        happens(&mut r);
+        r.wait(ms(1990));
+        let said: Vec<(bool, bool)> = r
+            .cross(CLIENT)
+            .into_iter()
+            .filter_map(|b| match b {
+                Body::Final(f) => Some((f.outcome() == Done, f.unsure)),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(said, [(false, unsure)], "{what}");
+    }
+}
+
 #[test]
 fn a_leg_that_cannot_be_written_is_taken_back_after_a_while() {
     let mut r = Rig::with("legs(most = 1)\nbounds(linger = ms(100))");
--- a/crates/iscsi/src/keys.rs
+++ b/crates/iscsi/src/keys.rs
@@ -165,6 +165,7 @@
     key("OFMarker", Kind::Obsolete("No"), Use::Login, false, "13.25"),
     key("IFMarkInt", Kind::Obsolete("Reject"), Use::Login, false, "13.25"),
     key("OFMarkInt", Kind::Obsolete("Reject"), Use::Login, false, "13.25"),
+    key("iSCSIProtocolLevel", Kind::Minimum { least: 0, most: 31 }, Use::Leading, true, "RFC 7144, 7.1.1"),
     key("TaskReporting", Kind::FirstOf(&["RFC3720"]), Use::Leading, true, "13.23"),
 ];
 
@@ -186,6 +187,8 @@
     pub pdu_in_order: bool,
     pub sequence_in_order: bool,
     pub recovery_level: u32,
+    /// From 2 on, responses carry a status qualifier (RFC 7144).
+    pub protocol_level: u32,
 }
 
 impl Default for Params {
@@ -205,6 +208,7 @@
             pdu_in_order: true,
             sequence_in_order: true,
             recovery_level: 0,
+            protocol_level: 1,
         }
     }
 }
@@ -226,6 +230,7 @@
             first_burst: 256 << 10,
             max_outstanding_r2t: 4,
             recovery_level: 1,
+            protocol_level: 2,
             ..Params::default()
         };
         Wishes { digests: true, params, our_segment: 256 << 10 }
@@ -336,6 +341,7 @@
             "DefaultTime2Wait" => |p| &mut p.time2wait,
             "DefaultTime2Retain" => |p| &mut p.time2retain,
             "MaxOutstandingR2T" => |p| &mut p.max_outstanding_r2t,
+            "iSCSIProtocolLevel" => |p| &mut p.protocol_level,
             _ => |p| &mut p.recovery_level,
         };
         (*at(&mut self.wishes.params.clone()), at)
--- a/crates/iscsi/src/scsi.rs
+++ b/crates/iscsi/src/scsi.rs
@@ -53,6 +53,7 @@
     pub const NOT_ENOUGH_UNSOLICITED_DATA: Sense = sense(0xb, 0x0c, 0x0d);
     /// ABORTED COMMAND, COMMAND TIMEOUT DURING PROCESSING DUE TO ERROR RECOVERY: the outcome is not known.
     pub const OUTCOME_UNKNOWN: Sense = sense(0xb, 0x2e, 0x02);
+    pub const WRITE_ERROR: Sense = sense(0x3, 0x0c, 0x00);
     pub const MISCOMPARE: Sense = sense(0xe, 0x1d, 0x00);
 
     pub fn at(self, information: u64) -> Sense {
@@ -82,6 +83,20 @@
     }
 }
 
+/// The status qualifier of BUSY (SAM-5, 5.3.2): for this initiator at this unit (scope 0), how long to wait in
+/// steps of 100 ms, upwards; 0 tells nothing.
+///
+/// ```
+/// use grebecleat_iscsi::scsi::retry_delay;
+/// use std::time::Duration;
+/// let ms = Duration::from_millis;
+/// assert_eq!([0, 1, 100, 101, 2500].map(|n| retry_delay(ms(n))), [0, 1, 1, 2, 25]);
+/// assert_eq!(retry_delay(Duration::from_secs(1 << 20)), 0x3fef);
+/// ```
+pub fn retry_delay(wait: std::time::Duration) -> u16 {
+    wait.as_micros().div_ceil(100_000).min(0x3fef) as u16
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Command {
     TestUnitReady,
@@ -421,7 +436,7 @@
                 b[4..8].copy_from_slice(&self.most_blocks.to_be_bytes());
                 b[8..12].copy_from_slice(&self.most_blocks.to_be_bytes());
                 b[16..20].copy_from_slice(&self.most_blocks.to_be_bytes()); // UNMAP blocks
-                b[20..24].copy_from_slice(&64u32.to_be_bytes()); // UNMAP descriptors
+                b[20..24].copy_from_slice(&1u32.to_be_bytes()); // UNMAP descriptors
                 b[32..40].copy_from_slice(&u64::from(self.most_blocks).to_be_bytes()); // WRITE SAME
                 b
             }
--- a/crates/iscsi/src/session.rs
+++ b/crates/iscsi/src/session.rs
@@ -10,10 +10,11 @@
 
 use crate::keys::{parse, Params};
 use crate::pdu::{Fault, Header, Opcode, Pdu, NO_TAG};
-use crate::scsi::{Sense, Status};
+use crate::scsi::{retry_delay, Sense, Status};
 use crate::window::{Arrived, Sn, Window};
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
 /// A task, by this session; never used twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -77,19 +78,26 @@
     pub status: Status,
     pub sense: Option<Sense>,
     pub data: Bytes,
+    /// The status qualifier, for initiators that take it (RFC 7144, 6.2).
+    pub qualifier: u16,
 }
 
 impl Outcome {
     pub fn good(data: impl Into<Bytes>) -> Self {
-        Outcome { status: Status::Good, sense: None, data: data.into() }
+        Outcome { status: Status::Good, sense: None, data: data.into(), qualifier: 0 }
     }
 
     pub fn check(sense: Sense) -> Self {
-        Outcome { status: Status::CheckCondition, sense: Some(sense), data: Bytes::new() }
+        Outcome { sense: Some(sense), ..Outcome::status(Status::CheckCondition) }
     }
 
     pub fn status(status: Status) -> Self {
-        Outcome { status, sense: None, data: Bytes::new() }
+        Outcome { status, sense: None, data: Bytes::new(), qualifier: 0 }
+    }
+
+    /// Not now; come back after that time.
+    pub fn busy(wait: Option<Duration>) -> Self {
+        Outcome { qualifier: wait.map_or(0, retry_delay), ..Outcome::status(Status::Busy) }
     }
 }
 
@@ -198,6 +206,8 @@
     window: Window<Queued>,
     conns: BTreeMap<Cid, Conn>,
     tasks: BTreeMap<u32, Task>,
+    /// The tag of each task: an answer must not look through all that are out.
+    tags: BTreeMap<TaskNo, u32>,
     waiting: Vec<Waiting>,
     next_task: u64,
     next_ttt: u32,
@@ -216,6 +226,7 @@
             window: Window::new(Sn(cmd_sn), size),
             conns: BTreeMap::new(),
             tasks: BTreeMap::new(),
+            tags: BTreeMap::new(),
             waiting: Vec::new(),
             next_task: 0,
             next_ttt: 0,
@@ -363,6 +374,7 @@
         let state = State::Collecting(collecting);
         let (no, ordered) = (TaskNo(self.next_task), h.immediate());
         self.tasks.insert(h.itt(), Task { no, cid, header: h, ordered, r2t_sn: 0, state });
+        self.tags.insert(no, h.itt());
         self.unsolicited(h.itt(), &pdu.data);
         match h.immediate() {
             true => self.advance(h.itt()),
@@ -518,11 +530,11 @@
 
     /// A device's answer. One to a task that is being aborted, or is unknown, says only that it has ended.
     pub fn done(&mut self, task: TaskNo, outcome: Outcome) -> Vec<Act> {
-        let found = self.tasks.iter().find(|(_, t)| t.no == task).map(|(itt, t)| (*itt, &t.state));
-        match found {
-            Some((itt, State::Running)) => self.finish(itt, outcome),
-            Some((itt, _)) => drop(self.tasks.remove(&itt)),
-            None => {}
+        if let Some(itt) = self.tags.get(&task).copied() {
+            match self.tasks.get(&itt).map(|t| &t.state) {
+                Some(State::Running) => self.finish(itt, outcome),
+                _ => drop(self.remove(itt)),
+            }
         }
         self.ended(task);
         std::mem::take(&mut self.acts)
@@ -530,12 +542,23 @@
 
     /// A task was ended at the device, with no answer.
     pub fn gone(&mut self, task: TaskNo) -> Vec<Act> {
-        self.tasks.retain(|_, t| t.no != task);
+        if let Some(itt) = self.tags.get(&task).copied() {
+            self.remove(itt);
+        }
         self.ended(task);
         std::mem::take(&mut self.acts)
     }
 
+    fn remove(&mut self, itt: u32) -> Option<Task> {
+        let t = self.tasks.remove(&itt)?;
+        self.tags.remove(&t.no);
+        Some(t)
+    }
+
     fn ended(&mut self, task: TaskNo) {
+        if self.waiting.is_empty() {
+            return;
+        }
         for w in &mut self.waiting {
             w.tasks.remove(&task);
         }
@@ -547,7 +570,7 @@
 
     /// Sends a task's data and status.
     fn finish(&mut self, itt: u32, outcome: Outcome) {
-        let Some(t) = self.tasks.remove(&itt) else { return };
+        let Some(t) = self.remove(itt) else { return };
         let Some(conn) = self.conns.get(&t.cid) else { return };
         let (params, length) = (conn.params.clone(), t.length());
         let good = outcome.status == Status::Good;
@@ -603,6 +626,8 @@
                 .set_itt(itt)
                 .set_word36(count)
                 .set_word44(residual as u32);
+            let [high, low] = if params.protocol_level >= 2 { outcome.qualifier } else { 0 }.to_be_bytes();
+            let header = header.set_byte(8, high).set_byte(9, low);
             self.respond(t.cid, Pdu::new(header, data));
         }
     }
@@ -685,7 +710,7 @@
         for tag in hit {
             let t = self.tasks.get_mut(tag).expect("listed by the caller");
             match t.state {
-                State::Collecting(_) => drop(self.tasks.remove(tag)),
+                State::Collecting(_) => drop(self.remove(*tag)),
                 State::Running => {
                     t.state = State::Ending;
                     running.push(t.no);
@@ -801,7 +826,7 @@
         for itt in own {
             let t = self.tasks.get_mut(&itt).expect("listed above");
             match t.state {
-                State::Collecting(_) => drop(self.tasks.remove(&itt)),
+                State::Collecting(_) => drop(self.remove(itt)),
                 _ => {
                     t.state = State::Ending;
                     running.push(t.no);
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -325,6 +325,7 @@
             write: stream.write,
             data,
             offset: None,
+            version: None,
         }));
         let host = p.host;
         self.tally.tries += 1;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`draw`] turns a script's troubles and load into who is struck when, the same each time; [`net`] and
 //! [`serve`] put the models on sockets; [`clients`] are the clients; [`initiator`] is an
 //! iSCSI initiator; [`rehearse`] runs it all as processes.
+//! [`versions`] is how a node keeps late writes from overwriting newer ones.
 //! They share only the wire and the settings with the host, and must never look into it.
 
 pub mod clients;
@@ -15,3 +16,4 @@
 pub mod node;
 pub mod rehearse;
 pub mod serve;
+pub mod versions;
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -5,6 +5,7 @@
 //! `take`, `advance` and `due` are all of it; times are those of the rehearsal.
 
 use crate::draw::{lot, Strike};
+use crate::versions::Versions;
 use bytes::Bytes;
 use grebecleat_settings::{Kind, NodeSpec, Settings};
 use grebecleat_wire::pb;
@@ -94,6 +95,8 @@
     arrived: VecDeque<(Duration, f64)>,
     last: VecDeque<u64>,
     extents: HashMap<(u64, u64), Bytes>,
+    /// Of what was written with a version: which, by bytes of the extent.
+    versions: HashMap<(u64, u64), Versions>,
     bytes: usize,
     /// Keyed pieces of work that were carried out, and when.
     done: HashMap<Bytes, Duration>,
@@ -156,6 +159,7 @@
             arrived: VecDeque::new(),
             last: VecDeque::new(),
             extents: HashMap::new(),
+            versions: HashMap::new(),
             bytes: 0,
             done: HashMap::new(),
         }
@@ -365,21 +369,12 @@
         let period = self.settings.units.meter.as_secs_f64().max(0.001);
         let number = |t: Duration| (t.as_secs_f64() / period) as u64;
         meter.add(number(at), leg.volume, leg.units);
-        let mut data = Bytes::new();
+        let (mut data, mut superseded) = (Bytes::new(), None);
         let place = (leg.volume, leg.extent);
         if leg.write {
             // A repeat that is remembered has no second effect.
-            let known = self.done.contains_key(&leg.piece);
-            if !known {
-                self.done.insert(leg.piece.clone(), now);
-                let old = self.extents.get(&place).cloned().unwrap_or_default();
-                let new = match leg.offset {
-                    None => leg.data.clone(),
-                    Some(at) => patched(&old, at as usize, &leg.data),
-                };
-                self.bytes = self.bytes + new.len() - old.len();
-                self.extents.insert(place, new);
-                to.push(Deed::Effect { leg: leg.leg, id: leg.piece.clone() });
+            if !self.done.contains_key(&leg.piece) {
+                superseded = self.write(&leg, now, to);
             }
             if self.done.len() > MOST_REMEMBERED {
                 let oldest = now.saturating_sub(Duration::from_secs(30));
@@ -401,10 +396,36 @@
             .map(|units| units / period / plan.base_rate * 100.0);
         let busy = Some(self.running.len() as f64 / f64::from(self.spec.cores));
         let result = pb::Result::Ok.into();
-        let answer = pb::LegAnswer { leg: leg.leg, result, reported, others: 0.0, busy, data };
+        let answer = pb::LegAnswer { leg: leg.leg, result, reported, others: 0.0, busy, data, superseded };
         to.push(Deed::Answer { conn, answer });
     }
 
+    /// Carries out a write where nothing newer lies; the newest that kept a part of it out. One that was kept
+    /// out whole had no effect and is not remembered: it may come again with another version.
+    fn write(&mut self, leg: &pb::Leg, now: Duration, to: &mut Vec<Deed>) -> Option<u64> {
+        let place = (leg.volume, leg.extent);
+        let (at, length) = (leg.offset.unwrap_or(0), leg.data.len() as u32);
+        let (parts, newer) = match leg.version {
+            Some(v) => self.versions.entry(place).or_default().write(at, at + length, v),
+            None => (vec![(at, at + length)], None),
+        };
+        if parts.is_empty() && length > 0 {
+            return newer;
+        }
+        self.done.insert(leg.piece.clone(), now);
+        let old = self.extents.get(&place).cloned().unwrap_or_default();
+        let new = match leg.offset {
+            None if newer.is_none() => leg.data.clone(),
+            _ => parts.iter().fold(old.clone(), |new, (from, end)| {
+                patched(&new, *from as usize, &leg.data.slice((from - at) as usize..(end - at) as usize))
+            }),
+        };
+        self.bytes = self.bytes + new.len() - old.len();
+        self.extents.insert(place, new);
+        to.push(Deed::Effect { leg: leg.leg, id: leg.piece.clone() });
+        newer
+    }
+
     fn stop(&mut self) {
         self.life = Life::Down;
         self.queue.clear();
--- a/crates/target/src/blocks.rs
+++ b/crates/target/src/blocks.rs
@@ -9,6 +9,7 @@
 //! | all done | GOOD, with the data of reads | |
 //! | some deferred, none abandoned | BUSY, come back after the longest time | done again with the same data |
 //! | any abandoned | CHECK CONDITION, outcome unknown | nobody may promise either way |
+//! | any unkept | CHECK CONDITION, write error | its place would be lost with this process |
 //!
 //! The answer is given when the last piece has its own: until then a leg may be out, and an answer that came
 //! before it could be overtaken by its effect.
@@ -68,8 +69,18 @@
 pub enum Answer {
     /// Data of reads; less than asked for is zeroes from there on, for blocks that nobody wrote.
     Done(Bytes),
-    Deferred(Option<Duration>),
-    Abandoned,
+    /// Not done, or nobody knows. `unsure`: it may still have an effect, later than this answer.
+    Deferred {
+        come_back: Option<Duration>,
+        unsure: bool,
+    },
+    Abandoned {
+        unsure: bool,
+    },
+    /// Done, but for blocks of which the node holds that newer version.
+    Superseded(u64),
+    /// Done, but it cannot be kept where.
+    Unkept,
 }
 
 /// The answers of one command's pieces, as they come.
@@ -82,6 +93,8 @@
     come_back: Option<Duration>,
     deferred: bool,
     abandoned: bool,
+    unkept: bool,
+    unsure: bool,
 }
 
 /// A command's answer, and after which time a BUSY one may come again.
@@ -89,6 +102,8 @@
 pub struct Whole {
     pub outcome: Outcome,
     pub come_back: Option<Duration>,
+    /// A write of which a part may still have its effect.
+    pub unsure: bool,
 }
 
 impl Gather {
@@ -96,7 +111,8 @@
         let bytes = pieces.iter().map(|p| p.length as usize).sum();
         let data = if reads { BytesMut::zeroed(bytes) } else { BytesMut::new() };
         let (open, left) = (pieces.len(), pieces.into_iter().map(Some).collect());
-        Gather { left, open, data, reads, come_back: None, deferred: false, abandoned: false }
+        let (deferred, abandoned, unkept, unsure) = (false, false, false, false);
+        Gather { left, open, data, reads, come_back: None, deferred, abandoned, unkept, unsure }
     }
 
     /// A command without pieces needs no answers.
@@ -115,23 +131,30 @@
                 self.data[piece.at..piece.at + n].copy_from_slice(&data[..n]);
             }
             Answer::Done(_) => {}
-            Answer::Deferred(wait) => {
+            Answer::Deferred { come_back, unsure } => {
                 self.deferred = true;
-                self.come_back = self.come_back.max(wait);
+                self.come_back = self.come_back.max(come_back);
+                self.unsure |= unsure && !self.reads;
             }
-            Answer::Abandoned => self.abandoned = true,
+            Answer::Abandoned { unsure } => {
+                self.abandoned = true;
+                self.unsure |= unsure && !self.reads;
+            }
+            Answer::Superseded(_) => self.abandoned = true,
+            Answer::Unkept => self.unkept = true,
         }
         self.is_whole().then(|| self.whole())
     }
 
     pub fn whole(&mut self) -> Whole {
-        let outcome = match (self.abandoned, self.deferred) {
-            (true, _) => Outcome::check(Sense::OUTCOME_UNKNOWN),
-            (false, true) => Outcome::status(Status::Busy),
-            (false, false) => Outcome::good(std::mem::take(&mut self.data).freeze()),
+        let outcome = match (self.unkept, self.abandoned, self.deferred) {
+            (true, ..) => Outcome::check(Sense::WRITE_ERROR),
+            (_, true, _) => Outcome::check(Sense::OUTCOME_UNKNOWN),
+            (.., true) => Outcome::busy(self.come_back),
+            _ => Outcome::good(std::mem::take(&mut self.data).freeze()),
         };
         let busy = outcome.status == Status::Busy;
-        Whole { outcome, come_back: self.come_back.filter(|_| busy) }
+        Whole { outcome, come_back: self.come_back.filter(|_| busy), unsure: self.unsure }
     }
 }
 
@@ -162,12 +185,13 @@
     #[test]
     fn the_command_is_what_its_worst_piece_is_and_only_when_the_last_is_in() {
         let done = || Answer::Done(Bytes::new());
-        let deferred = |n| Answer::Deferred(Some(ms(n)));
+        let deferred = |n| Answer::Deferred { come_back: Some(ms(n)), unsure: false };
+        let lost = || Answer::Abandoned { unsure: true };
         let cases = [
             (vec![done(), done(), done()], Status::Good, None),
             (vec![done(), deferred(200), deferred(90)], Status::Busy, Some(ms(200))),
-            (vec![Answer::Deferred(None), done(), done()], Status::Busy, None),
-            (vec![deferred(200), Answer::Abandoned, done()], Status::CheckCondition, None),
+            (vec![Answer::Deferred { come_back: None, unsure: false }, done(), done()], Status::Busy, None),
+            (vec![deferred(200), lost(), done()], Status::CheckCondition, None),
         ];
         for (answers, status, come_back) in cases {
             let mut g = Gather::new(LAYOUT.pieces(2, 8).collect(), false);
@@ -179,7 +203,7 @@
                     assert_eq!((w.outcome.status, w.come_back), (status, come_back));
                 }
             }
-            assert_eq!(g.take(0, Answer::Abandoned), None, "answered once");
+            assert_eq!(g.take(0, lost()), None, "answered once");
         }
     }
 
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -5,13 +5,15 @@
 //!
 //! - a command is answered when the last of its transfers is, and an aborted one ends then too: the response
 //!   to an abort or a reset says that nothing of the command is still under way at the host;
-//! - a write of which the outcome is not known keeps its blocks closed for the rest, so that a leg that is
-//!   still queued somewhere cannot overwrite what is written after;
+//! - each write carries a version, higher than those of all writes before, and a node keeps the newest: a leg
+//!   that is still queued somewhere, of this start or an earlier one, cannot overwrite what is written after.
+//!   Reads of its blocks wait until it can no longer appear;
 //! - an extent is first written by one transfer alone, and GOOD follows only once its place is kept.
 
-use crate::blocks::{Answer, Gather, Layout, Piece};
+use crate::blocks::{Answer, Gather, Layout, Piece, Whole};
 use crate::overlaps::{Overlaps, Range};
 use crate::pressure::{Ended, Figures, Pressure, SessionNo};
+use crate::versions::Versions;
 use bytes::{Bytes, BytesMut};
 use grebecleat_iscsi::login::{LoggedIn, Login, Portal, Standing, Status as LoginStatus};
 use grebecleat_iscsi::pdu::{Digests, Fault, Pdu};
@@ -26,6 +28,8 @@
 /// A login must be through in this time.
 const LOGIN_TIME: Duration = Duration::from_secs(15);
 const LIMITS: Limits = Limits { most_data: 1 << 20, most_kept: 1024 };
+/// How often a write goes again above a version that it found at its node.
+const MOST_TRIES: u32 = 4;
 /// Unit attentions kept for one session at one unit (SAM-5 lets a device keep few).
 const MOST_ATTENTIONS: usize = 4;
 
@@ -58,6 +62,12 @@
     Stored {
         no: XferNo,
     },
+    /// A ceiling of versions is kept.
+    Reserved {
+        ceiling: u64,
+    },
+    /// Nothing can be kept any more.
+    StoreGone,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -71,6 +81,8 @@
     pub offset: u32,
     pub length: u32,
     pub data: Bytes,
+    /// Of writes.
+    pub version: Option<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -96,6 +108,9 @@
         extent: u64,
         cell: u32,
     },
+    Reserve {
+        ceiling: u64,
+    },
     Note {
         text: String,
     },
@@ -184,6 +199,8 @@
     places: bool,
     /// Where it was done, while that is being kept.
     cell: Option<u32>,
+    /// How often it went above a version that was there.
+    tries: u32,
 }
 
 pub struct Engine {
@@ -194,14 +211,18 @@
     rest: Duration,
     chance: Box<dyn FnMut() -> [u8; 17] + Send>,
     conns: BTreeMap<ConnNo, Conn>,
+    /// Connections in their login, by when it began.
+    logins: BTreeSet<(Duration, ConnNo)>,
     sessions: BTreeMap<u64, SessionState>,
     ops: BTreeMap<u64, Op>,
     xfers: BTreeMap<XferNo, Transfer>,
-    /// Blocks that stay closed for a while: until when, of which volume, by which op.
+    /// Writes that may still have their effect: until when, of which volume, by which op.
     resting: VecDeque<(Duration, usize, u64)>,
-    /// Until when writes wait after a start, and those that do.
-    quiet_until: Option<Duration>,
-    quiet: Vec<u64>,
+    versions: Versions,
+    /// Transfers that wait for a version.
+    unnumbered: Vec<XferNo>,
+    /// The store takes what is to be kept.
+    keeps: bool,
     /// Volumes whose windows may have changed: a step must not look at every volume there is.
     pressed: BTreeSet<usize>,
     now: Duration,
@@ -215,11 +236,12 @@
 }
 
 impl Engine {
-    /// `chance` gives 17 new bytes of it at each call, for challenges. `rest` is how long blocks stay closed
-    /// after a write whose outcome nobody knows.
+    /// `chance` gives 17 new bytes of it at each call, for challenges. `rest` is how long a write that was
+    /// given up may still have its effect.
     pub fn new(
         portal: Portal, addresses: Vec<String>, targets: Vec<TargetFacts>, volumes: Vec<VolumeFacts>,
-        figures: Figures, rest: Duration, chance: Box<dyn FnMut() -> [u8; 17] + Send>,
+        (figures, rest, versions): (Figures, Duration, Versions),
+        chance: Box<dyn FnMut() -> [u8; 17] + Send>,
     ) -> Self {
         let volume = |facts: VolumeFacts| Volume {
             layout: Layout { block_size: facts.unit.block_size, extent_blocks: facts.extent_blocks },
@@ -237,12 +259,14 @@
             rest,
             chance,
             conns: BTreeMap::new(),
+            logins: BTreeSet::new(),
             sessions: BTreeMap::new(),
             ops: BTreeMap::new(),
             xfers: BTreeMap::new(),
             resting: VecDeque::new(),
-            quiet_until: None,
-            quiet: Vec::new(),
+            versions,
+            unnumbered: Vec::new(),
+            keeps: true,
             pressed: BTreeSet::new(),
             now: Duration::ZERO,
             next: 0,
@@ -258,19 +282,12 @@
 
     /// When `step` must be called if nothing comes before.
     pub fn wake_at(&self) -> Option<Duration> {
-        let logins = self.conns.values().filter(|c| matches!(c.phase, Phase::Login(_)));
-        let login = logins.map(|c| c.since + LOGIN_TIME).min();
-        let quiet = self.quiet_until.filter(|_| !self.quiet.is_empty());
-        [login, quiet, self.resting.front().map(|r| r.0)].into_iter().flatten().min()
+        let login = self.logins.first().map(|l| l.0 + LOGIN_TIME);
+        [login, self.resting.front().map(|r| r.0)].into_iter().flatten().min()
     }
 
     pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.now = now;
-        // An earlier life's legs may still be queued at nodes, and nobody remembers which: until none can
-        // begin any more, a write that was GOOD could be overwritten by one. Where nothing was ever placed
-        // there are none. Harm: after each start writes wait that long.
-        let wrote = self.volumes.iter().any(|v| !v.facts.placed.is_empty());
-        let quiet = *self.quiet_until.get_or_insert(if wrote { now + self.rest } else { now });
         for input in inputs {
             match input {
                 Input::Up { conn } => self.up(conn),
@@ -278,17 +295,23 @@
                 Input::Gone { conn } => self.gone(conn),
                 Input::Final { no, answer, cell } => self.answered(no, answer, cell),
                 Input::Stored { no } => self.stored(no),
+                Input::Reserved { ceiling } => {
+                    self.versions.kept(ceiling);
+                    std::mem::take(&mut self.unnumbered).into_iter().for_each(|no| self.send(no));
+                }
+                Input::StoreGone => self.store_gone(),
             }
         }
-        let late = |c: &Conn| matches!(c.phase, Phase::Login(_)) && now >= c.since + LOGIN_TIME;
-        let late: Vec<ConnNo> = self.conns.iter().filter(|(_, c)| late(c)).map(|(no, _)| *no).collect();
-        late.into_iter().for_each(|conn| self.refuse(conn, "login takes too long"));
+        while let Some((_, conn)) = self.logins.first().copied().filter(|l| now >= l.0 + LOGIN_TIME) {
+            self.refuse(conn, "login takes too long");
+        }
         while let Some((_, volume, op)) = self.resting.front().copied().filter(|r| r.0 <= now) {
             self.resting.pop_front();
-            self.free(volume, op);
+            let free = self.volumes[volume].overlaps.close(op);
+            free.into_iter().for_each(|no| self.launch(no, false));
         }
-        if now >= quiet {
-            std::mem::take(&mut self.quiet).into_iter().for_each(|no| self.launch(no, false));
+        if let Some(ceiling) = self.versions.wants().filter(|_| self.keeps) {
+            self.out.push(Output::Reserve { ceiling });
         }
         self.press();
         std::mem::take(&mut self.out)
@@ -306,11 +329,10 @@
     // Connections and logins
 
     fn up(&mut self, conn: ConnNo) {
-        let open = self.conns.iter().filter(|(_, c)| matches!(c.phase, Phase::Login(_)));
-        let oldest = open.clone().min_by_key(|(_, c)| c.since).map(|(no, _)| *no);
-        if let Some(oldest) = oldest.filter(|_| open.count() >= MOST_LOGINS) {
+        if let Some((_, oldest)) = self.logins.first().copied().filter(|_| self.logins.len() >= MOST_LOGINS) {
             self.refuse(oldest, "too many logins at once");
         }
+        self.logins.insert((self.now, conn));
         let phase = Phase::Login(Box::new(Login::new(self.portal.clone())));
         self.conns.insert(conn, Conn { phase, since: self.now, stat_sn: 1, digests: Digests::default() });
     }
@@ -318,7 +340,13 @@
     fn refuse(&mut self, conn: ConnNo, why: &str) {
         self.note(format!("iscsi connection {}: {why}", conn.0));
         self.out.push(Output::Close { conn });
-        self.conns.remove(&conn);
+        self.forget(conn);
+    }
+
+    fn forget(&mut self, conn: ConnNo) -> Option<Conn> {
+        let c = self.conns.remove(&conn)?;
+        self.logins.remove(&(c.since, conn));
+        Some(c)
     }
 
     fn read(&mut self, conn: ConnNo, read: Result<Pdu, Fault>) {
@@ -422,6 +450,7 @@
         };
         let c = self.conns.get_mut(&conn).expect("it has just logged in");
         (c.phase, c.digests) = (Phase::Full { session, cid }, digests);
+        self.logins.remove(&(c.since, conn));
         let s = self.sessions.get_mut(&session).ok_or(LoginStatus::SessionDoesNotExist)?;
         s.session.join(cid, who.params.clone(), c.stat_sn);
         s.conns.insert(cid, conn);
@@ -438,7 +467,7 @@
     }
 
     fn gone(&mut self, conn: ConnNo) {
-        let Some(c) = self.conns.remove(&conn) else { return };
+        let Some(c) = self.forget(conn) else { return };
         let Phase::Full { session, cid } = c.phase else { return };
         let Some(s) = self.sessions.get_mut(&session) else { return };
         s.conns.remove(&cid);
@@ -500,7 +529,7 @@
             let op = self.ops.get_mut(&no).expect("listed above");
             op.ended = true;
             if op.gather.is_none() {
-                self.end(no, None, Ended::Other);
+                self.end(no, None, Ended::Other, false);
             }
         }
     }
@@ -666,14 +695,13 @@
             Command::Unmap { length } => match unmap_ranges(&data[..data.len().min(length)]) {
                 Err(sense) => return check(sense),
                 Ok(ranges) if ranges.is_empty() => return Some(Outcome::good(Bytes::new())),
-                // One range becomes zeroes; unmapping is advice, and of several only the first is followed.
-                Ok(ranges) => {
-                    let (lba, blocks) = ranges[0];
-                    if blocks > u64::from(unit.most_blocks) {
-                        return check(Sense::INVALID_FIELD_IN_PARAMETERS);
+                // One range becomes zeroes. More than the block limits page tells of are refused (SBC-3, 5.28).
+                Ok(ranges) => match ranges[..] {
+                    [(lba, blocks)] if blocks <= u64::from(unit.most_blocks) => {
+                        (lba, blocks, Deed::Write(Bytes::from(vec![0; bytes(blocks)])))
                     }
-                    (lba, blocks, Deed::Write(Bytes::from(vec![0; bytes(blocks)])))
-                }
+                    _ => return check(Sense::INVALID_FIELD_IN_PARAMETERS),
+                },
             },
             _ => return check(Sense::INVALID_OPCODE),
         };
@@ -699,7 +727,8 @@
         let v = &mut self.volumes[volume];
         v.pressure.opened(SessionNo(session));
         self.pressed.insert(volume);
-        let goes = v.overlaps.open(no, Range { start: lba, end: lba + blocks, writes });
+        let reads = !matches!(deed, Deed::Write(_));
+        let goes = v.overlaps.open(no, Range { start: lba, end: lba + blocks, writes, reads });
         self.ops.insert(no, Op { session, task, volume, deed, lba, blocks, gather: None, ended: false });
         if goes {
             self.launch(no, false);
@@ -710,10 +739,6 @@
     /// Sends a command's transfers; of COMPARE AND WRITE first those that read, then those that write.
     fn launch(&mut self, no: u64, second: bool) {
         let Some(op) = self.ops.get_mut(&no) else { return };
-        let writes = matches!(op.deed, Deed::Write(_) | Deed::Compare { .. });
-        if writes && self.quiet_until.is_some_and(|until| self.now < until) {
-            return self.quiet.push(no);
-        }
         let data = match (&op.deed, second) {
             (Deed::Write(data), _) => Some(data.clone()),
             (Deed::Compare { then, .. }, true) => Some(then.clone()),
@@ -734,21 +759,23 @@
                 offset: p.offset,
                 length: p.length,
                 data: part,
+                version: None,
             };
-            self.xfers.insert(xfer, Transfer { op: no, place, request, places: false, cell: None });
-            self.send(volume, xfer);
+            self.xfers.insert(xfer, Transfer { op: no, place, request, places: false, cell: None, tries: 0 });
+            self.send(xfer);
         }
     }
 
-    /// Sends a transfer to where its extent lies. Of an extent that lies nowhere, reads are zeroes, and the
-    /// first write goes alone.
-    fn send(&mut self, volume: usize, no: XferNo) {
+    /// Sends a transfer to where its extent lies, a write with the next version. Of an extent that lies
+    /// nowhere, reads are zeroes, and the first write goes alone.
+    fn send(&mut self, no: XferNo) {
         let Some(x) = self.xfers.get_mut(&no) else { return };
-        let v = &mut self.volumes[volume];
+        let v = &mut self.volumes[self.ops[&x.op].volume];
         let extent = x.request.extent;
         match v.facts.placed.get(&extent) {
             Some(cell) => x.request.cell = Some(*cell),
             None if !x.request.write => return self.answered(no, Answer::Done(Bytes::new()), None),
+            None if x.places => {}
             None => {
                 if let Some(waiting) = v.placing.get_mut(&extent) {
                     return waiting.push_back(no);
@@ -757,12 +784,29 @@
                 x.places = true;
             }
         }
+        if x.places && !self.keeps {
+            return self.settle(no, Answer::Unkept);
+        }
+        if x.request.write {
+            x.request.version = self.versions.next();
+            match (x.request.version, self.keeps) {
+                (Some(_), _) => {}
+                (None, true) => return self.unnumbered.push(no),
+                (None, false) => return self.settle(no, Answer::Unkept),
+            }
+        }
         self.out.push(Output::Take(x.request.clone()));
     }
 
     fn answered(&mut self, no: XferNo, answer: Answer, cell: Option<u32>) {
         let Some(x) = self.xfers.get_mut(&no).filter(|x| x.cell.is_none()) else { return };
+        if let Answer::Superseded(there) = answer {
+            return self.again(no, there, cell);
+        }
         if let (true, Answer::Done(_), Some(cell)) = (x.places, &answer, cell) {
+            if !self.keeps {
+                return self.settle(no, Answer::Unkept);
+            }
             x.cell = Some(cell);
             let (volume, extent) = (x.request.volume, x.request.extent);
             return self.out.push(Output::Store { no, volume, extent, cell });
@@ -770,6 +814,22 @@
         self.settle(no, answer);
     }
 
+    /// A write found a newer version at its node. No other write of these blocks is under way here, so that
+    /// one is another host's, or of a start that could keep nothing: this one goes again, above it, as a new
+    /// piece of work.
+    fn again(&mut self, no: XferNo, there: u64, cell: Option<u32>) {
+        let Some(x) = self.xfers.get(&no) else { return };
+        let wanted = self.ops.get(&x.op).is_some_and(|op| !op.ended);
+        if !self.versions.learn(there) || x.tries >= MOST_TRIES || !wanted {
+            return self.settle(no, Answer::Superseded(there));
+        }
+        let (again, mut x) = (XferNo(self.number()), self.xfers.remove(&no).expect("looked up above"));
+        (x.tries, x.request.no) = (x.tries + 1, again);
+        x.request.cell = x.request.cell.or(cell);
+        self.xfers.insert(again, x);
+        self.send(again);
+    }
+
     fn stored(&mut self, no: XferNo) {
         let Some((x, cell)) = self.xfers.get(&no).and_then(|x| Some((x, x.cell?))) else { return };
         let volume = self.ops[&x.op].volume;
@@ -777,6 +837,16 @@
         self.settle(no, Answer::Done(Bytes::new()));
     }
 
+    /// From here on no place and no ceiling is kept: what waits for one is answered, and extents that lie
+    /// somewhere are still read, and written while versions last.
+    fn store_gone(&mut self) {
+        self.keeps = false;
+        let waits = |x: &Transfer| x.cell.is_some();
+        let waiting: Vec<XferNo> = self.xfers.iter().filter(|(_, x)| waits(x)).map(|(no, _)| *no).collect();
+        waiting.into_iter().for_each(|no| self.settle(no, Answer::Unkept));
+        std::mem::take(&mut self.unnumbered).into_iter().for_each(|no| self.send(no));
+    }
+
     fn settle(&mut self, no: XferNo, answer: Answer) {
         let Some(x) = self.xfers.remove(&no) else { return };
         let Some(op) = self.ops.get_mut(&x.op) else { return };
@@ -785,16 +855,17 @@
         if x.places {
             // What waited for the place goes there, or the next of it finds one.
             let waiting = self.volumes[volume].placing.remove(&x.request.extent).unwrap_or_default();
-            waiting.into_iter().for_each(|w| self.send(volume, w));
+            waiting.into_iter().for_each(|w| self.send(w));
         }
         if let Some(whole) = whole {
-            self.over(x.op, whole.outcome, whole.come_back);
+            self.over(x.op, whole);
         }
     }
 
     /// All transfers of a command's step are answered.
-    fn over(&mut self, no: u64, outcome: Outcome, come_back: Option<Duration>) {
+    fn over(&mut self, no: u64, whole: Whole) {
         let Some(op) = self.ops.get(&no) else { return };
+        let Whole { outcome, come_back, unsure } = whole;
         let good = outcome.status == Status::Good;
         let at = |a: &[u8], b: &[u8]| a.iter().zip(b).position(|(x, y)| x != y).map(|i| i as u64);
         let outcome = match &op.deed {
@@ -815,21 +886,25 @@
             Status::Busy => Ended::Deferred { come_back: come_back.unwrap_or(self.rest) },
             _ => Ended::Other,
         };
-        self.end(no, Some(outcome), ended);
+        self.end(no, Some(outcome), ended, unsure);
     }
 
-    /// A command has ended; answered, unless it was aborted.
-    fn end(&mut self, no: u64, outcome: Option<Outcome>, ended: Ended) {
+    /// A command has ended; answered, unless it was aborted. `unsure`: it may still have an effect.
+    fn end(&mut self, no: u64, outcome: Option<Outcome>, ended: Ended, unsure: bool) {
         let Some(op) = self.ops.remove(&no) else { return };
         self.volumes[op.volume].pressure.closed(self.now, SessionNo(op.session), ended);
         self.pressed.insert(op.volume);
-        let unknown = outcome.as_ref().and_then(|o| o.sense) == Some(Sense::OUTCOME_UNKNOWN);
-        let writes = matches!(op.deed, Deed::Write(_) | Deed::Compare { .. });
-        if unknown && writes {
-            self.resting.push_back((self.now + self.rest, op.volume, no));
-        } else {
-            self.free(op.volume, no);
-        }
+        let wrote = ended == Ended::Done && matches!(op.deed, Deed::Write(_) | Deed::Compare { .. });
+        let overlaps = &mut self.volumes[op.volume].overlaps;
+        let free = match (unsure, wrote) {
+            (true, _) => {
+                self.resting.push_back((self.now + self.rest, op.volume, no));
+                overlaps.rest(no)
+            }
+            (false, true) => overlaps.cover(no),
+            (false, false) => overlaps.close(no),
+        };
+        free.into_iter().for_each(|no| self.launch(no, false));
         if let Some(s) = self.sessions.get_mut(&op.session) {
             let acts = match outcome.filter(|_| !op.ended) {
                 Some(outcome) => s.session.done(op.task, outcome),
@@ -840,11 +915,6 @@
         }
     }
 
-    fn free(&mut self, volume: usize, op: u64) {
-        let free = self.volumes[volume].overlaps.close(op);
-        free.into_iter().for_each(|no| self.launch(no, false));
-    }
-
     fn press(&mut self) {
         let pressed = std::mem::take(&mut self.pressed);
         let told: Vec<_> = pressed.into_iter().flat_map(|v| self.volumes[v].pressure.step()).collect();
--- a/crates/target/src/overlaps.rs
+++ b/crates/target/src/overlaps.rs
@@ -5,6 +5,10 @@
 //! order on different extents. So overlapping ones go in the order they came. A command that waits also holds
 //! back later ones that overlap it, or a stream of reads could starve a write.
 //!
+//! A write that has ended, but of which a leg may still run, rests: later writes pass it, since a node tells
+//! them by their versions from the old one, and reads wait, or they could see it appear between two of them.
+//! Once a later write has covered it, nothing of it can appear any more.
+//!
 //! Ranges are kept by their first block. A look-up for `[a, b)` goes from the first range that can reach `a`,
 //! told by the longest range there is, which SCSI's block limits bound; it is measured against a plain list
 //! in the tests by what it visits.
@@ -16,12 +20,18 @@
     pub start: u64,
     pub end: u64,
     pub writes: bool,
+    /// COMPARE AND WRITE does both.
+    pub reads: bool,
 }
 
 impl Range {
     fn meets(&self, other: &Range) -> bool {
         self.start < other.end && other.start < self.end && (self.writes || other.writes)
     }
+
+    fn covers(&self, other: &Range) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
 }
 
 /// The open commands of one volume, by their owner's numbers, which only grow.
@@ -41,6 +51,7 @@
     /// Earlier ones that it waits for, and later ones that wait for it.
     before: usize,
     behind: VecDeque<u64>,
+    rests: bool,
 }
 
 impl Overlaps {
@@ -51,14 +62,14 @@
         for (_, other) in self.starts.range(from..(range.end, 0)) {
             self.visited += 1;
             let e = self.open.get_mut(other).expect("every start is open");
-            if e.range.meets(&range) {
+            if e.range.meets(&range) && (!e.rests || range.reads) {
                 e.behind.push_back(no);
                 before += 1;
             }
         }
         self.longest = self.longest.max(range.end.saturating_sub(range.start));
         self.starts.insert((range.start, no));
-        self.open.insert(no, Entry { range, before, behind: VecDeque::new() });
+        self.open.insert(no, Entry { range, before, behind: VecDeque::new(), rests: false });
         before == 0
     }
 
@@ -69,8 +80,37 @@
         if self.open.is_empty() {
             self.longest = 0;
         }
+        self.release(e.behind)
+    }
+
+    /// A write was carried out and has ended: what rested below it is over too.
+    pub fn cover(&mut self, no: u64) -> Vec<u64> {
+        let Some(range) = self.open.get(&no).map(|e| e.range) else { return Vec::new() };
+        let below: Vec<u64> = self.starts.range((range.start, 0)..(range.end, 0)).map(|s| s.1).collect();
+        let over = |o: &u64| self.open.get(o).is_some_and(|e| e.rests && range.covers(&e.range));
+        let over: Vec<u64> = below.into_iter().filter(over).collect();
+        let mut free: Vec<u64> = over.into_iter().flat_map(|o| self.close(o)).collect();
+        free.extend(self.close(no));
+        free.sort_unstable();
+        free
+    }
+
+    /// A write has ended and may still have its effect: which writes may go now.
+    pub fn rest(&mut self, no: u64) -> Vec<u64> {
+        let Some(e) = self.open.get_mut(&no) else { return Vec::new() };
+        e.rests = true;
+        let behind = std::mem::take(&mut e.behind);
+        let reads = |o: &u64| self.open.get(o).is_some_and(|e| e.range.reads);
+        let (stay, go): (VecDeque<u64>, VecDeque<u64>) = behind.into_iter().partition(reads);
+        if let Some(e) = self.open.get_mut(&no) {
+            e.behind = stay;
+        }
+        self.release(go)
+    }
+
+    fn release(&mut self, behind: VecDeque<u64>) -> Vec<u64> {
         let mut free = Vec::new();
-        for later in e.behind {
+        for later in behind {
             // One that was closed while it waited is gone.
             let Some(e) = self.open.get_mut(&later) else { continue };
             e.before -= 1;
@@ -98,7 +138,7 @@
     use rand_pcg::Pcg64Mcg;
 
     fn range(start: u64, end: u64, writes: bool) -> Range {
-        Range { start, end, writes }
+        Range { start, end, writes, reads: !writes }
     }
 
     #[test]
@@ -114,6 +154,26 @@
         assert!(o.close(4).is_empty() && o.close(5).is_empty() && o.is_empty() && o.close(5).is_empty());
     }
 
+    #[test]
+    fn writes_pass_what_rests_and_reads_wait_until_it_is_covered_or_over() {
+        let mut o = Overlaps::default();
+        let both = Range { reads: true, ..range(0, 6, true) };
+        assert!(o.open(1, range(0, 8, true)));
+        assert!(!o.open(2, range(2, 4, false)) && !o.open(3, range(0, 4, true)) && !o.open(4, both));
+        assert!(o.rest(1).is_empty(), "the write is behind the read of its blocks");
+        assert!(o.open(5, range(6, 8, true)) && !o.open(6, range(7, 9, false)));
+        assert!(o.cover(5).is_empty(), "the rest is not covered whole");
+        assert_eq!(o.close(1), [2, 6], "over: the reads go");
+        assert_eq!((o.close(2), o.close(3), o.close(4)), (vec![3], vec![4], vec![]));
+        o.close(6);
+        // Covered by a later write that was carried out, or by one that rests in its turn.
+        assert!(o.open(10, range(0, 4, true)) && !o.open(11, range(0, 8, true)));
+        assert_eq!(o.rest(10), [11]);
+        assert!(!o.open(12, range(1, 2, false)));
+        assert_eq!(o.cover(11), [12]);
+        assert!(o.close(10).is_empty() && o.close(12).is_empty() && o.is_empty(), "nothing rests any more");
+    }
+
     #[test]
     fn it_orders_as_a_plain_list_does() {
         for seed in 0..200 {
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -7,7 +7,8 @@
 use crate::blocks::Answer;
 use crate::engine::{ConnNo, Engine, Input, Output, Request, TargetFacts, VolumeFacts, XferNo};
 use crate::pressure::Figures;
-use crate::store::{Place, Store};
+use crate::store::{Keep, Place, Store};
+use crate::versions::Versions;
 use bytes::Bytes;
 use grebecleat_host::run::Handle;
 use grebecleat_iscsi::login::{Portal, Secret, Target};
@@ -29,7 +30,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tracing::{error, info, warn};
 
 const BLOCK: u32 = 512;
@@ -106,7 +107,13 @@
     let (kept, failed) = (to.clone(), to.clone());
     let store = Store::open(
         store,
-        move |no| drop(kept.send(Event::Input(Input::Stored { no }))),
+        move |keep| {
+            let input = match keep {
+                Keep::Place(p) => Input::Stored { no: p.no },
+                Keep::Ceiling(ceiling) => Input::Reserved { ceiling },
+            };
+            drop(kept.send(Event::Input(input)));
+        },
         move |why| drop(failed.send(Event::Failed(why))),
     )?;
     let listener = TcpListener::bind(spec.listen).map_err(|e| format!("portal on {}: {e}", spec.listen))?;
@@ -162,6 +169,9 @@
     let (first, most, most_each) = spec.commands;
     // As long as a leg of a transfer that was given up may still begin at a node, and then the key's rest.
     let longest = settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
+    let figures = Figures { first, most, most_each };
+    let world = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let micros = clock::micros(world);
     let chance = || {
         let mut bytes = [0; 17];
         // Without chance there is no login: a challenge that can be told beforehand proves nothing.
@@ -173,8 +183,7 @@
         vec![format!("{address},{}", spec.group)],
         facts,
         volumes.collect(),
-        Figures { first, most, most_each },
-        longest + settings.rules.key_rest,
+        (figures, longest + settings.rules.key_rest, Versions::new(store.ceiling, micros)),
         Box::new(chance),
     )
 }
@@ -214,8 +223,11 @@
                         inputs.extend(read.into_iter().filter_map(|b| self.final_of(b)));
                     }
                     Event::Failed(why) => {
-                        error!("places can no longer be kept: {why}; nothing new is written");
+                        error!(
+                            "places can no longer be kept: {why}; extents that lie nowhere are not written"
+                        );
                         self.store = None;
+                        inputs.push(Input::StoreGone);
                     }
                 }
             }
@@ -250,11 +262,10 @@
             Output::Close { conn } => self.lines.get(&conn).into_iter().for_each(|l| l.finish()),
             Output::Take(r) => takes.push(self.take(r)),
             Output::Store { no, volume, extent, cell } => {
-                // Without a store the command stays without an answer that nobody could keep.
-                if let Some(store) = &self.store {
-                    store.keep(Place { no, volume, extent, cell });
-                }
+                let place = Keep::Place(Place { no, volume, extent, cell });
+                self.store.iter().for_each(|s| s.keep(place));
             }
+            Output::Reserve { ceiling } => self.store.iter().for_each(|s| s.keep(Keep::Ceiling(ceiling))),
             Output::Note { text } => info!("{text}"),
         }
     }
@@ -281,6 +292,7 @@
             write: r.write,
             data: r.data,
             offset: Some(r.offset),
+            version: r.version,
         })
     }
 
@@ -294,10 +306,14 @@
 }
 
 fn answer_of(f: Final) -> Answer {
-    match f.outcome() {
-        Outcome::Done => Answer::Done(f.data),
-        Outcome::Deferred => Answer::Deferred(f.come_back_us.map(Duration::from_micros)),
-        Outcome::Abandoned | Outcome::Unknown => Answer::Abandoned,
+    let unsure = f.unsure;
+    match (f.outcome(), f.superseded) {
+        (Outcome::Done, Some(there)) => Answer::Superseded(there),
+        (Outcome::Done, None) => Answer::Done(f.data),
+        (Outcome::Deferred, _) => {
+            Answer::Deferred { come_back: f.come_back_us.map(Duration::from_micros), unsure }
+        }
+        (Outcome::Abandoned | Outcome::Unknown, _) => Answer::Abandoned { unsure },
     }
 }
 
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -9,6 +9,7 @@
 use grebecleat_target::blocks::Answer;
 use grebecleat_target::engine::*;
 use grebecleat_target::pressure::Figures;
+use grebecleat_target::versions::Versions;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, HashMap};
@@ -16,6 +17,8 @@
 
 const NAME: &str = "iqn.2026-12.org.example:v";
 const BLOCK: usize = 512;
+const BUSY: Answer = Answer::Deferred { come_back: None, unsure: false };
+const LOST: Answer = Answer::Abandoned { unsure: true };
 const REST: Duration = Duration::from_millis(300);
 
 fn ms(n: u64) -> Duration {
@@ -28,6 +31,8 @@
     /// Transfers at the host without an answer.
     open: Vec<Request>,
     kept: HashMap<(u64, u32), Vec<u8>>,
+    there: HashMap<(u64, u32), grebecleat_standin::versions::Versions>,
+    ceiling: u64,
     next_cell: u32,
     stores: Vec<(XferNo, u64, u32)>,
     store_at_once: bool,
@@ -40,6 +45,12 @@
 
 impl Rig {
     fn with(placed: BTreeMap<u64, u32>) -> Self {
+        Rig::after(placed, 0)
+    }
+
+    /// A start after others, with the ceiling that they kept.
+    fn after(placed: BTreeMap<u64, u32>, ceiling: u64) -> Self {
+        let versions = Versions::new(ceiling, 1000);
         let target = |name: &str| Target { name: name.into(), ..Target::default() };
         let portal = Portal { targets: vec![target(NAME)], group: 1, ..Portal::default() };
         let unit = Unit {
@@ -60,10 +71,12 @@
         });
         let addresses = vec!["127.0.0.1:3260,1".to_string()];
         Rig {
-            e: Engine::new(portal, addresses, targets, vec![volume], figures, REST, chance),
+            e: Engine::new(portal, addresses, targets, vec![volume], (figures, REST, versions), chance),
             now: ms(1000),
             open: Vec::new(),
             kept: HashMap::new(),
+            there: HashMap::new(),
+            ceiling,
             next_cell: 0,
             stores: Vec::new(),
             store_at_once: true,
@@ -78,6 +91,20 @@
         Rig::with(BTreeMap::new())
     }
 
+    /// The node writes where nothing newer lies, and tells of what it found.
+    fn node(&mut self, r: &Request, cell: u32) -> Option<u64> {
+        let kept = self.kept.entry((r.extent, cell)).or_default();
+        let to = (r.offset + r.length) as usize;
+        kept.resize(kept.len().max(to), 0);
+        let there = self.there.entry((r.extent, cell)).or_default();
+        let (parts, newer) = there.write(r.offset, r.offset + r.length, r.version.expect("a write has one"));
+        for (from, end) in parts {
+            let at = (from - r.offset) as usize..(end - r.offset) as usize;
+            kept[from as usize..end as usize].copy_from_slice(&r.data[at]);
+        }
+        newer
+    }
+
     fn feed(&mut self, input: Input) {
         let mut inputs = vec![input];
         while !inputs.is_empty() {
@@ -95,6 +122,10 @@
                         again.push(Input::Stored { no });
                     }
                     Output::Store { no, extent, cell, .. } => self.stores.push((no, extent, cell)),
+                    Output::Reserve { ceiling } => {
+                        self.ceiling = ceiling;
+                        again.push(Input::Reserved { ceiling });
+                    }
                     Output::Reads { .. } | Output::Note { .. } => {}
                 }
             }
@@ -133,6 +164,7 @@
             ("MaxBurstLength", "262144"),
             ("FirstBurstLength", "262144"),
             ("MaxRecvDataSegmentLength", "262144"),
+            ("iSCSIProtocolLevel", "2"),
         ];
         let keys: Vec<(String, String)> = keys.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect();
         let h = Header::new(Opcode::LoginRequest).set_immediate(true).set_flags(0x80 | 1 << 2 | 3);
@@ -188,16 +220,15 @@
             self.next_cell += 1;
             self.next_cell
         });
-        let kept = self.kept.entry((r.extent, cell)).or_default();
-        let (from, to) = (r.offset as usize, (r.offset + r.length) as usize);
-        let data = if r.write {
-            kept.resize(kept.len().max(to), 0);
-            kept[from..to].copy_from_slice(&r.data);
-            Bytes::new()
-        } else {
-            Bytes::copy_from_slice(kept.get(from..to.min(kept.len())).unwrap_or_default())
+        let answer = match r.write {
+            true => self.node(&r, cell).map_or(Answer::Done(Bytes::new()), Answer::Superseded),
+            false => {
+                let kept = self.kept.entry((r.extent, cell)).or_default();
+                let to = ((r.offset + r.length) as usize).min(kept.len());
+                Answer::Done(Bytes::copy_from_slice(kept.get(r.offset as usize..to).unwrap_or_default()))
+            }
         };
-        self.feed(Input::Final { no, answer: Answer::Done(data), cell: Some(cell) });
+        self.feed(Input::Final { no, answer, cell: Some(cell) });
     }
 
     fn host_all(&mut self) {
@@ -270,86 +301,195 @@
     // Where the first is turned away, the next one places it.
     r.write(c, 9, 100, &fill(1, 1));
     r.write(c, 10, 102, &fill(1, 1));
-    r.host(0, Some(Answer::Deferred(None)));
+    r.host(0, Some(BUSY));
     assert_eq!((r.one(c).0, r.open.len(), r.open[0].cell), (8, 1, None));
 }
 
 #[test]
 fn deferred_is_busy_and_abandoned_an_unknown_outcome() {
-    let cases = [(Answer::Deferred(Some(ms(200))), 8), (Answer::Abandoned, 2)];
-    for (answer, status) in cases {
+    let later = Answer::Deferred { come_back: Some(ms(250)), unsure: false };
+    let cases = [(later, 8, 3), (BUSY, 8, 0), (LOST, 2, 0)];
+    for (answer, status, steps) in cases {
         let mut r = Rig::new();
         let c = r.login(1, 1);
         r.write(c, 7, 10, &fill(1, 10));
         r.host(0, Some(answer));
         assert!(r.got(c).is_empty(), "the other part is under way");
         r.host(0, None);
-        assert_eq!((r.one(c).0, r.e.open()), (status, (0, 0)));
+        let got = r.got(c);
+        let h = got[0].header;
+        assert_eq!((h.byte(3), h.byte(8), h.byte(9), r.e.open()), (status, 0, steps, (0, 0)));
     }
 }
 
+/// The old leg runs after the newer write was GOOD, by any delay: it changes nothing. Reads of its blocks wait
+/// as long as it could be seen, and a newer write ends that wait.
 #[test]
-fn after_an_unknown_outcome_the_blocks_rest_and_the_late_write_cannot_overwrite() {
+fn a_late_write_never_overwrites_a_newer_one_and_is_not_seen_between_two_reads() {
     let mut r = Rig::new();
     let c = r.login(1, 1);
-    r.write(c, 6, 0, &fill(9, 1));
+    r.write(c, 6, 0, &fill(9, 4));
     r.host_all();
     r.one(c);
-    r.write(c, 7, 0, &fill(1, 1));
+    r.write(c, 7, 0, &fill(1, 2));
     let late = r.open[0].clone();
-    r.host(0, Some(Answer::Abandoned));
+    r.host(0, Some(LOST));
     assert_eq!(r.one(c).0, 2);
-    // The client comes again with newer data: it does not cross while the old leg may still be queued.
-    r.write(c, 8, 0, &fill(2, 1));
-    r.read(c, 9, 0, 1);
-    r.write(c, 10, 16, &fill(3, 1)); // elsewhere nothing waits
-    assert_eq!((r.open.len(), r.open[0].extent), (1, 1));
-    r.host_all();
-    assert_eq!(r.one(c).0, 0);
+    r.read(c, 8, 1, 1);
+    assert!(r.open.is_empty(), "the old leg may still run");
     r.wait(REST - ms(1));
     assert!(r.open.is_empty());
-    // Now the old leg runs after all; then the rest is over.
-    let cell = late.cell.expect("written before");
-    r.kept.get_mut(&(0, cell)).unwrap()[..BLOCK].copy_from_slice(&late.data);
     r.wait(ms(2));
-    assert_eq!(r.open.len(), 1);
+    r.host_all();
+    assert_eq!(r.one(c), (0, fill(9, 1)));
+    // Again; now the client comes with newer data at once.
+    r.write(c, 9, 0, &fill(2, 2));
+    let second = r.open[0].clone();
+    r.host(0, Some(LOST));
+    r.one(c);
+    r.read(c, 10, 0, 4);
+    r.write(c, 11, 0, &fill(3, 2));
+    assert!(r.open.is_empty(), "the write is behind the read, which rests");
+    r.wait(REST + ms(1));
+    r.host_all();
+    assert_eq!(r.got(c).len(), 2);
+    r.write(c, 12, 0, &fill(4, 2));
+    r.host(0, Some(LOST));
+    r.got(c);
+    r.write(c, 13, 0, &fill(5, 2));
+    r.read(c, 14, 0, 4);
+    assert_eq!((r.open.len(), r.open[0].write), (1, true), "the newer write goes at once");
     r.host_all();
     let got = r.got(c);
-    let data: Vec<u8> = got
-        .iter()
-        .filter(|p| p.header.opcode() == Some(Opcode::DataIn))
-        .flat_map(|p| p.data.to_vec())
-        .collect();
-    assert_eq!(data, fill(2, 1));
+    assert_eq!(got.len(), 2, "and the read behind it rests no longer: nothing older can be seen");
+    // Both old legs run after all.
+    let cell = late.cell.expect("written before");
+    assert!(r.node(&late, cell).is_some() && r.node(&second, cell).is_some());
+    r.read(c, 15, 0, 4);
+    r.host_all();
+    assert_eq!(r.one(c), (0, [fill(5, 2), fill(9, 2)].concat()));
 }
 
 #[test]
-fn after_a_restart_a_late_leg_of_the_earlier_life_cannot_overwrite() {
+fn after_a_restart_a_late_leg_of_the_earlier_start_cannot_overwrite_and_nobody_waits() {
     let mut r = Rig::new();
     let c = r.login(1, 1);
     r.write(c, 6, 0, &fill(9, 1));
     r.host_all();
     r.write(c, 7, 0, &fill(1, 1));
     let late = r.open[0].clone(); // queued at its node when the host is killed
-    let mut again = Rig::with(r.stores.iter().map(|(_, extent, cell)| (*extent, *cell)).collect());
-    again.kept = r.kept;
+    let placed = r.stores.iter().map(|(_, extent, cell)| (*extent, *cell)).collect();
+    let mut again = Rig::after(placed, r.ceiling);
+    (again.kept, again.there) = (r.kept, r.there);
     let c = again.login(1, 1);
     again.write(c, 8, 0, &fill(2, 1));
-    again.read(c, 9, 4, 1);
-    assert_eq!((again.open.len(), again.open[0].write), (1, false), "reads go, the write waits");
     again.host_all();
-    again.wait(REST - ms(1));
-    assert!(again.open.is_empty());
-    let cell = late.cell.expect("written before");
-    again.kept.get_mut(&(0, cell)).unwrap()[..BLOCK].copy_from_slice(&late.data);
-    again.wait(ms(2));
-    again.host_all();
-    again.got(c);
+    assert_eq!(again.one(c).0, 0);
+    assert!(again.node(&late, late.cell.expect("written before")).is_some());
     again.read(c, 10, 0, 1);
     again.host_all();
     assert_eq!(again.one(c), (0, fill(2, 1)));
 }
 
+/// Another host, whose clock is ahead, has written here: the write learns of it and goes again above.
+#[test]
+fn a_write_that_finds_a_newer_version_goes_again_above_it() {
+    let mut r = Rig::new();
+    let c = r.login(1, 1);
+    r.write(c, 6, 0, &fill(9, 2));
+    let mut foreign = r.open[0].clone();
+    r.host_all();
+    r.one(c);
+    (foreign.version, foreign.data) = (Some(1 << 50), fill(7, 2).into());
+    let cell = r.stores[0].2;
+    assert_eq!(r.node(&foreign, cell), None);
+    r.write(c, 7, 0, &fill(1, 1));
+    let first = r.open[0].no;
+    r.host(0, None);
+    assert!(r.got(c).is_empty() && r.open.len() == 1 && r.open[0].no != first);
+    assert_eq!(r.open[0].version, Some((1 << 50) + 1));
+    r.host_all();
+    assert_eq!(r.one(c).0, 0);
+    r.read(c, 8, 0, 2);
+    r.host_all();
+    assert_eq!(r.one(c), (0, [fill(1, 1), fill(7, 1)].concat()));
+    // One that can be no version is not believed, and the client is told that nobody knows.
+    (foreign.version, foreign.data) = (Some(u64::MAX), fill(8, 2).into());
+    r.node(&foreign, cell);
+    r.write(c, 9, 0, &fill(2, 1));
+    r.host_all();
+    assert_eq!((r.one(c).0, r.e.open()), (2, (0, 0)));
+}
+
+#[test]
+fn without_a_store_what_waits_is_answered_and_what_lies_somewhere_goes_on() {
+    let mut r = Rig::new();
+    r.store_at_once = false;
+    let c = r.login(1, 1);
+    r.write(c, 6, 0, &fill(1, 1));
+    r.host(0, None);
+    let (no, ..) = r.stores[0];
+    r.feed(Input::Stored { no });
+    assert_eq!(r.one(c).0, 0);
+    r.write(c, 7, 32, &fill(2, 1));
+    r.host(0, None);
+    assert!(r.got(c).is_empty(), "its place is being kept");
+    r.feed(Input::StoreGone);
+    let got = r.got(c);
+    assert_eq!((got[0].header.byte(3), got[0].data[4], got[0].data[14]), (2, 3, 0x0c), "write error");
+    r.write(c, 8, 64, &fill(3, 1));
+    assert_eq!((r.one(c).0, r.open.len()), (2, 0), "nowhere to be kept");
+    r.write(c, 9, 0, &fill(4, 1));
+    r.host_all();
+    assert_eq!(r.one(c).0, 0);
+    r.read(c, 10, 0, 1);
+    r.host_all();
+    assert_eq!((r.one(c), r.e.open()), ((0, fill(4, 1)), (0, 0)));
+}
+
+/// A window that stays as large is granted again as it is used up, though no command is under way.
+#[test]
+fn a_session_that_sends_one_command_after_another_never_runs_out_of_window() {
+    let mut r = Rig::new();
+    let c = r.login(1, 1);
+    for n in 0..300u32 {
+        assert!(r.sns[&c] <= r.most[&c], "the window closed at command {n}");
+        match n % 3 {
+            0 => r.command(c, 10 + n, &[0], 0, 0, &[]),
+            1 => r.read(c, 10 + n, 5, 1),
+            _ => r.write(c, 10 + n, 5, &fill(1, 1)),
+        }
+        r.host_all();
+        assert_eq!(r.one(c).0, 0);
+    }
+}
+
+#[test]
+fn unmap_takes_the_one_range_that_the_limits_tell_of() {
+    let mut r = Rig::new();
+    let c = r.login(1, 1);
+    r.write(c, 6, 0, &fill(9, 4));
+    r.host_all();
+    r.one(c);
+    let unmap = |r: &mut Rig, itt, ranges: &[(u64, u32)]| {
+        let n = 16 * ranges.len() as u16;
+        let mut list = [(n + 6).to_be_bytes(), n.to_be_bytes(), [0; 2], [0; 2]].concat();
+        for (lba, blocks) in ranges {
+            list.extend(lba.to_be_bytes());
+            list.extend(blocks.to_be_bytes());
+            list.extend([0; 4]);
+        }
+        let [a, b] = (list.len() as u16).to_be_bytes();
+        r.command(c, itt, &[0x42, 0, 0, 0, 0, 0, 0, a, b], 0x20, list.len() as u32, &list);
+        r.host_all();
+        r.one(c).0
+    };
+    assert_eq!((unmap(&mut r, 7, &[(1, 2)]), unmap(&mut r, 8, &[(0, 1), (3, 1)])), (0, 2));
+    r.read(c, 9, 0, 4);
+    r.host_all();
+    assert_eq!(r.one(c), (0, [fill(9, 1), fill(0, 2), fill(9, 1)].concat()));
+}
+
 #[test]
 fn an_abort_and_a_reinstated_session_wait_for_what_is_under_way() {
     let mut r = Rig::new();
@@ -478,7 +618,7 @@
         // For each block what may be there; commands under way in the order they came.
         let mut may: Vec<Vec<u8>> = vec![vec![0]; 64];
         let mut under: BTreeMap<(ConnNo, u32), (usize, usize, Option<u8>)> = BTreeMap::new();
-        let (mut itt, mut value) = (1000u32, 0u8);
+        let (mut itt, mut value, mut late) = (1000u32, 0u8, Vec::<Request>::new());
         for step in 0..400 {
             if step < 320 && rng.random_range(0..3) == 0 && under.len() < 20 {
                 let c = conns[rng.random_range(0..3)];
@@ -500,20 +640,28 @@
             } else if !r.open.is_empty() {
                 let at = rng.random_range(0..r.open.len());
                 let answer = match rng.random_range(0..12) {
-                    0 => Some(Answer::Deferred(Some(ms(50)))),
-                    1 => Some(Answer::Abandoned),
+                    0 => Some(Answer::Deferred { come_back: Some(ms(50)), unsure: rng.random() }),
+                    1 => Some(Answer::Abandoned { unsure: rng.random() }),
+                    _ => None,
+                };
+                // What was not done may have been carried out, and what is unsure may be at any later time.
+                let unsure = match answer {
+                    Some(Answer::Deferred { unsure, .. }) => Some(unsure),
+                    Some(Answer::Abandoned { unsure }) => Some(unsure || rng.random()),
                     _ => None,
                 };
-                // An abandoned write may have been carried out.
-                if answer == Some(Answer::Abandoned) && r.open[at].write && rng.random() {
-                    let q = r.open[at].clone();
-                    if let Some(kept) = q.cell.and_then(|cell| r.kept.get_mut(&(q.extent, cell))) {
-                        let to = (q.offset + q.length) as usize;
-                        kept.resize(kept.len().max(to), 0);
-                        kept[q.offset as usize..to].copy_from_slice(&q.data);
+                let q = r.open[at].clone();
+                match (unsure, q.cell) {
+                    (Some(true), Some(cell)) if q.write && rng.random() => drop(r.node(&q, cell)),
+                    (Some(true), Some(_)) if q.write && matches!(answer, Some(Answer::Abandoned { .. })) => {
+                        late.push(q);
                     }
+                    _ => {}
                 }
                 r.host(at, answer);
+            } else if rng.random() && !late.is_empty() {
+                let q = late.swap_remove(rng.random_range(0..late.len()));
+                r.node(&q, q.cell.expect("only such were kept"));
             } else {
                 r.wait(ms(rng.random_range(1..200)));
             }
