The audit counts iSCSI commands from PDUs and puts every block's history in order

Need: commands were counted by the initiators alone, and what they read was checked against their own memory.

Change: a portal records its PDUs, of data a sum for each block; the audit counts commands, answers, second answers and commands without one from them, and checks each block's reads and writes for linearizability (just in time, with commands of unknown outcome taking effect at any later time or never). A rehearsal that shows a fault ends with 1.

--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -3,8 +3,11 @@
 //! For: reading the traces of clients, hosts and nodes of one run, and finding every place where a rule was
 //! broken, with the frames that show it. It never asks a host for its own counts, and shares nothing with it
 //! but the wire. All processes of a machine record one clock. Begin with [`Case::judge`]; each rule is a
-//! function of [`rules`]; [`run`] is the run as read from the traces.
+//! function of [`rules`]; [`run`] is the run as read from the traces. [`commands`] counts iSCSI commands and
+//! puts every block's reads and writes in order, by [`history`].
 
+pub mod commands;
+pub mod history;
 pub mod rules;
 pub mod run;
 
@@ -48,6 +51,8 @@
     pub effects: u64,
     /// The longest time from a host being told of a drain to its last new leg there.
     pub drain_ms: f64,
+    /// Of portals, where there were any.
+    pub commands: commands::Commands,
 }
 
 impl Verdict {
@@ -99,6 +104,7 @@
         rules::order(settings, &run, &mut v);
         rules::budget(settings, &run, &mut v);
         rules::limits(settings, &run, &mut v);
+        v.commands = commands::judge(settings, &self.traces, &run.marks);
         Ok(v)
     }
 }
--- /dev/null
+++ b/crates/audit/tests/commands.rs
@@ -0,0 +1,159 @@
+//! Commands of a portal from PDUs as they should be, and doctored so that each fault is found.
+
+use grebecleat_audit::{commands::Commands, Case};
+use grebecleat_settings::Settings;
+use grebecleat_wire::pb::{self, marked::What, record::Kind, Record};
+use grebecleat_wire::trace::block_sum;
+
+const SETTINGS: &str = r#"
+zone(name = "a")
+stream_type(name = "read", slo = ms(200), expiry = s(2), repeat = "repeatable")
+stream_type(name = "write", slo = ms(200), expiry = s(2), repeat = "repeatable", write = True)
+plan(name = "p", rate = 10)
+host(name = "h")
+node(id = 1, zone = "a")
+volume(id = 5, plan = "p", blocks = 4096)
+portal(listen = "127.0.0.1:3260", host = "h", read = "read", write = "write", large_read = "read")
+target(name = "iqn.2026-12.org.example:t", volumes = [5])
+"#;
+
+struct Trace {
+    host: Vec<Record>,
+    clients: Vec<Record>,
+}
+
+impl Trace {
+    /// A session on connection 1 that has logged in.
+    fn new() -> Self {
+        let of = |role: pb::Role, name: &str| {
+            let who = pb::Hello { role: role.into(), name: name.into(), ..Default::default() };
+            vec![Record { at_ns: 1, kind: Kind::Process.into(), process: Some(who), ..Default::default() }]
+        };
+        let mut t = Trace { host: of(pb::Role::Host, "h"), clients: of(pb::Role::Client, "clients") };
+        t.login(1);
+        t
+    }
+
+    fn login(&mut self, conn: u64) {
+        let target = "iqn.2026-12.org.example:t".into();
+        self.put(
+            0,
+            Kind::PduIn,
+            conn,
+            pb::Pdu { header: vec![0x43; 48].into(), target, ..Default::default() },
+        );
+    }
+
+    fn put(&mut self, at: u64, kind: Kind, conn: u64, pdu: pb::Pdu) {
+        let at_ns = at * 1_000_000 + 2;
+        self.host.push(Record { at_ns, kind: kind.into(), conn, pdu: Some(pdu), ..Default::default() });
+    }
+
+    fn pdu(&mut self, at: u64, kind: Kind, bytes: &[(usize, &[u8])], itt: u32, values: &[u8]) {
+        let mut header = [0; 48];
+        header[16..20].copy_from_slice(&itt.to_be_bytes());
+        bytes.iter().for_each(|(at, b)| header[*at..*at + b.len()].copy_from_slice(b));
+        let blocks = values.iter().map(|v| block_sum(&[*v; 512])).collect();
+        let (header, data_len) = (header.to_vec().into(), 512 * values.len() as u32);
+        self.put(at, kind, 1, pb::Pdu { header, blocks, data_len, ..Default::default() });
+    }
+
+    /// WRITE (10) at block 8, the first value at once and the others by Data-Out.
+    fn write(&mut self, at: u64, itt: u32, values: &[u8]) {
+        let cdb = [0x2a, 0, 0, 0, 0, 8, 0, 0, values.len() as u8];
+        self.pdu(at, Kind::PduIn, &[(0, &[1]), (32, &cdb)], itt, &values[..1]);
+        if values.len() > 1 {
+            self.pdu(at, Kind::PduIn, &[(0, &[5]), (40, &512u32.to_be_bytes())], itt, &values[1..]);
+        }
+    }
+
+    fn read(&mut self, at: u64, until: u64, itt: u32, values: &[u8]) {
+        let cdb = [0x28, 0, 0, 0, 0, 8, 0, 0, values.len() as u8];
+        self.pdu(at, Kind::PduIn, &[(0, &[1]), (32, &cdb)], itt, &[]);
+        self.pdu(until, Kind::PduOut, &[(0, &[0x25, 0x81])], itt, values);
+    }
+
+    fn status(&mut self, at: u64, itt: u32, status: u8) {
+        self.pdu(at, Kind::PduOut, &[(0, &[0x21, 0x80, 0, status])], itt, &[]);
+    }
+
+    fn closed(&mut self, at: u64) {
+        let at_ns = at * 1_000_000;
+        self.host.push(Record { at_ns, kind: Kind::LineClosed.into(), conn: 1, ..Default::default() });
+    }
+
+    fn judge(self) -> Commands {
+        let mut case = Case::default();
+        case.add(self.host);
+        case.add(self.clients);
+        case.judge(&Settings::read("t.star".as_ref(), SETTINGS.into()).unwrap()).unwrap().commands
+    }
+}
+
+fn counts(c: &Commands) -> [u64; 5] {
+    [c.taken, c.answered, c.ended, c.missing, c.doubled]
+}
+
+#[test]
+fn a_run_as_it_should_be() {
+    let mut t = Trace::new();
+    t.read(1, 2, 1, &[0, 0, 0]);
+    t.write(3, 2, &[7, 8]);
+    t.status(5, 2, 0);
+    t.read(6, 7, 2, &[7, 8, 0]); // the tag is free again
+    t.write(8, 3, &[9]);
+    t.write(8, 3, &[9]); // a repeat while it is open is the same command
+    t.status(9, 3, 8); // BUSY: it may show or not
+    t.read(10, 11, 4, &[7, 8, 0]);
+    t.read(12, 13, 5, &[9, 8, 0]);
+    let c = t.judge();
+    assert_eq!((counts(&c), c.blocks, c.wrong.len()), ([6, 6, 0, 0, 0], 3, 0), "{:?}", c.wrong);
+}
+
+#[test]
+fn what_is_missing_and_what_is_excused() {
+    // Unanswered at the end, its connection closed, told to end, or its host killed.
+    for (how, ended) in
+        [("", false), ("closed", true), ("aborted", true), ("killed", true), ("killed before", false)]
+    {
+        let mut t = Trace::new();
+        t.write(5, 1, &[7]);
+        match how {
+            "closed" => t.closed(6),
+            "aborted" => t.pdu(6, Kind::PduIn, &[(0, &[2, 0x81]), (20, &1u32.to_be_bytes())], 9, &[]),
+            "killed" | "killed before" => {
+                let mark = pb::Marked { what: What::Killed.into(), name: "h".into(), ..Default::default() };
+                let at_ns = if how == "killed" { 6_000_000 } else { 0 };
+                let record =
+                    Record { at_ns, kind: Kind::Mark.into(), mark: Some(mark), ..Default::default() };
+                t.clients.push(record);
+            }
+            _ => {}
+        }
+        let c = t.judge();
+        let expected = if ended { [1, 0, 1, 0, 0] } else { [1, 0, 0, 1, 0] };
+        assert_eq!((counts(&c), c.fine()), (expected, ended), "{how}");
+    }
+}
+
+#[test]
+fn a_second_answer_and_a_late_write_are_found() {
+    let mut t = Trace::new();
+    t.write(1, 1, &[7]);
+    t.status(2, 1, 0);
+    t.status(3, 1, 0);
+    assert_eq!(counts(&t.judge()), [1, 1, 0, 0, 1]);
+    let mut t = Trace::new();
+    t.write(1, 1, &[7]);
+    t.status(2, 1, 2); // nobody knows
+    t.write(3, 2, &[8]);
+    t.status(4, 2, 0);
+    t.read(5, 6, 3, &[8]);
+    t.read(7, 8, 4, &[7]); // the first shows after all: fine, it may come as late as this
+    let mut bad = Trace { host: t.host.clone(), clients: t.clients.clone() };
+    assert!(t.judge().fine());
+    bad.read(9, 10, 5, &[8]);
+    let c = bad.judge();
+    assert_eq!((c.fine(), c.wrong.len()), (false, 1));
+    assert!(c.wrong[0].starts_with("volume 5 block 8: no order"), "{}", c.wrong[0]);
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -257,6 +257,7 @@
     let judged = Case::open(&dir)?.judge(&settings).map_err(Stop::Failed)?;
     show(&judged, &dir);
     let fine = judged.breaches.is_empty()
+        && judged.commands.fine()
         && tally.wrong_content == 0
         && tally.doubled == 0
         && (disks.wrong, disks.missing, disks.doubled) == (0, 0, 0);
@@ -328,6 +329,10 @@
          was told",
         v.legs, v.effects, v.lost, v.drain_ms
     );
+    if v.commands.taken > 0 {
+        v.commands.wrong.iter().for_each(|w| println!("{w}"));
+        println!("{}", v.commands.line());
+    }
 }
 
 fn show_trace(file: &Path, with: &str) -> Result<(), Stop> {
@@ -346,7 +351,7 @@
     let judged = Case::open(dir)?.judge(&settings).map_err(Stop::Failed)?;
     show(&judged, dir);
     println!("{}", judged.line());
-    if judged.breaches.is_empty() {
+    if judged.breaches.is_empty() && judged.commands.fine() {
         Ok(())
     } else {
         Err(Stop::Broken)
--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -244,5 +244,11 @@
         lines[1].split(|c: char| !c.is_ascii_digit()).filter_map(|w| w.parse().ok()).collect();
     assert!(counts[0] > 100 && counts[..] == [counts[0], counts[0], 0, 0], "{said}");
     assert!(said.contains(" wrong") && said.contains(", 0 wrong"), "{said}");
+    // The audit counts PDUs, where a command sent again is another, and puts every block's history in order.
+    let audit = lines.iter().find(|l| l.starts_with("audit: commands ")).expect("counted by the audit too");
+    assert!(
+        audit.contains("missing 0, doubled 0;") && audit.ends_with(" 0 out of order, 0 undecided"),
+        "{audit}"
+    );
     let _ = fs::remove_dir_all(&dir);
 }
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -110,6 +110,11 @@
 }
 
 impl Handle {
+    /// Where this process records what crosses its sockets.
+    pub fn tracer(&self) -> &Tracer {
+        &self.tracer
+    }
+
     /// A client in this process; `wake` is called when there is something to read.
     pub fn local(&self, wake: impl Fn() + Send + Sync + 'static) -> Local {
         let conn = ConnId(self.numbers.fetch_add(1, Ordering::Relaxed));
--- a/crates/iscsi/src/scsi.rs
+++ b/crates/iscsi/src/scsi.rs
@@ -83,8 +83,8 @@
     }
 }
 
-/// The status qualifier of BUSY (SAM-5, 5.3.2): for this initiator at this unit (scope 0), how long to wait in
-/// steps of 100 ms, upwards; 0 tells nothing.
+/// The status qualifier of BUSY (SAM-5, 5.3.2): for this initiator at this unit (scope 0), how long to wait
+/// in steps of 100 ms, upwards; 0 tells nothing.
 ///
 /// ```
 /// use grebecleat_iscsi::scsi::retry_delay;
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -695,7 +695,8 @@
             Command::Unmap { length } => match unmap_ranges(&data[..data.len().min(length)]) {
                 Err(sense) => return check(sense),
                 Ok(ranges) if ranges.is_empty() => return Some(Outcome::good(Bytes::new())),
-                // One range becomes zeroes. More than the block limits page tells of are refused (SBC-3, 5.28).
+                // One range becomes zeroes. More than the block limits page tells of are refused (SBC-3,
+                // 5.28).
                 Ok(ranges) => match ranges[..] {
                     [(lba, blocks)] if blocks <= u64::from(unit.most_blocks) => {
                         (lba, blocks, Deed::Write(Bytes::from(vec![0; bytes(blocks)])))
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -11,12 +11,13 @@
 use crate::versions::Versions;
 use bytes::Bytes;
 use grebecleat_host::run::Handle;
+use grebecleat_iscsi::keys::parse;
 use grebecleat_iscsi::login::{Portal, Secret, Target};
-use grebecleat_iscsi::pdu::{self, Digests, Pdu, Reader};
+use grebecleat_iscsi::pdu::{self, Digests, Opcode, Pdu, Reader};
 use grebecleat_iscsi::scsi::Unit;
 use grebecleat_settings::{PortalSpec, Settings};
-use grebecleat_wire::pb::{self, frame::Body, Outcome};
-use grebecleat_wire::{clock, pb::Final};
+use grebecleat_wire::pb::{self, frame::Body, record::Kind, Outcome};
+use grebecleat_wire::{clock, pb::Final, trace::Tracer};
 use may::go;
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
@@ -121,8 +122,8 @@
     let engine = engine(settings, spec, address, &store);
     let wake = to.clone();
     let local = host.local(move || drop(wake.send(Event::Answers)));
-    let accepting = to.clone();
-    go!(move || accept(&listener, &accepting));
+    let (accepting, tracer) = (to.clone(), host.tracer().clone());
+    go!(move || accept(&listener, &accepting, &tracer));
     let owner = Owner {
         engine,
         local,
@@ -317,17 +318,18 @@
     }
 }
 
-fn accept(listener: &TcpListener, to: &Sender<Event>) {
+fn accept(listener: &TcpListener, to: &Sender<Event>, tracer: &Tracer) {
     static NUMBERS: AtomicU64 = AtomicU64::new(1);
     loop {
         match listener.accept() {
             Ok((stream, from)) => {
-                let to = to.clone();
+                let (to, tracer) = (to.clone(), tracer.clone());
                 go!(move || {
                     let conn = ConnNo(NUMBERS.fetch_add(1, Ordering::Relaxed));
-                    if let Err(why) = serve(stream, conn, &to) {
+                    if let Err(why) = serve(stream, conn, &to, &tracer) {
                         info!(conn = conn.0, %from, "iscsi connection over: {why}");
                     }
+                    tracer.line_closed(conn.0);
                     let _ = to.send(Event::Input(Input::Gone { conn }));
                 });
             }
@@ -339,7 +341,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, conn: ConnNo, to: &Sender<Event>) -> io::Result<()> {
+fn serve(mut stream: TcpStream, conn: ConnNo, to: &Sender<Event>, tracer: &Tracer) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let writer = stream.try_clone()?;
     let line = Arc::new(Line {
@@ -350,8 +352,8 @@
         reads: Mutex::new((Digests::default(), 8192)),
     });
     let _ = to.send(Event::Up(conn, line.clone()));
-    let writing = line.clone();
-    go!(move || write_on(writer, &writing));
+    let (writing, written) = (line.clone(), tracer.clone());
+    go!(move || write_on(writer, &writing, conn, &written));
     let (mut reader, mut buffer) = (Reader::new(8192), vec![0; ONE_READ]);
     let ended = loop {
         match stream.read(&mut buffer) {
@@ -364,7 +366,10 @@
             (reader.digests, reader.most_data) = *line.reads.lock().unwrap_or_else(|e| e.into_inner());
             let read = match reader.next() {
                 Ok(None) => break,
-                Ok(Some(pdu)) => Ok(pdu),
+                Ok(Some(pdu)) => {
+                    record(tracer, Kind::PduIn, conn, &pdu);
+                    Ok(pdu)
+                }
                 Err(fault) => Err(fault),
             };
             let over = matches!(&read, Err(f) if !matches!(f, pdu::Fault::DataDigest(_)));
@@ -379,7 +384,18 @@
     ended
 }
 
-fn write_on(mut stream: TcpStream, line: &Line) {
+fn record(tracer: &Tracer, kind: Kind, conn: ConnNo, pdu: &Pdu) {
+    if !tracer.is_on() {
+        return;
+    }
+    let opcode = pdu.header.opcode();
+    let moves = matches!(opcode, Some(Opcode::ScsiCommand | Opcode::DataOut | Opcode::DataIn));
+    let keys = if opcode == Some(Opcode::LoginRequest) { parse(&pdu.data).ok() } else { None };
+    let target = keys.into_iter().flatten().find(|(key, _)| key == "TargetName").map(|(_, name)| name);
+    tracer.pdu(kind, conn.0, &pdu.header.0, &pdu.data, moves, target.as_deref());
+}
+
+fn write_on(mut stream: TcpStream, line: &Line, conn: ConnNo, tracer: &Tracer) {
     let mut bytes = Vec::new();
     loop {
         line.bell.0.store(false, Ordering::Release);
@@ -396,6 +412,7 @@
             continue;
         }
         bytes.clear();
+        pdus.iter().for_each(|(p, _)| record(tracer, Kind::PduOut, conn, p));
         pdus.iter().for_each(|(p, digests)| pdu::write(p, *digests, &mut bytes));
         if stream.write_all(&bytes).is_err() {
             break;
--- a/crates/target/src/pressure.rs
+++ b/crates/target/src/pressure.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    /// The size of each session's window from here on. All are told, since a window that stays as large must be
-    /// granted again as it is used up.
+    /// The size of each session's window from here on. All are told, since a window that stays as large must
+    /// be granted again as it is used up.
     pub fn step(&mut self) -> Vec<(SessionNo, u32)> {
         let asks: Vec<u32> = self.sessions.values().map(|s| self.asks(s)).collect();
         let given = fair(self.budget.floor() as u32, &asks);
--- a/crates/target/src/versions.rs
+++ b/crates/target/src/versions.rs
@@ -15,8 +15,8 @@
 //! believed. Where hosts' clocks differ by more than a write can be late, one that follows another on a
 //! volume must wait for so long before it first writes.
 
-/// How many versions a ceiling reserves beyond the next: about a minute's at a million a second, so that starts in
-/// quick succession stay near the clock.
+/// How many versions a ceiling reserves beyond the next: about a minute's at a million a second, so that
+/// starts in quick succession stay near the clock.
 const RESERVED: u64 = 1 << 26;
 /// Versions that are believed: the clock reaches this in the year 20,000.
 const MOST: u64 = 1 << 59;
--- a/crates/wire/src/trace.rs
+++ b/crates/wire/src/trace.rs
@@ -9,6 +9,7 @@
 use crate::{clock, frame};
 use bytes::Bytes;
 use std::fs::{File, OpenOptions};
+use std::hash::{DefaultHasher, Hasher};
 use std::io::{self, Read, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -61,6 +62,23 @@
         self.put([Record { kind: Kind::Mark.into(), mark: Some(mark), ..Record::default() }]);
     }
 
+    /// A PDU read from a portal's connection, or one that can no longer be kept from it. `blocks`: its data
+    /// is a command's.
+    pub fn pdu(&self, kind: Kind, conn: u64, header: &[u8], data: &[u8], blocks: bool, target: Option<&str>) {
+        if !self.is_on() {
+            return;
+        }
+        let sums = if blocks { data.chunks(BLOCK).map(block_sum).collect() } else { Vec::new() };
+        let header = Bytes::copy_from_slice(header);
+        let target = target.unwrap_or_default().to_string();
+        let pdu = pb::Pdu { header, blocks: sums, data_len: data.len() as u32, target };
+        self.put([Record { kind: kind.into(), conn, pdu: Some(pdu), ..Record::default() }]);
+    }
+
+    pub fn line_closed(&self, conn: u64) {
+        self.put([Record { kind: Kind::LineClosed.into(), conn, ..Record::default() }]);
+    }
+
     fn frames(&self, kind: Kind, conn: u64, at: Duration, frames: &[pb::Frame]) {
         let at_ns = at.as_nanos() as u64;
         if self.is_on() && !frames.is_empty() {
@@ -94,6 +112,16 @@
     }
 }
 
+/// Blocks that are summed one by one.
+pub const BLOCK: usize = 512;
+
+/// What tells one block's content from another's in a trace; not proof against who wants them alike.
+pub fn block_sum(block: &[u8]) -> u64 {
+    let mut sum = DefaultHasher::new(); // with its fixed keys: alike in all processes of one build
+    sum.write(block);
+    sum.finish()
+}
+
 /// The frame without its data, whose length and checksum stay.
 fn bare(kind: Kind, conn: u64, frame: &pb::Frame) -> Record {
     let mut frame = frame.clone();
