A session's window is what is left of its allowance; large data is not copied; benchmark

Need: the window was counted from ExpCmdSN whatever was open, so it held nothing back, closed between bursts and cost a NOP-In for nearly every answer; data was copied on its way in and out.

Change: what a session may have open is its allowance, and every response grants what is left of it; what nobody asks for is dealt out too, peaks are forgotten slowly; a NOP-In tells only where no response will. Reads are put together where they lie, one-PDU data is passed on, large data goes to the socket without a copy. One wake-up for all answers, one event for all PDUs of a read. grebecleat-bench iscsi and commands.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,8 +3,12 @@
 //! `decisions`: the decision module and the desk alone, without sockets, at numbers of nodes and of held
 //! transfers. `sockets`: a host process on one core, between clients and stand-in nodes on the others:
 //! transfers a second, time added beside a client that talks to the same stand-in directly, memory.
+//! `iscsi`: the same host behind a portal, beside its plain path; `commands`: allocations of one command in the
+//! iSCSI path, in this process.
 
+mod commands;
 mod decisions;
+mod iscsi;
 mod sockets;
 
 use clap::{Parser, Subcommand};
@@ -25,6 +29,21 @@
         #[arg(long, default_value_t = 2.0)]
         seconds: f64,
     },
+    /// Commands through a portal, beside transfers through the same host.
+    Iscsi {
+        #[arg(long, default_value_t = 1.0)]
+        seconds: f64,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Bytes of a command, multiples of 512 up to 256 KiB.
+        #[arg(long, value_delimiter = ',', default_value = "512,4096,65536,262144")]
+        bytes: Vec<u32>,
+        /// Commands open, over two sessions.
+        #[arg(long, value_delimiter = ',', default_value = "1,8,32,128")]
+        open: Vec<usize>,
+    },
+    /// What one command costs in allocations, without sockets.
+    Commands,
     /// A host process on one core, through sockets.
     Sockets {
         #[arg(long, default_value_t = 3.0)]
@@ -44,6 +63,12 @@
 fn main() -> std::io::Result<()> {
     match Args::parse().what {
         What::Decisions { seconds } => decisions::measure(Duration::from_secs_f64(seconds)),
+        What::Iscsi { seconds, program, bytes, open } => {
+            let beside = std::env::current_exe()?.with_file_name("grebecleat");
+            let span = Duration::from_secs_f64(seconds);
+            iscsi::measure(span, &program.unwrap_or(beside), &bytes, &open)?;
+        }
+        What::Commands => commands::measure(),
         What::Sockets { seconds, program, only, nodes } => {
             let beside = std::env::current_exe()?.with_file_name("grebecleat");
             sockets::measure(Duration::from_secs_f64(seconds), &program.unwrap_or(beside), only, &nodes)?;
--- a/crates/bench/src/sockets.rs
+++ b/crates/bench/src/sockets.rs
@@ -19,13 +19,13 @@
 use std::time::Duration;
 
 /// Connections that load comes over.
-const LINES: usize = 2;
+pub const LINES: usize = 2;
 /// Extents written before they are read, for each volume.
 const EXTENTS: u64 = 4;
 const VOLUMES: u64 = 20;
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
-struct Running(Child, String);
+pub struct Running(pub Child, pub String);
 
 impl Drop for Running {
     fn drop(&mut self) {
@@ -47,7 +47,7 @@
     Ok(Running(child, said.ok_or_else(|| io::Error::other(format!("{args:?} did not start: {line}")))?))
 }
 
-fn stay_on(cores: &[usize]) -> io::Result<()> {
+pub fn stay_on(cores: &[usize]) -> io::Result<()> {
     // SAFETY: a plain set of bits, handed to the kernel by address.
     let done = unsafe {
         let mut set: libc::cpu_set_t = std::mem::zeroed();
@@ -62,7 +62,7 @@
 }
 
 /// Seconds of processor time, and bytes resident.
-fn used(pid: u32) -> io::Result<(f64, f64)> {
+pub fn used(pid: u32) -> io::Result<(f64, f64)> {
     let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
     let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
@@ -74,17 +74,22 @@
 }
 
 /// A list, nodes and a host of their own.
-struct Stage {
+pub struct Stage {
     dir: PathBuf,
     _list: Running,
     _nodes: Running,
-    host: Running,
+    pub host: Running,
     /// Node ids with their addresses.
     nodes: Vec<(u32, SocketAddr)>,
 }
 
 impl Stage {
     fn new(program: &Path, nodes: u32, more: &str) -> io::Result<Self> {
+        Stage::with(program, nodes, more, &[])
+    }
+
+    /// `own` are arguments of the host's alone; `PLACES` stands for a new file in the stage's folder.
+    pub fn with(program: &Path, nodes: u32, more: &str, own: &[&str]) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("grebecleat-bench-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let (script, log) = (dir.join("site.star"), dir.join("log"));
@@ -94,7 +99,11 @@
         let list = start(program, &["list-service", file, "--listen", "127.0.0.1:0"], &[0, 1, 2], &log)?;
         let running = start(program, &["node", file, "--list", &list.1], &[0, 1, 2], &log)?;
         let args = ["run", file, "--listen", "127.0.0.1:0", "--list", &list.1, "--workers", "1"];
-        let host = start(program, &args, &[3], &log)?;
+        let places = dir.join("places");
+        let _ = fs::remove_file(&places);
+        let places = places.to_str().expect("a plain path");
+        let own: Vec<&str> = own.iter().map(|a| if *a == "PLACES" { places } else { *a }).collect();
+        let host = start(program, &[&args[..], &own].concat(), &[3], &log)?;
         let known = || ask_list(&list.1).unwrap_or_default();
         let mut there = known();
         while there.len() < nodes as usize {
@@ -106,12 +115,12 @@
         Ok(stage)
     }
 
-    fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.host.1.parse().expect("an address")
     }
 
     /// Drains the host; its events for each step.
-    fn end(mut self) -> io::Result<f64> {
+    pub fn end(mut self) -> io::Result<f64> {
         let pid = self.host.0.id().to_string();
         Command::new("kill").args(["-s", "TERM", &pid]).status()?;
         self.host.0.wait()?;
@@ -245,7 +254,7 @@
 
 /// Where load goes: to the host, or to nodes directly.
 #[derive(Clone)]
-struct Target {
+pub struct Target {
     through_host: bool,
     at: SocketAddr,
     nodes: Vec<(u32, SocketAddr)>,
@@ -266,7 +275,7 @@
     }
 
     /// Keeps `open` transfers open for a span; how many were done a second, and the part that was not done.
-    fn closed(&self, open: usize, span: Duration) -> io::Result<(f64, f64)> {
+    pub fn closed(&self, open: usize, span: Duration) -> io::Result<(f64, f64)> {
         let (mut stream, mut reader) = self.connect()?;
         let draw = || self.body(&Work::draw(&self.nodes, self.length, false));
         put(&mut stream, (0..open).map(|_| draw()))?;
@@ -323,8 +332,8 @@
     }
 }
 
-fn together(
-    targets: Vec<Target>, each: impl Fn(&Target) -> io::Result<(f64, f64)> + Sync,
+pub fn together<T: Sync + Send>(
+    targets: Vec<T>, each: impl Fn(&T) -> io::Result<(f64, f64)> + Sync,
 ) -> io::Result<(f64, f64)> {
     std::thread::scope(|s| {
         let all: Vec<_> = targets.iter().map(|t| s.spawn(|| each(t))).collect();
@@ -376,7 +385,7 @@
     Ok(())
 }
 
-fn targets(stage: &Stage, length: u32) -> (Vec<Target>, Vec<Target>) {
+pub fn targets(stage: &Stage, length: u32) -> (Vec<Target>, Vec<Target>) {
     let host = Target { through_host: true, at: stage.address(), nodes: stage.nodes.clone(), length };
     let node = |i: usize| {
         let own = stage.nodes[i * stage.nodes.len() / LINES];
@@ -386,7 +395,7 @@
 }
 
 /// Writes what will be read.
-fn prepare(stage: &Stage, length: u32) -> io::Result<()> {
+pub fn prepare(stage: &Stage, length: u32) -> io::Result<()> {
     for (id, at) in stage.nodes.iter().take(100) {
         let (mut stream, mut reader) = connect(*at, pb::Role::Host)?;
         for volume in 0..VOLUMES {
--- a/crates/iscsi/src/pdu.rs
+++ b/crates/iscsi/src/pdu.rs
@@ -6,7 +6,7 @@
 //! byte first as in the standard's examples (RFC 3720, appendix B.4).
 
 use bytes::{Buf, Bytes, BytesMut};
-use std::fmt;
+use std::{fmt, io};
 
 pub const BHS: usize = 48;
 
@@ -299,6 +299,13 @@
 /// assert_eq!((got.data, got.header.itt(), got.header.data_length()), (sent.data, 7, 5));
 /// ```
 pub fn write(pdu: &Pdu, digests: Digests, to: &mut Vec<u8>) {
+    write_head(pdu, digests, to);
+    to.extend_from_slice(&pdu.data);
+    write_tail(pdu, digests, to);
+}
+
+/// What stands before a PDU's data. Who writes head, data and tail one by one needs no copy of the data.
+pub fn write_head(pdu: &Pdu, digests: Digests, to: &mut Vec<u8>) {
     let ahs = padded(pdu.ahs.len());
     let mut header = pdu.header.0;
     header[4] = (ahs / 4) as u8;
@@ -311,15 +318,21 @@
         let sum = digest(&to[start..]);
         to.extend_from_slice(&sum);
     }
-    let data = to.len();
-    to.extend_from_slice(&pdu.data);
-    to.resize(data + padded(pdu.data.len()), 0);
+}
+
+/// What stands behind its data: padding, which its digest covers, and the digest.
+pub fn write_tail(pdu: &Pdu, digests: Digests, to: &mut Vec<u8>) {
+    let pad = &[0; 3][..padded(pdu.data.len()) - pdu.data.len()];
+    to.extend_from_slice(pad);
     if digests.data && !pdu.data.is_empty() {
-        let sum = digest(&to[data..]);
-        to.extend_from_slice(&sum);
+        let sum = crc32c::crc32c_append(crc32c::crc32c(&pdu.data), pad);
+        to.extend_from_slice(&sum.to_le_bytes());
     }
 }
 
+/// Bytes that one read asks for, at least and at most.
+const ONE_READ: (usize, usize) = (64 << 10, 1 << 20);
+
 /// Takes bytes as they come and gives whole PDUs.
 #[derive(Debug)]
 pub struct Reader {
@@ -338,6 +351,18 @@
         self.held.extend_from_slice(bytes);
     }
 
+    /// Reads once from a stream, straight to where the PDU is put together; answers how many bytes came.
+    pub fn fill(&mut self, from: &mut impl io::Read) -> io::Result<usize> {
+        let held = self.held.len();
+        let header = self.held.first_chunk::<BHS>().map(|h| Header(*h));
+        let whole = header.filter(|h| h.data_length() <= self.most_data);
+        let missing = whole.map_or(0, |h| BHS + h.ahs_length() + h.data_length() + 12).saturating_sub(held);
+        self.held.resize(held + missing.clamp(ONE_READ.0, ONE_READ.1), 0);
+        let got = from.read(&mut self.held[held..]);
+        self.held.truncate(held + got.as_ref().map_or(0, |n| *n));
+        got
+    }
+
     /// Bytes of a PDU that has begun and is not whole.
     pub fn partial(&self) -> usize {
         self.held.len()
--- a/crates/iscsi/src/session.rs
+++ b/crates/iscsi/src/session.rs
@@ -126,6 +126,8 @@
 #[derive(Debug)]
 struct Collecting {
     data: BytesMut,
+    /// All of it, where one PDU brought it: it need not be copied.
+    whole: Option<Bytes>,
     /// The first byte that nobody has been asked for.
     asked: u32,
     bursts: Vec<Burst>,
@@ -204,6 +206,8 @@
     listing: Vec<(String, Vec<String>)>,
     limits: Limits,
     window: Window<Queued>,
+    /// Tasks that may be open; the window is what is left of it.
+    allowance: u32,
     conns: BTreeMap<Cid, Conn>,
     tasks: BTreeMap<u32, Task>,
     /// The tag of each task: an answer must not look through all that are out.
@@ -215,7 +219,7 @@
 }
 
 impl Session {
-    /// `cmd_sn` is that of the leading login; the window opens by `size` commands.
+    /// `cmd_sn` is that of the leading login; `size` tasks may be open at first.
     pub fn new(
         target: Option<String>, listing: Vec<(String, Vec<String>)>, limits: Limits, cmd_sn: u32, size: u32,
     ) -> Self {
@@ -224,6 +228,7 @@
             listing,
             limits,
             window: Window::new(Sn(cmd_sn), size),
+            allowance: size,
             conns: BTreeMap::new(),
             tasks: BTreeMap::new(),
             tags: BTreeMap::new(),
@@ -253,18 +258,27 @@
         self.window.room()
     }
 
-    /// Takes so many commands from here on. An initiator that sat before a closed window is told by a NOP-In
-    /// that asks for no answer (section 11.19), as nothing else may be on its way to it.
-    pub fn grant(&mut self, size: u32) -> Vec<Act> {
+    /// So many tasks may be open from here on. An initiator that sits before a closed window, with nothing on
+    /// its way to it that could tell it otherwise, is told by a NOP-In that asks for no answer (section 11.19).
+    pub fn allow(&mut self, tasks: u32) -> Vec<Act> {
+        self.allowance = tasks;
         let closed = self.window.room() == 0;
-        self.window.grant(size);
-        if let (true, Some(cid)) = (closed && self.window.room() > 0, self.conns.keys().next().copied()) {
+        self.regrant();
+        let tell = closed && self.window.room() > 0 && self.tasks.is_empty();
+        if let (true, Some(cid)) = (tell, self.conns.keys().next().copied()) {
             let header = Header::new(Opcode::NopIn).set_flags(0x80).set_itt(NO_TAG).set_ttt(NO_TAG);
             self.send(cid, Pdu::new(header, Bytes::new()), false);
         }
         std::mem::take(&mut self.acts)
     }
 
+    /// Every response tells how many more commands may come: what is allowed less what is open. Commands that
+    /// wait for an earlier one are inside the window still.
+    fn regrant(&mut self) {
+        let open = self.tasks.len().saturating_sub(self.window.waiting()) as u32;
+        self.window.grant(self.allowance.saturating_sub(open));
+    }
+
     /// ExpCmdSN and MaxCmdSN.
     pub fn sns(&self) -> (u32, u32) {
         (self.window.expected().0, self.window.most().0)
@@ -366,6 +380,7 @@
         self.next_task += 1;
         let collecting = Collecting {
             data: BytesMut::new(),
+            whole: None,
             asked: 0,
             bursts: Vec::new(),
             damaged: Vec::new(),
@@ -402,7 +417,10 @@
             c.failed = Some(Sense::UNEXPECTED_UNSOLICITED_DATA);
         } else if writes && length > most {
             c.failed = Some(Sense::INVALID_FIELD_IN_CDB);
-        } else {
+        } else if came == length {
+            c.whole = Some(immediate.clone());
+        } else if writes {
+            c.data.reserve(length as usize);
             c.data.extend_from_slice(immediate);
         }
         c.asked = came;
@@ -423,7 +441,7 @@
         }
         let Some(params) = self.conns.get(&cid).map(|c| c.params.clone()) else { return };
         if !writes || (c.asked >= length && c.bursts.is_empty() && c.damaged.is_empty()) {
-            let data = std::mem::take(&mut c.data).freeze();
+            let data = c.whole.take().unwrap_or_else(|| std::mem::take(&mut c.data).freeze());
             let most_in = if t.reads() { length } else { 0 };
             t.state = State::Running;
             let (task, cdb) = (t.no, t.header.cdb());
@@ -476,10 +494,14 @@
             return self.lie(cid, itt, &h);
         }
         let end = end as u32;
-        if c.data.len() < end as usize {
-            c.data.resize(end as usize, 0);
+        if offset == 0 && end == t.header.ttt() {
+            c.whole = Some(pdu.data.clone());
+        } else if c.data.len() == offset as usize {
+            c.data.extend_from_slice(&pdu.data);
+        } else {
+            c.data.resize(c.data.len().max(end as usize), 0);
+            c.data[offset as usize..end as usize].copy_from_slice(&pdu.data);
         }
-        c.data[offset as usize..end as usize].copy_from_slice(&pdu.data);
         (b.next, b.data_sn) = (end, b.data_sn + 1);
         if h.is_final() {
             let (short, unasked) = (b.next < b.end, b.ttt == NO_TAG);
@@ -786,6 +808,9 @@
 
     /// Numbers a PDU and sends it; one that carries status is kept until it is acknowledged.
     fn send(&mut self, cid: Cid, pdu: Pdu, status: bool) -> Pdu {
+        if status {
+            self.regrant();
+        }
         let (expected, most) = self.sns();
         let Some(c) = self.conns.get_mut(&cid) else { return pdu };
         let mut header = pdu.header.set_exp_stat_sn(expected).set_word32(most);
--- a/crates/target/src/blocks.rs
+++ b/crates/target/src/blocks.rs
@@ -88,7 +88,10 @@
 pub struct Gather {
     left: Vec<Option<Piece>>,
     open: usize,
+    /// Of the whole command.
+    bytes: usize,
     data: BytesMut,
+    one: Option<Bytes>,
     reads: bool,
     come_back: Option<Duration>,
     deferred: bool,
@@ -109,10 +112,10 @@
 impl Gather {
     pub fn new(pieces: Vec<Piece>, reads: bool) -> Self {
         let bytes = pieces.iter().map(|p| p.length as usize).sum();
-        let data = if reads { BytesMut::zeroed(bytes) } else { BytesMut::new() };
+        let (data, one) = (BytesMut::new(), None);
         let (open, left) = (pieces.len(), pieces.into_iter().map(Some).collect());
         let (deferred, abandoned, unkept, unsure) = (false, false, false, false);
-        Gather { left, open, data, reads, come_back: None, deferred, abandoned, unkept, unsure }
+        Gather { left, open, bytes, data, one, reads, come_back: None, deferred, abandoned, unkept, unsure }
     }
 
     /// A command without pieces needs no answers.
@@ -126,7 +129,16 @@
         let piece = self.left.get_mut(place)?.take()?;
         self.open -= 1;
         match answer {
+            // The whole of the command in one: nothing is to be put together, nor copied.
+            Answer::Done(data)
+                if self.reads && self.left.len() == 1 && data.len() >= piece.length as usize =>
+            {
+                self.one = Some(data.slice(..piece.length as usize));
+            }
             Answer::Done(data) if self.reads => {
+                if self.data.is_empty() {
+                    self.data = BytesMut::zeroed(self.bytes);
+                }
                 let n = data.len().min(piece.length as usize);
                 self.data[piece.at..piece.at + n].copy_from_slice(&data[..n]);
             }
@@ -151,7 +163,7 @@
             (true, ..) => Outcome::check(Sense::WRITE_ERROR),
             (_, true, _) => Outcome::check(Sense::OUTCOME_UNKNOWN),
             (.., true) => Outcome::busy(self.come_back),
-            _ => Outcome::good(std::mem::take(&mut self.data).freeze()),
+            _ => Outcome::good(self.one.take().unwrap_or_else(|| std::mem::take(&mut self.data).freeze())),
         };
         let busy = outcome.status == Status::Busy;
         Whole { outcome, come_back: self.come_back.filter(|_| busy), unsure: self.unsure }
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -163,6 +163,8 @@
     target: Option<usize>,
     conns: BTreeMap<Cid, ConnNo>,
     attentions: BTreeMap<usize, VecDeque<Sense>>,
+    /// Commands that each unit allows it to have open.
+    allowed: BTreeMap<usize, u32>,
 }
 
 /// What a command does with its blocks.
@@ -358,8 +360,6 @@
                     self.note(format!("iscsi connection {}: {fault}", conn.0));
                 }
                 if let Some(s) = self.sessions.get_mut(&session) {
-                    // Whatever used up a number narrows the window, until it is granted again.
-                    self.pressed.extend(s.target.iter().flat_map(|t| self.targets[*t].luns.iter()));
                     let acts = s.session.hear(cid, read);
                     self.acts(session, acts);
                 }
@@ -428,7 +428,9 @@
                 let attentions = attentions.map(|v| (*v, VecDeque::from([Sense::POWER_ON]))).collect();
                 let conns = BTreeMap::new();
                 let (who, tsih) = (who.clone(), self.next_tsih);
-                self.sessions.insert(no, SessionState { session, who, tsih, target, conns, attentions });
+                let allowed = BTreeMap::new();
+                let state = SessionState { session, who, tsih, target, conns, attentions, allowed };
+                self.sessions.insert(no, state);
                 for v in target.iter().flat_map(|t| self.targets[*t].luns.clone()) {
                     self.volumes[v].pressure.join(SessionNo(no));
                     self.pressed.insert(v);
@@ -918,11 +920,20 @@
 
     fn press(&mut self) {
         let pressed = std::mem::take(&mut self.pressed);
-        let told: Vec<_> = pressed.into_iter().flat_map(|v| self.volumes[v].pressure.step()).collect();
-        for (session, size) in told {
-            if let Some(s) = self.sessions.get_mut(&session.0) {
-                let acts = s.session.grant(size);
-                self.acts(session.0, acts);
+        let mut changed = BTreeSet::new();
+        for v in pressed {
+            for (session, size) in self.volumes[v].pressure.step() {
+                if let Some(s) = self.sessions.get_mut(&session.0) {
+                    s.allowed.insert(v, size);
+                    changed.insert(session.0);
+                }
+            }
+        }
+        // A window is a session's, over all its units: it is the sum of what each allows.
+        for no in changed {
+            if let Some(s) = self.sessions.get_mut(&no) {
+                let acts = s.session.allow(s.allowed.values().sum());
+                self.acts(no, acts);
             }
         }
     }
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -24,7 +24,7 @@
 use rand::rngs::OsRng;
 use rand::TryRngCore;
 use std::collections::{BTreeMap, VecDeque};
-use std::io::{self, Read, Write};
+use std::io::{self, IoSlice, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
 use std::path::Path;
@@ -35,7 +35,10 @@
 use tracing::{error, info, warn};
 
 const BLOCK: u32 = 512;
-const ONE_READ: usize = 64 << 10;
+/// Data of that many bytes is not copied into the write buffer.
+const DIRECT: usize = 16 << 10;
+/// A write buffer that grew beyond is given back.
+const MOST_KEPT: usize = 256 << 10;
 /// PDU bytes that a connection may leave unread.
 const MOST_UNREAD: usize = 16 << 20;
 const IDLE: Duration = Duration::from_secs(1);
@@ -45,6 +48,8 @@
 /// What wakes the owner.
 enum Event {
     Input(Input),
+    /// What one read of a connection brought.
+    Read(Vec<Input>),
     Up(ConnNo, Arc<Line>),
     /// The host has answered something.
     Answers,
@@ -120,13 +125,20 @@
     let listener = TcpListener::bind(spec.listen).map_err(|e| format!("portal on {}: {e}", spec.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let engine = engine(settings, spec, address, &store);
-    let wake = to.clone();
-    let local = host.local(move || drop(wake.send(Event::Answers)));
+    // Told once for all answers that come until they are read: one for each would wake us for nothing.
+    let (wake, told) = (to.clone(), Arc::new(AtomicBool::new(false)));
+    let tell = told.clone();
+    let local = host.local(move || {
+        if !tell.swap(true, Ordering::AcqRel) {
+            let _ = wake.send(Event::Answers);
+        }
+    });
     let (accepting, tracer) = (to.clone(), host.tracer().clone());
     go!(move || accept(&listener, &accepting, &tracer));
     let owner = Owner {
         engine,
         local,
+        told,
         store: Some(store),
         lines: BTreeMap::new(),
         start: u64::from(std::process::id()) << 32 ^ clock::now().as_nanos() as u64,
@@ -192,6 +204,7 @@
 struct Owner {
     engine: Engine,
     local: grebecleat_host::run::Local,
+    told: Arc<AtomicBool>,
     /// None once it can no longer be written.
     store: Option<Store>,
     lines: BTreeMap<ConnNo, Arc<Line>>,
@@ -215,11 +228,13 @@
             for event in first.into_iter().chain(events.try_iter().take(ONE_STEP)) {
                 match event {
                     Event::Input(input) => inputs.push(input),
+                    Event::Read(read) => inputs.extend(read),
                     Event::Up(conn, line) => {
                         self.lines.insert(conn, line);
                         inputs.push(Input::Up { conn });
                     }
                     Event::Answers => {
+                        self.told.store(false, Ordering::Release);
                         let read = self.local.read();
                         inputs.extend(read.into_iter().filter_map(|b| self.final_of(b)));
                     }
@@ -354,14 +369,15 @@
     let _ = to.send(Event::Up(conn, line.clone()));
     let (writing, written) = (line.clone(), tracer.clone());
     go!(move || write_on(writer, &writing, conn, &written));
-    let (mut reader, mut buffer) = (Reader::new(8192), vec![0; ONE_READ]);
+    let mut reader = Reader::new(8192);
     let ended = loop {
-        match stream.read(&mut buffer) {
+        match reader.fill(&mut stream) {
             Ok(0) => break Ok(()),
             Err(e) => break Err(e),
-            Ok(n) => reader.push(&buffer[..n]),
+            Ok(_) => {}
         }
-        loop {
+        let (mut inputs, mut over) = (Vec::new(), false);
+        while !over {
             // An initiator sends by what was agreed on only after it has our answer, which follows this.
             (reader.digests, reader.most_data) = *line.reads.lock().unwrap_or_else(|e| e.into_inner());
             let read = match reader.next() {
@@ -372,18 +388,39 @@
                 }
                 Err(fault) => Err(fault),
             };
-            let over = matches!(&read, Err(f) if !matches!(f, pdu::Fault::DataDigest(_)));
-            let _ = to.send(Event::Input(Input::Pdu { conn, read }));
-            if over {
-                line.finish();
-                return Err(io::Error::other("bytes that are no PDU"));
-            }
+            over = matches!(&read, Err(f) if !matches!(f, pdu::Fault::DataDigest(_)));
+            inputs.push(Input::Pdu { conn, read });
+        }
+        if !inputs.is_empty() {
+            let _ = to.send(Event::Read(inputs));
+        }
+        if over {
+            line.finish();
+            return Err(io::Error::other("bytes that are no PDU"));
         }
     };
     line.finish();
     ended
 }
 
+/// Large data goes straight to the socket: a copy would cost more than the call that it saves.
+fn write_all(stream: &mut TcpStream, pdus: &VecDeque<(Pdu, Digests)>, bytes: &mut Vec<u8>) -> io::Result<()> {
+    for (p, digests) in pdus {
+        pdu::write_head(p, *digests, bytes);
+        if p.data.len() >= DIRECT {
+            let head = bytes.len();
+            let put = stream.write_vectored(&[IoSlice::new(bytes), IoSlice::new(&p.data)])?;
+            stream.write_all(&bytes[put.min(head)..])?;
+            stream.write_all(&p.data[put.saturating_sub(head)..])?;
+            bytes.clear();
+        } else {
+            bytes.extend_from_slice(&p.data);
+        }
+        pdu::write_tail(p, *digests, bytes);
+    }
+    stream.write_all(bytes)
+}
+
 fn record(tracer: &Tracer, kind: Kind, conn: ConnNo, pdu: &Pdu) {
     if !tracer.is_on() {
         return;
@@ -413,10 +450,12 @@
         }
         bytes.clear();
         pdus.iter().for_each(|(p, _)| record(tracer, Kind::PduOut, conn, p));
-        pdus.iter().for_each(|(p, digests)| pdu::write(p, *digests, &mut bytes));
-        if stream.write_all(&bytes).is_err() {
+        if write_all(&mut stream, &pdus, &mut bytes).is_err() {
             break;
         }
+        if bytes.capacity() > MOST_KEPT {
+            bytes = Vec::new(); // one large answer must not be paid for by every idle connection
+        }
     }
     *line.fd.lock().unwrap_or_else(|e| e.into_inner()) = None;
     let _ = stream.shutdown(Shutdown::Both);
--- a/crates/target/src/pressure.rs
+++ b/crates/target/src/pressure.rs
@@ -1,8 +1,9 @@
 //! How many commands each session of a volume may have open: back-pressure by the command window.
 //!
-//! Called by the target: `opened` and `closed` for each command, `step` now and then, which answers the
-//! sessions whose window is to change. The wanted state is one budget of open commands for each volume, dealt
-//! out among its sessions by max-min fairness; `step` diffs it against what was last told.
+//! Called by the target: `opened` and `closed` for each command, `step` after them, which answers the
+//! sessions that may have more or fewer open; each session's window is what is left of that. The wanted state
+//! is one budget of open commands for each volume, dealt out among its sessions by max-min fairness; `step`
+//! diffs it against what was last told.
 //!
 //! The budget learns by answers and not by intervals: it grows by one for each budget's worth of done
 //! commands while it is what holds sessions back, and falls when commands are deferred, once for each
@@ -43,12 +44,12 @@
 #[derive(Debug, Default)]
 struct Session {
     open: u32,
-    /// The most it has had open since the last step: what it asks for.
+    /// The most it has had open lately: what it asks for.
     peak: u32,
     told: u32,
 }
 
-/// The windows of one volume's sessions. Its memory is a few words for each session.
+/// What the sessions of one volume may have open. Its memory is a few words for each session.
 #[derive(Debug)]
 pub struct Pressure {
     figures: Figures,
@@ -56,11 +57,17 @@
     /// Deferrals before that moment belong to a fall that was made.
     deaf_until: Duration,
     sessions: BTreeMap<SessionNo, Session>,
+    open: u32,
+    /// Commands that have ended since peaks were last brought down.
+    ended: u32,
+    /// Something has changed that what was told depends on.
+    stirred: bool,
 }
 
 impl Pressure {
     pub fn new(figures: Figures) -> Self {
-        Pressure { figures, budget: figures.first, deaf_until: Duration::ZERO, sessions: BTreeMap::new() }
+        let (sessions, deaf_until) = (BTreeMap::new(), Duration::ZERO);
+        Pressure { figures, budget: figures.first, deaf_until, sessions, open: 0, ended: 0, stirred: false }
     }
 
     pub fn budget(&self) -> f64 {
@@ -69,26 +76,32 @@
 
     pub fn join(&mut self, session: SessionNo) {
         self.sessions.entry(session).or_default();
+        self.stirred = true;
     }
 
     pub fn leave(&mut self, session: SessionNo) {
-        self.sessions.remove(&session);
+        if let Some(s) = self.sessions.remove(&session) {
+            self.open -= s.open;
+            self.stirred = true;
+        }
     }
 
     pub fn opened(&mut self, session: SessionNo) {
         let s = self.sessions.entry(session).or_default();
-        s.open += 1;
-        s.peak = s.peak.max(s.open);
+        (s.open, self.open) = (s.open + 1, self.open + 1);
+        if s.open > s.peak {
+            (s.peak, self.stirred) = (s.open, true);
+        }
     }
 
     pub fn closed(&mut self, now: Duration, session: SessionNo, ended: Ended) {
-        let open: u32 = self.sessions.values().map(|s| s.open).sum();
-        if let Some(s) = self.sessions.get_mut(&session) {
-            s.open = s.open.saturating_sub(1);
+        let (open, before) = (self.open, self.budget.floor());
+        if let Some(s) = self.sessions.get_mut(&session).filter(|s| s.open > 0) {
+            (s.open, self.open) = (s.open - 1, self.open - 1);
         }
         match ended {
             // A budget that nobody uses up says nothing of what the volume could bear.
-            Ended::Done if f64::from(open) >= self.budget.floor() => {
+            Ended::Done if f64::from(open) >= before => {
                 self.budget = (self.budget + 1.0 / self.budget).min(self.figures.most);
             }
             Ended::Deferred { come_back } if now >= self.deaf_until => {
@@ -97,23 +110,44 @@
             }
             _ => {}
         }
+        self.stirred |= self.budget.floor() != before;
+        self.ended += 1;
+        // A peak is forgotten by half for each budget's worth of commands: one that no longer asks for much
+        // leaves it to others, and one that pauses between bursts does not find its window shut.
+        if f64::from(self.ended) >= self.budget {
+            self.ended = 0;
+            for s in self.sessions.values_mut().filter(|s| s.peak > s.open) {
+                (s.peak, self.stirred) = (s.peak - (s.peak - s.open).div_ceil(2), true);
+            }
+        }
     }
 
-    /// The size of each session's window from here on. All are told, since a window that stays as large must
-    /// be granted again as it is used up.
+    /// How many commands each session may have open from here on, where that has changed.
     pub fn step(&mut self) -> Vec<(SessionNo, u32)> {
+        if !std::mem::take(&mut self.stirred) {
+            return Vec::new();
+        }
+        let whole = self.budget.floor() as u32;
+        let most = self.figures.most_each.max(LEAST_EACH);
         let asks: Vec<u32> = self.sessions.values().map(|s| self.asks(s)).collect();
-        let given = fair(self.budget.floor() as u32, &asks);
+        let given = fair(whole, &asks);
+        // What nobody asks for is dealt out too: who begins a burst should not have to ask first.
+        let over = fair(
+            whole - given.iter().sum::<u32>(),
+            &given.iter().map(|g| most.saturating_sub(*g)).collect::<Vec<u32>>(),
+        );
         let mut sizes = Vec::new();
-        for ((id, s), given) in self.sessions.iter_mut().zip(given) {
-            s.told = given.clamp(LEAST_EACH, self.figures.most_each.max(LEAST_EACH));
-            s.peak = s.open;
-            sizes.push((*id, s.told));
+        for ((id, s), given) in self.sessions.iter_mut().zip(given.iter().zip(over).map(|(g, o)| g + o)) {
+            let size = given.clamp(LEAST_EACH, most);
+            if size != s.told {
+                s.told = size;
+                sizes.push((*id, size));
+            }
         }
         sizes
     }
 
-    /// What a session could use: one that fills its window asks for twice of it, one that does not for what
+    /// What a session could use: one that fills what it may asks for twice of it, one that does not for what
     /// it had open at most, and one more.
     fn asks(&self, s: &Session) -> u32 {
         let more = if s.peak >= s.told.max(1) { s.peak.saturating_mul(2) } else { s.peak + 1 };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -81,6 +81,10 @@
     /// Reads once from a stream; answers how many bytes came.
     pub fn fill(&mut self, from: &mut impl std::io::Read) -> std::io::Result<usize> {
         let held = self.held.len();
+        // A large frame is put together where it begins, and not moved each time it grows.
+        let length = self.held.first_chunk::<4>().map_or(0, |h| u32::from_le_bytes(*h) as usize);
+        let missing = if length <= self.most { (length + HEADER).saturating_sub(held) } else { 0 };
+        self.held.reserve(missing.max(ONE_READ));
         self.held.resize(held + ONE_READ, 0);
         let got = from.read(&mut self.held[held..]);
         self.held.truncate(held + got.as_ref().map_or(0, |n| *n));
