One leg delayed on real sockets, clients that abort and retry, and initiators that lie

Need: the hard cases of the iSCSI path were caused without sockets, and no client gave up on a command.

Change: initiators of a rehearsal abort what takes too long and send it again as the same command; a test plays a node that keeps one write back until after a newer one was acknowledged, across an abort, a new session and the host's death; another sends garbage, endless keys and 600 half-open logins beside a session that must not notice.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -268,8 +268,15 @@
     }
     if disks.commands > 0 {
         println!(
-            "iscsi: {} good, {} busy, {} of unknown outcome, {} logins; {} blocks checked, {} wrong",
-            disks.good, disks.busy, disks.unknown, disks.logins, disks.blocks_checked, disks.wrong
+            "iscsi: {} good, {} busy, {} of unknown outcome, {} logins, {} aborted and sent again; {} blocks checked, \
+             {} wrong",
+            disks.good,
+            disks.busy,
+            disks.unknown,
+            disks.logins,
+            disks.aborted,
+            disks.blocks_checked,
+            disks.wrong
         );
         println!(
             "commands {}, answered {}, missing {}, doubled {}",
--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -1,12 +1,20 @@
 //! iSCSI over TCP through the whole program: initiator, portal, decisions, nodes; and after the host is
 //! killed.
 
-use grebecleat_standin::initiator::{Initiator, Wish};
+use bytes::Bytes;
+use grebecleat_iscsi::pdu::{self, Digests, Header, Opcode, Pdu};
+use grebecleat_standin::initiator::{cdb16, Initiator, Wish};
+use grebecleat_standin::net::{self, Heard, Line};
+use grebecleat_standin::versions::Versions;
+use grebecleat_wire::clock;
+use grebecleat_wire::pb::{self, frame::Body};
+use std::collections::BTreeMap;
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_grebecleat");
@@ -37,11 +45,16 @@
     script: String,
     portal: SocketAddr,
     list: Started,
-    _nodes: Started,
+    _nodes: Option<Started>,
 }
 
 impl Site {
     fn new(name: &str) -> Self {
+        Site::with(name, true)
+    }
+
+    /// Without nodes the test plays them.
+    fn with(name: &str, nodes: bool) -> Self {
         let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-{}-{name}", std::process::id()));
         let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).unwrap();
@@ -68,8 +81,8 @@
         fs::write(&script, text).unwrap();
         let script = script.to_str().unwrap().to_string();
         let list = start(&["list-service", &script, "--listen", "127.0.0.1:0"]);
-        let nodes = start(&["node", &script, "--list", &list.1]);
-        Site { dir, script, portal, list, _nodes: nodes }
+        let _nodes = nodes.then(|| start(&["node", &script, "--list", &list.1]));
+        Site { dir, script, portal, list, _nodes }
     }
 
     fn host(&self) -> Started {
@@ -161,10 +174,7 @@
                 let (mut open, mut answered, mut good) = (Vec::new(), 0, 0);
                 for k in 0..200u64 {
                     let data = pattern(k as u32, 8);
-                    open.push(
-                        i.submit(0, &grebecleat_standin::initiator::cdb16(0x8a, base + k * 8, 8), &data, 0)
-                            .unwrap(),
-                    );
+                    open.push(i.submit(0, &cdb16(0x8a, base + k * 8, 8), &data, 0).unwrap());
                     while open.len() > 16 {
                         let (itt, answer) = i.any().unwrap();
                         open.retain(|o| *o != itt);
@@ -203,6 +213,178 @@
     site.initiator(1, true);
 }
 
+/// A node that keeps one write back, whichever holds this byte, until it is told to carry it out, however late.
+struct SlowNode {
+    heard: mpsc::Receiver<Heard>,
+    lines: BTreeMap<u64, Line>,
+    kept: BTreeMap<(u64, u64), (Vec<u8>, Versions)>,
+    held: Vec<pb::Leg>,
+}
+
+const KEPT_BACK: u8 = 0xee;
+
+impl SlowNode {
+    fn new(list: &str) -> Self {
+        let (to, heard) = mpsc::channel();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let me = net::hello(pb::Role::Node, "node-1", 1);
+        net::listen(listener, 1, me.clone(), Default::default(), Default::default(), to.clone());
+        net::dial(list.parse().unwrap(), 0, me, Default::default(), to).unwrap();
+        let Heard::Up { line, .. } = heard.recv().unwrap() else { panic!("the list greets") };
+        let state = pb::NodeState::Ready.into();
+        let entry = Some(pb::Entry { node: 1, cell: 1, state, address, start: 1, ..Default::default() });
+        line.put(Body::Announce(pb::Announce { entry }));
+        SlowNode { heard, lines: BTreeMap::from([(0, line)]), kept: BTreeMap::new(), held: Vec::new() }
+    }
+
+    /// Works as a node for a while, or until it holds so many writes back.
+    fn work(&mut self, span: Duration, until_held: usize) {
+        let end = clock::now() + span;
+        while self.held.len() < until_held {
+            match self.heard.recv_timeout(end.saturating_sub(clock::now())) {
+                Ok(Heard::Up { conn, line, .. }) => drop(self.lines.insert(conn, line)),
+                Ok(Heard::Gone { conn, .. }) => drop(self.lines.remove(&conn)),
+                Ok(Heard::Frame { conn, body: Body::Leg(leg), .. }) => {
+                    if leg.data.first() == Some(&KEPT_BACK) {
+                        self.held.push(leg);
+                        continue;
+                    }
+                    let (data, superseded) = self.carry_out(&leg);
+                    let result = pb::Result::Ok.into();
+                    let answer =
+                        pb::LegAnswer { leg: leg.leg, result, data, superseded, ..Default::default() };
+                    self.lines.get(&conn).into_iter().for_each(|l| l.put(Body::LegAnswer(answer.clone())));
+                }
+                Ok(_) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn carry_out(&mut self, leg: &pb::Leg) -> (Bytes, Option<u64>) {
+        let (bytes, versions) = self.kept.entry((leg.volume, leg.extent)).or_default();
+        let (at, end) = (leg.offset.unwrap_or(0), leg.offset.unwrap_or(0) + leg.length);
+        bytes.resize(bytes.len().max(end as usize), 0);
+        if !leg.write {
+            return (Bytes::copy_from_slice(&bytes[at as usize..end as usize]), None);
+        }
+        let (parts, newer) = versions.write(at, end, leg.version.expect("a write has a version"));
+        for (from, to) in parts {
+            let data = &leg.data[(from - at) as usize..(to - at) as usize];
+            bytes[from as usize..to as usize].copy_from_slice(data);
+        }
+        (Bytes::new(), newer)
+    }
+
+    /// Works until the other side is through.
+    fn serve<T: Send>(&mut self, other: impl FnOnce() -> T + Send) -> T {
+        std::thread::scope(|s| {
+            let other = s.spawn(other);
+            while !other.is_finished() {
+                self.work(Duration::from_millis(5), usize::MAX);
+            }
+            other.join().unwrap()
+        })
+    }
+}
+
+/// Exactly one leg is delayed: its command was aborted, or its host killed, and newer writes of the same blocks
+/// were acknowledged since. Then it runs.
+#[test]
+fn a_leg_that_runs_late_never_overwrites_a_newer_acknowledged_write() {
+    let site = Site::with("late", false);
+    let mut node = SlowNode::new(&site.list.1);
+    let host = site.host();
+    let block = |v: u8| vec![v; 1024];
+    let mut i = node.serve(|| {
+        let mut i = site.initiator(1, false);
+        write(&mut i, 0, 8, &block(1));
+        i
+    });
+    // Aborted by the client, which then comes with something newer.
+    let old = i.submit(0, &cdb16(0x8a, 8, 2), &block(KEPT_BACK), 0).unwrap();
+    i.flush().unwrap();
+    node.work(Duration::from_secs(5), 1);
+    assert_eq!(node.held.len(), 1, "the leg is at the node");
+    let mut i = node.serve(|| {
+        assert!(i.abort(old).unwrap(), "it had no answer");
+        write(&mut i, 0, 8, &block(2));
+        i
+    });
+    let late = node.held.remove(0);
+    assert!(node.carry_out(&late).1.is_some(), "it finds something newer");
+    let mut i = node.serve(|| {
+        assert!(read(&mut i, 0, 8, 2) == block(2), "the late write shows");
+        i
+    });
+    // The host is killed with the leg at the node; its next start knows nothing of it.
+    i.submit(0, &cdb16(0x8a, 8, 2), &block(KEPT_BACK), 0).unwrap();
+    i.flush().unwrap();
+    node.work(Duration::from_secs(5), 1);
+    assert_eq!(node.held.len(), 1);
+    drop(host);
+    let _host = site.host();
+    let late = node.held.remove(0);
+    node.serve(|| {
+        let mut i = site.initiator(1, false);
+        write(&mut i, 0, 8, &block(3));
+    });
+    assert!(node.carry_out(&late).1.is_some());
+    node.serve(|| assert!(read(&mut site.initiator(2, true), 0, 8, 2) == block(3)));
+}
+
+/// Bytes that are no PDU, wrong digests, lengths and keys beyond all bounds, logins that are never finished: each
+/// is refused or hung up on, and a session beside them goes on.
+#[test]
+fn initiators_that_lie_harm_nobody_else() {
+    let site = Site::new("liars");
+    let _host = site.host();
+    let mut good = site.initiator(1, true);
+    let data = pattern(3, 40);
+    write(&mut good, 0, 100, &data);
+    let login = |keys: &[u8]| {
+        let h = Header::new(Opcode::LoginRequest).set_immediate(true).set_flags(0x87);
+        let mut bytes = Vec::new();
+        pdu::write(&Pdu::new(h.set_itt(1).set_cmd_sn(1), keys.to_vec()), Digests::default(), &mut bytes);
+        bytes
+    };
+    let endless: Vec<u8> = [b"X-org.example.long=".to_vec(), vec![b'a'; 64 << 10]].concat();
+    let mut too_long = Header::new(Opcode::LoginRequest).0;
+    too_long[5..8].copy_from_slice(&[0xff; 3]);
+    let lies: [(&str, Vec<u8>); 6] = [
+        ("no PDU at all", b"GET / HTTP/1.1\r\nHost: portal\r\n\r\n".repeat(4)),
+        ("a data segment of 16 MB", too_long.to_vec()),
+        ("a key of 64 KiB", login(&endless)),
+        ("text that is no key", login(&[0xff; 300])),
+        ("a command before its login", {
+            let mut bytes = Vec::new();
+            let h = Header::new(Opcode::ScsiCommand).set_flags(0x80);
+            pdu::write(&Pdu::new(h, vec![]), Digests::default(), &mut bytes);
+            bytes
+        }),
+        ("noise", (0..9000u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 13) as u8).collect()),
+    ];
+    let half_open: Vec<TcpStream> = (0..600).map(|_| TcpStream::connect(site.portal).unwrap()).collect();
+    for (what, bytes) in lies {
+        let mut s = TcpStream::connect(site.portal).unwrap();
+        s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let _ = s.write_all(&bytes);
+        // It may be told why; then the connection ends.
+        let mut said = Vec::new();
+        let ended = s.read_to_end(&mut said);
+        assert!(
+            !matches!(&ended, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock),
+            "{what}: not hung up on"
+        );
+        assert!(read(&mut good, 0, 100, 40) == data, "{what}: a session beside it");
+    }
+    write(&mut good, 0, 100, &pattern(4, 40));
+    drop(half_open);
+    site.initiator(9, false);
+    assert_eq!(good.strays, 0);
+}
+
 #[test]
 fn a_short_day_over_iscsi_with_the_host_killed() {
     let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-day-{}", std::process::id()));
--- a/crates/standin/src/disks.rs
+++ b/crates/standin/src/disks.rs
@@ -1,8 +1,8 @@
 //! Initiators of a rehearsal: sessions that write and read their own blocks through a portal's troubles, come
 //! again when their connection goes, and check every block they read against what they wrote.
 //!
-//! A command that loses its connection is sent again in the next session and counts as the same command: it
-//! is answered once that one is.
+//! A command that loses its connection, or takes so long that it is aborted, is sent again and counts as the
+//! same command: it is answered once that one is.
 
 use crate::draw::source;
 use crate::initiator::{cdb16, Answer, Initiator, Wish};
@@ -16,6 +16,8 @@
 
 const GOOD: u8 = 0;
 const BUSY: u8 = 8;
+/// A command that takes longer is aborted and sent again.
+const TIME_OUT: Duration = Duration::from_millis(900);
 /// Commands that one session has out.
 const DEPTH: usize = 6;
 const MOST_BLOCKS: u64 = 24;
@@ -38,6 +40,8 @@
     pub blocks_checked: u64,
     pub wrong: u64,
     pub logins: u64,
+    /// Given up by the client, and sent again.
+    pub aborted: u64,
 }
 
 impl Disks {
@@ -53,6 +57,7 @@
             (&mut self.blocks_checked, o.blocks_checked),
             (&mut self.wrong, o.wrong),
             (&mut self.logins, o.logins),
+            (&mut self.aborted, o.aborted),
         ];
         all.into_iter().for_each(|(a, b)| *a += b);
     }
@@ -105,7 +110,7 @@
                 continue;
             };
             tally.logins += 1;
-            let mut open: BTreeMap<u32, Work> = BTreeMap::new();
+            let mut open: BTreeMap<u32, (Work, Duration)> = BTreeMap::new();
             let ended = loop {
                 let fresh = clock::now() < end;
                 step += 1;
@@ -125,7 +130,7 @@
                         }
                     }
                     match submit(&mut i, &work) {
-                        Ok(itt) => drop(open.insert(itt, work)),
+                        Ok(itt) => drop(open.insert(itt, (work, clock::now()))),
                         Err(e) => {
                             again.push_back(work);
                             break Err(e);
@@ -133,16 +138,30 @@
                     }
                     continue;
                 }
-                match i.any() {
-                    Ok((itt, answer)) => match open.remove(&itt) {
-                        Some(work) => judge(&work, &answer, step, &mut may, &mut tally),
+                // Whoever waits too long gives up, says so, and comes again with the same command.
+                let oldest =
+                    open.iter().min_by_key(|(_, (_, since))| *since).map(|(itt, (_, since))| (*itt, *since));
+                let left =
+                    oldest.map_or(TIME_OUT, |(_, since)| (since + TIME_OUT).saturating_sub(clock::now()));
+                match (i.any_within(left), oldest) {
+                    (Ok(Some((itt, answer))), _) => match open.remove(&itt) {
+                        Some((work, _)) => judge(&work, &answer, step, &mut may, &mut tally),
                         None => tally.doubled += 1,
                     },
-                    Err(e) => break Err(e),
+                    (Ok(None), Some((itt, _))) => match i.abort(itt) {
+                        Ok(true) => {
+                            tally.aborted += 1;
+                            again.extend(open.remove(&itt).map(|(work, _)| work));
+                        }
+                        Ok(false) => {}
+                        Err(e) => break Err(e),
+                    },
+                    (Ok(None), None) => {}
+                    (Err(e), _) => break Err(e),
                 }
             };
             tally.doubled += i.strays;
-            again.extend(open.into_values());
+            again.extend(open.into_values().map(|(work, _)| work));
             if ended.is_err() {
                 std::thread::sleep(Duration::from_millis(50));
             }
--- a/crates/standin/src/initiator.rs
+++ b/crates/standin/src/initiator.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 const SEGMENT: usize = 64 << 10;
+const PATIENCE: Duration = Duration::from_secs(10);
 
 /// How it logs in.
 #[derive(Debug, Clone)]
@@ -29,6 +30,8 @@
     pub status: u8,
     /// Key, code, qualifier.
     pub sense: (u8, u8, u8),
+    /// Of BUSY: when to come again, where the target tells (RFC 7144).
+    pub retry: Option<Duration>,
     pub data: Vec<u8>,
 }
 
@@ -47,6 +50,8 @@
     exp_stat_sn: u32,
     itt: u32,
     unsent: Vec<u8>,
+    /// The task management request that was answered last.
+    managed: Option<u32>,
     open: BTreeMap<u32, Command>,
     /// In the order they came: a read that was answered before a write saw what was there before it.
     done: VecDeque<(u32, Answer)>,
@@ -71,7 +76,7 @@
     pub fn login(at: SocketAddr, wish: &Wish) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&at, Duration::from_secs(2))?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        stream.set_read_timeout(Some(PATIENCE))?;
         let mut i = Initiator {
             stream,
             reader: Reader::new(SEGMENT),
@@ -81,6 +86,7 @@
             exp_stat_sn: 0,
             itt: 0,
             unsent: Vec::new(),
+            managed: None,
             open: BTreeMap::new(),
             done: VecDeque::new(),
             strays: 0,
@@ -110,6 +116,7 @@
             ("MaxBurstLength", "131072"),
             ("FirstBurstLength", "65536"),
             ("ErrorRecoveryLevel", "0"),
+            ("iSCSIProtocolLevel", "2"),
         ];
         let all = if wish.chap.is_some() { keys.to_vec() } else { [&first[..], &keys].concat() };
         i.step(wish, 1, 0x80 | 3, &all)?;
@@ -231,6 +238,45 @@
         self.command(lun, &cdb16(0x8a, lba, (data.len() / 512) as u32), data, 0)
     }
 
+    /// Whichever is answered next, if one is within that time.
+    pub fn any_within(&mut self, span: Duration) -> io::Result<Option<(u32, Answer)>> {
+        self.flush()?;
+        let until = grebecleat_wire::clock::now() + span;
+        loop {
+            if let Some(done) = self.ready()? {
+                return Ok(Some(done));
+            }
+            let left = until.saturating_sub(grebecleat_wire::clock::now());
+            if left.is_zero() {
+                return Ok(None);
+            }
+            self.stream.set_read_timeout(Some(left))?;
+            let read = self.reader.fill(&mut self.stream);
+            self.stream.set_read_timeout(Some(PATIENCE))?;
+            match read {
+                Ok(0) => return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "target hung up")),
+                Ok(_) => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// ABORT TASK, and waits for its response. False: the command was answered before, and its answer stands.
+    pub fn abort(&mut self, itt: u32) -> io::Result<bool> {
+        self.itt += 1;
+        let h = Header::new(Opcode::TaskManagement).set_immediate(true).set_flags(0x81).set_itt(self.itt);
+        let h = h.set_ttt(itt).set_cmd_sn(self.cmd_sn).set_exp_stat_sn(self.exp_stat_sn);
+        let own = self.itt;
+        self.send(&Pdu::new(h, Vec::new()))?;
+        self.managed = None;
+        while self.managed != Some(own) {
+            self.hear()?;
+        }
+        // From here on an answer to it would be a stray.
+        Ok(self.open.remove(&itt).is_some())
+    }
+
     fn hear(&mut self) -> io::Result<()> {
         let p = self.next()?;
         self.heard(p)
@@ -260,6 +306,8 @@
                     return Ok(());
                 };
                 c.answer.status = h.byte(3);
+                let steps = u32::from(h.byte(8) & 0x3f) << 8 | u32::from(h.byte(9));
+                c.answer.retry = (steps > 0).then(|| Duration::from_millis(100) * steps);
                 if let Some(s) = p.data.get(2..16) {
                     c.answer.sense = (s[2] & 0xf, s[12], s[13]);
                 }
@@ -269,6 +317,10 @@
                 self.numbers(&h, false);
                 self.data_out(&h)?;
             }
+            Some(Opcode::TaskManagementResponse) => {
+                self.numbers(&h, true);
+                self.managed = Some(itt);
+            }
             Some(Opcode::NopIn) if itt == NO_TAG => self.numbers(&h, false),
             Some(Opcode::Reject) => return Err(other(format!("rejected: reason {:#x}", h.byte(2)))),
             _ => self.numbers(&h, true),
