--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 
 mod commands;
 mod decisions;
+mod deferral;
 mod iscsi;
 mod sockets;
 
@@ -42,6 +43,16 @@
         #[arg(long, value_delimiter = ',', default_value = "1,8,32,128")]
         open: Vec<usize>,
     },
+    /// More than the nodes can do, with and without the retry delay of BUSY heeded.
+    Deferral {
+        #[arg(long, default_value_t = 15.0)]
+        seconds: f64,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Load as a multiple of what the nodes can do.
+        #[arg(long, default_value_t = 2.0)]
+        times: f64,
+    },
     /// What one command costs in allocations, without sockets.
     Commands,
     /// A host process on one core, through sockets.
@@ -68,6 +79,10 @@
             let span = Duration::from_secs_f64(seconds);
             iscsi::measure(span, &program.unwrap_or(beside), &bytes, &open)?;
         }
+        What::Deferral { seconds, program, times } => {
+            let beside = std::env::current_exe()?.with_file_name("grebecleat");
+            deferral::measure(Duration::from_secs_f64(seconds), &program.unwrap_or(beside), times)?;
+        }
         What::Commands => commands::measure(),
         What::Sockets { seconds, program, only, nodes } => {
             let beside = std::env::current_exe()?.with_file_name("grebecleat");
--- a/crates/bench/src/sockets.rs
+++ b/crates/bench/src/sockets.rs
@@ -90,10 +90,15 @@
 
     /// `own` are arguments of the host's alone; `PLACES` stands for a new file in the stage's folder.
     pub fn with(program: &Path, nodes: u32, more: &str, own: &[&str]) -> io::Result<Self> {
+        Stage::of(program, &(site(nodes, 30) + more), nodes, own)
+    }
+
+    /// Of settings of its own.
+    pub fn of(program: &Path, text: &str, nodes: u32, own: &[&str]) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("grebecleat-bench-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let (script, log) = (dir.join("site.star"), dir.join("log"));
-        fs::write(&script, site(nodes, 30) + more)?;
+        fs::write(&script, text)?;
         let file = script.to_str().expect("a plain path");
         let _ = fs::remove_file(&log);
         let list = start(program, &["list-service", file, "--listen", "127.0.0.1:0"], &[0, 1, 2], &log)?;
