A portal's bound on unread answers is what its window lets an initiator read

Change: the bound is what all commands that one session may have open can read.

Measured: a test that leaves a window full of 512 KiB reads unread and then has every answer.

--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -385,6 +385,26 @@
     assert_eq!(good.strays, 0);
 }
 
+/// Who only uses its window may leave all of it unread for a while.
+#[test]
+fn a_window_full_of_large_reads_is_no_reason_to_hang_up() {
+    let site = Site::new("unread");
+    let _host = site.host();
+    let mut i = site.initiator(1, false);
+    let mut open = 0;
+    while open < 100 && i.may_send() {
+        i.submit(0, &cdb16(0x88, 0, 1024), &[], 1024 * 512).unwrap();
+        open += 1;
+    }
+    assert!(open > 40, "{open} fit into the window");
+    i.flush().unwrap();
+    std::thread::sleep(Duration::from_millis(700));
+    for _ in 0..open {
+        let (_, answer) = i.any().unwrap();
+        assert_eq!((answer.status, answer.data.len()), (0, 1024 * 512));
+    }
+}
+
 #[test]
 fn a_short_day_over_iscsi_with_the_host_killed() {
     let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-day-{}", std::process::id()));
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -39,8 +39,8 @@
 const DIRECT: usize = 16 << 10;
 /// A write buffer that grew beyond is given back.
 const MOST_KEPT: usize = 256 << 10;
-/// PDU bytes that a connection may leave unread.
-const MOST_UNREAD: usize = 16 << 20;
+/// Bytes that one command may read.
+const MOST_READ: usize = 1 << 20;
 const IDLE: Duration = Duration::from_secs(1);
 /// Inputs of one step.
 const ONE_STEP: usize = 1024;
@@ -69,6 +69,9 @@
     out: Mutex<Unsent>,
     bell: (AtomicBool, Semphore),
     fd: Mutex<Option<i32>>,
+    /// PDU bytes that it may leave unread: what all commands that it may have open can read. Less would hang up
+    /// on an initiator that only uses its window.
+    most: usize,
     reads: Mutex<(Digests, usize)>,
 }
 
@@ -84,7 +87,7 @@
         let mut out = self.out.lock().unwrap_or_else(|e| e.into_inner());
         out.bytes += pdu.data.len() + pdu::BHS;
         out.pdus.push_back((pdu, digests));
-        let fits = out.bytes <= MOST_UNREAD;
+        let fits = out.bytes <= self.most;
         drop(out);
         self.ring();
         fits
@@ -134,7 +137,8 @@
         }
     });
     let (accepting, tracer) = (to.clone(), host.tracer().clone());
-    go!(move || accept(&listener, &accepting, &tracer));
+    let most = spec.commands.2 as usize * (MOST_READ + 4096);
+    go!(move || accept(&listener, &accepting, &tracer, most));
     let owner = Owner {
         engine,
         local,
@@ -333,7 +337,7 @@
     }
 }
 
-fn accept(listener: &TcpListener, to: &Sender<Event>, tracer: &Tracer) {
+fn accept(listener: &TcpListener, to: &Sender<Event>, tracer: &Tracer, most: usize) {
     static NUMBERS: AtomicU64 = AtomicU64::new(1);
     loop {
         match listener.accept() {
@@ -341,7 +345,7 @@
                 let (to, tracer) = (to.clone(), tracer.clone());
                 go!(move || {
                     let conn = ConnNo(NUMBERS.fetch_add(1, Ordering::Relaxed));
-                    if let Err(why) = serve(stream, conn, &to, &tracer) {
+                    if let Err(why) = serve(stream, conn, &to, &tracer, most) {
                         info!(conn = conn.0, %from, "iscsi connection over: {why}");
                     }
                     tracer.line_closed(conn.0);
@@ -356,13 +360,16 @@
     }
 }
 
-fn serve(mut stream: TcpStream, conn: ConnNo, to: &Sender<Event>, tracer: &Tracer) -> io::Result<()> {
+fn serve(
+    mut stream: TcpStream, conn: ConnNo, to: &Sender<Event>, tracer: &Tracer, most: usize,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let writer = stream.try_clone()?;
     let line = Arc::new(Line {
         out: Mutex::default(),
         bell: (AtomicBool::new(false), Semphore::new(0)),
         fd: Mutex::new(Some(writer.as_raw_fd())),
+        most,
         // Before the login is through, a segment is the standard's default length at most.
         reads: Mutex::new((Digests::default(), 8192)),
     });
