A planner that says whether all reserves can be met at once, and who gives way

Need: nobody can say whether the reserves promised can be met, nor after the loss of a node or a zone.

Change: a maximum flow from volumes to the nodes that hold their extents, with nodes or zones out, what is out of reach told by itself, and the least and lightest that must give way named. grebecleat-bench planner.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod deferral;
 mod extents;
 mod iscsi;
+mod planner;
 mod sockets;
 
 use clap::{Parser, Subcommand};
@@ -54,6 +55,8 @@
         #[arg(long, default_value_t = 2.0)]
         times: f64,
     },
+    /// Whether promises hold, by the size of a site.
+    Planner,
     /// The index of extents beside the standard ordered map.
     Extents {
         #[arg(long, default_value_t = 10_000_000)]
@@ -90,6 +93,7 @@
             deferral::measure(Duration::from_secs_f64(seconds), &program.unwrap_or(beside), times)?;
         }
         What::Extents { count } => extents::measure(count),
+        What::Planner => planner::measure(),
         What::Commands => commands::measure(),
         What::Sockets { seconds, program, only, nodes } => {
             let beside = std::env::current_exe()?.with_file_name("grebecleat");
