Who gives way is found by a flow that grows volume by volume

Change: each volume, the heaviest first, is carried as far as it goes along shortest ways that move others between their homes; nodes from which nothing leads to room are shut until that can change.

--- a/crates/state/src/planner.rs
+++ b/crates/state/src/planner.rs
@@ -11,7 +11,8 @@
 //!
 //! Who gives way is decided by weight, the lightest first, and among the equally heavy the higher number: what can
 //! be carried in sum does not depend on the order (the carried sums form a polymatroid), so the least gives way
-//! whatever the order. Volumes with like homes are one in the network; only who gives way is looked for one by one.
+//! whatever the order. Volumes with like homes are one in the network; who gives way is found by a flow that grows
+//! volume by volume.
 
 use petgraph::algo::maximum_flow::dinics;
 use petgraph::graph::{DiGraph, NodeIndex};
@@ -145,40 +146,134 @@
         Verdict { asked: units(asked), carried: units(carried.min(asked)), out_of_reach, short }
     }
 
-    /// The heaviest first, as many as can be carried whole; the next as far as it can; and so on.
+    /// The heaviest first, each as far as it can go beside all before it.
     fn gives_way(&self, mut all: Vec<(usize, u64)>) -> Vec<(u64, f64)> {
         let volumes = &self.site.volumes;
         all.sort_by(|(a, _), (b, _)| {
             let (a, b) = (&volumes[*a], &volumes[*b]);
             b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id))
         });
-        let (mut kept, mut short): (Vec<(usize, u64)>, _) = (Vec::new(), Vec::new());
-        let mut from = 0;
-        while from < all.len() {
-            // How many of the rest go beside what is kept: halving, since one more never makes room.
-            let fits = |n: usize| {
-                let with = [&kept[..], &all[from..from + n]].concat();
-                self.carried(&with) == with.iter().map(|w| w.1).sum::<u64>()
-            };
-            let (mut low, mut high) = (0, all.len() - from);
-            while low < high {
-                let middle = (low + high).div_ceil(2);
-                match fits(middle) {
-                    true => low = middle,
-                    false => high = middle - 1,
+        let mut placing = Placing::new(&self.capacity);
+        let left = all.into_iter().map(|(v, amount)| (v, placing.put(&self.loads[v].homes, amount)));
+        left.filter(|(_, left)| *left > 0).map(|(v, left)| (volumes[v].id, left as f64 / PARTS)).collect()
+    }
+}
+
+/// Volumes with like homes: how much of them lies on each home, and may.
+struct Alike {
+    homes: Vec<usize>,
+    on: Vec<u64>,
+    most: Vec<u64>,
+}
+
+/// A flow that grows volume by volume: what is carried stays carried, and moves between homes to make room.
+///
+/// A flow solver would have to begin anew for each volume; this goes on from the last. Nodes from which nothing
+/// leads to room any more are shut, since volumes that come later only take room away, so that a search does not go
+/// again and again through what is full.
+struct Placing {
+    room: Vec<u64>,
+    shut: Vec<bool>,
+    alike: Vec<Alike>,
+    of_homes: HashMap<Vec<usize>, usize>,
+    /// By node: which have a home there.
+    at: Vec<Vec<usize>>,
+}
+
+/// A step of a search: from which node, through whose volumes, from and to which of their homes.
+type Step = (usize, usize, usize, usize);
+
+impl Placing {
+    fn new(capacity: &[u64]) -> Self {
+        let (room, shut) = (capacity.to_vec(), vec![false; capacity.len()]);
+        let at = vec![Vec::new(); capacity.len()];
+        Placing { room, shut, alike: Vec::new(), of_homes: HashMap::new(), at }
+    }
+
+    /// Carries as much of a volume as it can; answers what is left over.
+    fn put(&mut self, homes: &[(usize, u64)], amount: u64) -> u64 {
+        let nodes: Vec<usize> = homes.iter().map(|h| h.0).collect();
+        let next = self.alike.len();
+        let g = *self.of_homes.entry(nodes.clone()).or_insert(next);
+        if g == next {
+            nodes.iter().for_each(|n| self.at[*n].push(g));
+            let none = vec![0; nodes.len()];
+            self.alike.push(Alike { homes: nodes, on: none.clone(), most: none });
+        }
+        // One more of these lets those before it gather more on a home that was as full of them as it may be; what
+        // was shut behind that home no longer is.
+        let a = &self.alike[g];
+        let tight = a.homes.iter().enumerate().any(|(i, n)| a.on[i] == a.most[i] && !self.shut[*n]);
+        if tight && a.homes.iter().enumerate().any(|(i, n)| a.on[i] > 0 && self.shut[*n]) {
+            self.shut.fill(false);
+        }
+        self.alike[g].most.iter_mut().zip(homes).for_each(|(sum, h)| *sum += h.1.min(amount));
+        let mut left = amount;
+        while left > 0 {
+            match self.search(g) {
+                Some((first, path)) => left -= self.carry(g, first, &path, left),
+                None => break,
+            }
+        }
+        left
+    }
+
+    /// The shortest way from these volumes to a node with room: their home, and what must move on from there.
+    fn search(&mut self, g: usize) -> Option<(usize, Vec<Step>)> {
+        let mut from: HashMap<usize, Option<Step>> = HashMap::new();
+        let mut seen: Vec<usize> = Vec::new();
+        for (n, (on, most)) in
+            self.alike[g].homes.iter().zip(self.alike[g].on.iter().zip(&self.alike[g].most))
+        {
+            if on < most && !self.shut[*n] && from.insert(*n, None).is_none() {
+                seen.push(*n);
+            }
+        }
+        let mut next = 0;
+        while let Some(n) = seen.get(next).copied() {
+            next += 1;
+            if self.room[n] > 0 {
+                let (mut path, mut at) = (Vec::new(), n);
+                while let Some(Some(step)) = from.get(&at).copied() {
+                    path.push(step);
+                    at = step.0;
                 }
+                return Some((at, path));
             }
-            kept.extend(&all[from..from + low]);
-            from += low;
-            if let Some((v, wanted)) = all.get(from).copied() {
-                let before: u64 = kept.iter().map(|k| k.1).sum();
-                let part = self.carried(&[&kept[..], &[(v, wanted)]].concat()) - before;
-                kept.push((v, part));
-                short.push((volumes[v].id, (wanted - part) as f64 / PARTS));
-                from += 1;
+            for h in &self.at[n] {
+                let a = &self.alike[*h];
+                let here = a.homes.iter().position(|m| *m == n).expect("listed by its home");
+                if a.on[here] == 0 {
+                    continue;
+                }
+                for (there, m) in a.homes.iter().enumerate() {
+                    if a.on[there] < a.most[there] && !self.shut[*m] && !from.contains_key(m) {
+                        from.insert(*m, Some((n, *h, here, there)));
+                        seen.push(*m);
+                    }
+                }
             }
         }
-        short
+        seen.into_iter().for_each(|n| self.shut[n] = true);
+        None
+    }
+
+    /// Carries along a way what its narrowest step lets through.
+    fn carry(&mut self, g: usize, first: usize, path: &[Step], wanted: u64) -> u64 {
+        let own = self.alike[g].homes.iter().position(|n| *n == first).expect("its own home");
+        let end = path.first().map_or(first, |(_, h, _, there)| self.alike[*h].homes[*there]);
+        let mut much = wanted.min(self.room[end]).min(self.alike[g].most[own] - self.alike[g].on[own]);
+        for (_, h, here, there) in path {
+            let a = &self.alike[*h];
+            much = much.min(a.on[*here]).min(a.most[*there] - a.on[*there]);
+        }
+        self.alike[g].on[own] += much;
+        for (_, h, here, there) in path {
+            self.alike[*h].on[*here] -= much;
+            self.alike[*h].on[*there] += much;
+        }
+        self.room[end] -= much;
+        much
     }
 }
 
--- a/crates/state/tests/planner.rs
+++ b/crates/state/tests/planner.rs
@@ -94,6 +94,22 @@
     );
 }
 
+/// Where a volume's load may gather only so far: what gives way, found volume by volume, is what the flow over all
+/// of them at once says is missing.
+#[test]
+fn what_gives_way_is_what_is_missing_at_any_spread() {
+    let mut broken = 0;
+    for seed in 0..6000 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let s = Site { spread: [1.0, 1.25, 1.5, 2.0][seed as usize % 4], ..site(&mut rng) };
+        let v = check(&s, &BTreeSet::new());
+        let given: f64 = v.short.iter().map(|s| s.1).sum();
+        broken += u32::from(!v.holds());
+        assert!((given - (v.asked - v.carried)).abs() < 0.02, "seed {seed}: {given} of {v:?}");
+    }
+    assert!(broken > 1000, "{broken}");
+}
+
 #[test]
 fn a_node_or_a_zone_out_and_what_is_out_of_reach() {
     let node = |id, zone| Node { id, zone, capacity: 100.0 };
