--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod changes;
 pub mod extents;
+pub mod feed;
 pub mod planner;
