--- a/crates/bench/src/deferral.rs
+++ b/crates/bench/src/deferral.rs
@@ -1,5 +1,5 @@
-//! Deferral in use: twice what the nodes can do, from initiators that heed BUSY's retry delay and from ones that
-//! do not. Volumes with a reserve ask for less than it; the others ask for all the rest and more.
+//! Deferral in use: twice what the nodes can do, from initiators that heed BUSY's retry delay and from ones
+//! that do not. Volumes with a reserve ask for less than it; the others ask for all the rest and more.
 
 use crate::sockets::{stay_on, Stage};
 use grebecleat_standin::initiator::{cdb16, Initiator, Wish};
--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -213,7 +213,8 @@
     site.initiator(1, true);
 }
 
-/// A node that keeps one write back, whichever holds this byte, until it is told to carry it out, however late.
+/// A node that keeps one write back, whichever holds this byte, until it is told to carry it out, however
+/// late.
 struct SlowNode {
     heard: mpsc::Receiver<Heard>,
     lines: BTreeMap<u64, Line>,
@@ -289,8 +290,8 @@
     }
 }
 
-/// Exactly one leg is delayed: its command was aborted, or its host killed, and newer writes of the same blocks
-/// were acknowledged since. Then it runs.
+/// Exactly one leg is delayed: its command was aborted, or its host killed, and newer writes of the same
+/// blocks were acknowledged since. Then it runs.
 #[test]
 fn a_leg_that_runs_late_never_overwrites_a_newer_acknowledged_write() {
     let site = Site::with("late", false);
@@ -334,8 +335,8 @@
     node.serve(|| assert!(read(&mut site.initiator(2, true), 0, 8, 2) == block(3)));
 }
 
-/// Bytes that are no PDU, wrong digests, lengths and keys beyond all bounds, logins that are never finished: each
-/// is refused or hung up on, and a session beside them goes on.
+/// Bytes that are no PDU, wrong digests, lengths and keys beyond all bounds, logins that are never finished:
+/// each is refused or hung up on, and a session beside them goes on.
 #[test]
 fn initiators_that_lie_harm_nobody_else() {
     let site = Site::new("liars");
--- a/crates/iscsi/src/session.rs
+++ b/crates/iscsi/src/session.rs
@@ -259,7 +259,8 @@
     }
 
     /// So many tasks may be open from here on. An initiator that sits before a closed window, with nothing on
-    /// its way to it that could tell it otherwise, is told by a NOP-In that asks for no answer (section 11.19).
+    /// its way to it that could tell it otherwise, is told by a NOP-In that asks for no answer (section
+    /// 11.19).
     pub fn allow(&mut self, tasks: u32) -> Vec<Act> {
         self.allowance = tasks;
         let closed = self.window.room() == 0;
--- a/crates/state/src/changes.rs
+++ b/crates/state/src/changes.rs
@@ -1,15 +1,15 @@
 //! The ledger of changes: what plans and volumes are, and how they came to be so.
 //!
-//! Called as `propose` with typed changes, who asks, why, and the version that they looked at; the answer is an
-//! entry that is to be kept whole or not at all, or what it collided with. `take` lays a kept entry over the state,
-//! the same way for the one who proposed it, for a start that reads them back, and for hosts that follow the feed.
-//! Without input or output; nothing here decides over transfers.
+//! Called as `propose` with typed changes, who asks, why, and the version that they looked at; the answer is
+//! an entry that is to be kept whole or not at all, or what it collided with. `take` lays a kept entry over
+//! the state, the same way for the one who proposed it, for a start that reads them back, and for hosts that
+//! follow the feed. Without input or output; nothing here decides over transfers.
 //!
-//! Two changes collide if they touch the same subject, a plan or a volume, or if one rests on a subject that the
-//! other takes away. Who looked at an older version is not refused for that alone: only for a subject that has
-//! changed since, or may have, where the trail no longer reaches back so far. Guards against two clerks that each
-//! undo the other unseen; harm: two changes of different figures of one plan collide too, and the second is asked
-//! again.
+//! Two changes collide if they touch the same subject, a plan or a volume, or if one rests on a subject that
+//! the other takes away. Who looked at an older version is not refused for that alone: only for a subject
+//! that has changed since, or may have, where the trail no longer reaches back so far. Guards against two
+//! clerks that each undo the other unseen; harm: two changes of different figures of one plan collide too,
+//! and the second is asked again.
 //!
 //! Memory: the state, and a trail of at most as many entries as it was made with.
 
--- a/crates/state/src/extents.rs
+++ b/crates/state/src/extents.rs
@@ -3,8 +3,8 @@
 //! Extents are numbers that mostly come in runs on one cell, since new ones go to the first node of their
 //! volume's ranking until that has enough. So what is kept is runs, of twelve bytes, in chunks of at most
 //! [`MOST`], found by their first extent in an ordered map. A look-up is one step in the map and one binary
-//! search in a chunk. Memory: twelve bytes a run, a chunk at least half full after a split; a plain ordered map
-//! takes some fourteen bytes an extent. Without any runs it is no smaller than that (measured by
+//! search in a chunk. Memory: twelve bytes a run, a chunk at least half full after a split; a plain ordered
+//! map takes some fourteen bytes an extent. Without any runs it is no smaller than that (measured by
 //! `grebecleat-bench extents`).
 
 use std::collections::BTreeMap;
@@ -127,8 +127,8 @@
         self.runs
     }
 
-    /// Runs in order: first extent, how many, cell. Two that follow each other on one cell may stand apart where
-    /// a chunk ends.
+    /// Runs in order: first extent, how many, cell. Two that follow each other on one cell may stand apart
+    /// where a chunk ends.
     pub fn iter(&self) -> impl Iterator<Item = (u64, u64, u32)> + '_ {
         let runs = self.chunks.iter().flat_map(|(base, chunk)| chunk.iter().map(move |r| (base, r)));
         runs.map(|(base, r)| (base + u64::from(r.start), u64::from(r.length), r.cell))
@@ -159,8 +159,8 @@
     use rand::{Rng, SeedableRng};
     use rand_pcg::Pcg64Mcg;
 
-    /// In any order, near and far apart, moved again: it answers as an ordered map does, and its counts and runs
-    /// are right.
+    /// In any order, near and far apart, moved again: it answers as an ordered map does, and its counts and
+    /// runs are right.
     #[test]
     fn it_answers_as_an_ordered_map_does() {
         for seed in 0..120 {
--- a/crates/state/src/feed.rs
+++ b/crates/state/src/feed.rs
@@ -1,8 +1,8 @@
 //! Who follows which version of the ledger, and when nobody follows an old one any more.
 //!
-//! Called on both sides of the feed. A source calls `asked` when a host asks for what is new, and `over` to learn
-//! whether a change has come everywhere; a host calls `told` with each answer and `follows` whenever it uses a
-//! version. The argument why limits hold meanwhile is in docs/design/plans.md. In short:
+//! Called on both sides of the feed. A source calls `asked` when a host asks for what is new, and `over` to
+//! learn whether a change has come everywhere; a host calls `told` with each answer and `follows` whenever it
+//! uses a version. The argument why limits hold meanwhile is in docs/design/plans.md. In short:
 //!
 //! - an answer carries the entries and a lease together, so whoever has the lease has the entries;
 //! - a host counts its lease from when it asked, the source from when it answered, which is later, and a margin
@@ -93,8 +93,8 @@
 }
 
 impl Follower {
-    /// An answer to what was asked at `sent`, by this host's clock. An older one than what it has is not followed,
-    /// nor is its lease.
+    /// An answer to what was asked at `sent`, by this host's clock. An older one than what it has is not
+    /// followed, nor is its lease.
     pub fn told(&mut self, sent: Duration, version: Version, lease: Duration) {
         if version >= self.has {
             self.until = if version > self.has { sent + lease } else { self.until.max(sent + lease) };
--- a/crates/state/src/planner.rs
+++ b/crates/state/src/planner.rs
@@ -1,18 +1,20 @@
 //! Whether the reserves that were promised can all be met at once.
 //!
 //! Called with a site, its nodes' capacities and its volumes' reserves and homes, and with the nodes that are
-//! taken out of it; the answer says how much can be carried, and which volumes give way where not all can. A maximum
-//! flow from volumes to nodes tells (Ford and Fulkerson; by petgraph's Dinic). Without input or output.
+//! taken out of it; the answer says how much can be carried, and which volumes give way where not all can. A
+//! maximum flow from volumes to nodes tells (Ford and Fulkerson; by petgraph's Dinic). Without input or
+//! output.
 //!
-//! A volume can be served only where its extents lie. How far its load may gather on some of them is the site's
+//! A volume can be served only where its extents lie. How far its load may gather on some of them is the
+//! site's
 //! `spread`: 1 is load spread over its extents alike, more lets a node carry that many times its part; the more,
-//! the more hopeful the answer. What lies on a node that is out is out of reach, and its part of the reserve is told
-//! by itself: nobody can carry it.
+//! the more hopeful the answer. What lies on a node that is out is out of reach, and its part of the reserve
+//! is told by itself: nobody can carry it.
 //!
-//! Who gives way is decided by weight, the lightest first, and among the equally heavy the higher number: what can
-//! be carried in sum does not depend on the order (the carried sums form a polymatroid), so the least gives way
-//! whatever the order. Volumes with like homes are one in the network; who gives way is found by a flow that grows
-//! volume by volume.
+//! Who gives way is decided by weight, the lightest first, and among the equally heavy the higher number:
+//! what can be carried in sum does not depend on the order (the carried sums form a polymatroid), so the
+//! least gives way whatever the order. Volumes with like homes are one in the network; who gives way is found
+//! by a flow that grows volume by volume.
 
 use petgraph::algo::maximum_flow::dinics;
 use petgraph::graph::{DiGraph, NodeIndex};
@@ -168,9 +170,9 @@
 
 /// A flow that grows volume by volume: what is carried stays carried, and moves between homes to make room.
 ///
-/// A flow solver would have to begin anew for each volume; this goes on from the last. Nodes from which nothing
-/// leads to room any more are shut, since volumes that come later only take room away, so that a search does not go
-/// again and again through what is full.
+/// A flow solver would have to begin anew for each volume; this goes on from the last. Nodes from which
+/// nothing leads to room any more are shut, since volumes that come later only take room away, so that a
+/// search does not go again and again through what is full.
 struct Placing {
     room: Vec<u64>,
     shut: Vec<bool>,
@@ -200,8 +202,8 @@
             let none = vec![0; nodes.len()];
             self.alike.push(Alike { homes: nodes, on: none.clone(), most: none });
         }
-        // One more of these lets those before it gather more on a home that was as full of them as it may be; what
-        // was shut behind that home no longer is.
+        // One more of these lets those before it gather more on a home that was as full of them as it may be;
+        // what was shut behind that home no longer is.
         let a = &self.alike[g];
         let tight = a.homes.iter().enumerate().any(|(i, n)| a.on[i] == a.most[i] && !self.shut[*n]);
         if tight && a.homes.iter().enumerate().any(|(i, n)| a.on[i] > 0 && self.shut[*n]) {
@@ -284,9 +286,8 @@
 /// let node = |id| Node { id, zone: 1, capacity: 100.0 };
 /// let volume = |id, reserve, nodes: &[u32]| Volume {
 ///     id, reserve, weight: 1.0, homes: nodes.iter().map(|n| (*n, 1.0 / nodes.len() as f64)).collect(),
-/// };
-/// // Each could be carried with most room left by itself; together the first must leave node 1 to the second.
-/// let mut site = Site {
+/// }; // Each could be carried with most room left by itself; together the first must leave node 1 to the
+/// second. let mut site = Site {
 ///     nodes: vec![node(1), node(2)],
 ///     volumes: vec![volume(7, 100.0, &[1, 2]), volume(8, 90.0, &[1])],
 ///     spread: 2.0,
--- a/crates/state/tests/changes.rs
+++ b/crates/state/tests/changes.rs
@@ -68,8 +68,8 @@
     assert_eq!((l.plan("basic"), l.volume(2).unwrap().plan.as_str()), (None, "gold"));
 }
 
-/// Two sessions that looked at the same version: the second is told what it collided with, or lands if they have
-/// nothing to do with each other.
+/// Two sessions that looked at the same version: the second is told what it collided with, or lands if they
+/// have nothing to do with each other.
 #[test]
 fn two_at_once() {
     let cases: [(Vec<Change>, Vec<Change>, Option<&str>); 6] = [
@@ -157,8 +157,8 @@
     assert!(propose(3).is_ok());
 }
 
-/// Any sequence of changes beside a plain model: what lands lands whole, what is refused changes nothing, every
-/// volume stands on a plan that there is, and undoing all from the last to the first leads back.
+/// Any sequence of changes beside a plain model: what lands lands whole, what is refused changes nothing,
+/// every volume stands on a plan that there is, and undoing all from the last to the first leads back.
 #[test]
 fn any_sequence_beside_a_plain_model() {
     for seed in 0..200 {
--- a/crates/state/tests/feed.rs
+++ b/crates/state/tests/feed.rs
@@ -1,7 +1,7 @@
-//! All that can happen to a change on its way to a host, explored: requests and answers that cross in any order,
-//! late or never, clocks that lose a tick, sources that start anew, changes at any moment. At each state what the
-//! hosts may send together is at most the limit in force. Bugs planted on purpose must be found. One host stands for
-//! all: a change is over only when it is for each, and each keeps to its own part.
+//! All that can happen to a change on its way to a host, explored: requests and answers that cross in any
+//! order, late or never, clocks that lose a tick, sources that start anew, changes at any moment. At each
+//! state what the hosts may send together is at most the limit in force. Bugs planted on purpose must be
+//! found. One host stands for all: a change is over only when it is for each, and each keeps to its own part.
 
 use grebecleat_state::changes::Version;
 use grebecleat_state::feed::{in_force, Answer, Follower, HostNo, Leases};
--- a/crates/state/tests/planner.rs
+++ b/crates/state/tests/planner.rs
@@ -94,8 +94,8 @@
     );
 }
 
-/// Where a volume's load may gather only so far: what gives way, found volume by volume, is what the flow over all
-/// of them at once says is missing.
+/// Where a volume's load may gather only so far: what gives way, found volume by volume, is what the flow
+/// over all of them at once says is missing.
 #[test]
 fn what_gives_way_is_what_is_missing_at_any_spread() {
     let mut broken = 0;
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -69,8 +69,8 @@
     out: Mutex<Unsent>,
     bell: (AtomicBool, Semphore),
     fd: Mutex<Option<i32>>,
-    /// PDU bytes that it may leave unread: what all commands that it may have open can read. Less would hang up
-    /// on an initiator that only uses its window.
+    /// PDU bytes that it may leave unread: what all commands that it may have open can read. Less would hang
+    /// up on an initiator that only uses its window.
     most: usize,
     reads: Mutex<(Digests, usize)>,
 }
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -323,8 +323,8 @@
     }
 }
 
-/// The old leg runs after the newer write was GOOD, by any delay: it changes nothing. Reads of its blocks wait
-/// as long as it could be seen, and a newer write ends that wait.
+/// The old leg runs after the newer write was GOOD, by any delay: it changes nothing. Reads of its blocks
+/// wait as long as it could be seen, and a newer write ends that wait.
 #[test]
 fn a_late_write_never_overwrites_a_newer_one_and_is_not_seen_between_two_reads() {
     let mut r = Rig::new();
