--- a/crates/state/src/planner.rs
+++ b/crates/state/src/planner.rs
@@ -286,8 +286,9 @@
 /// let node = |id| Node { id, zone: 1, capacity: 100.0 };
 /// let volume = |id, reserve, nodes: &[u32]| Volume {
 ///     id, reserve, weight: 1.0, homes: nodes.iter().map(|n| (*n, 1.0 / nodes.len() as f64)).collect(),
-/// }; // Each could be carried with most room left by itself; together the first must leave node 1 to the
-/// second. let mut site = Site {
+/// };
+/// // Each could be carried with most room left by itself; together the first must leave node 1 to the second.
+/// let mut site = Site {
 ///     nodes: vec![node(1), node(2)],
 ///     volumes: vec![volume(7, 100.0, &[1, 2]), volume(8, 90.0, &[1])],
 ///     spread: 2.0,
