A host keeps to the least of all versions from the settled one; package plans

Need: the limits' argument covered lowering and raising, with a host cut off falling back to the reservation; a host that comes in, a volume that gets a limit, or a reservation that is lowered unheard would each have broken it.

Change: what is settled is one version, told with each answer and never going back; a host keeps to the least part of all versions from there to its newest, so the settled version's limit bounds the sum whoever knows what. Changes that take from a host that cannot be heard are marked by the ledger and wait for its word or an operator's. The ledger also holds nodes, drains, targets and timed changes, interns names and sets of hosts, and can take back what was not kept. The decisions move from state to a package plans of their own.

--- a/crates/bench/src/planner.rs
+++ b/crates/bench/src/planner.rs
@@ -1,6 +1,6 @@
 //! How long the planner takes, by the size of a site, whose promises hold and whose do not.
 
-use grebecleat_state::planner::{check, Node, Site, Volume};
+use grebecleat_plans::planner::{check, Node, Site, Volume};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
--- /dev/null
+++ b/crates/plans/src/changes.rs
@@ -0,0 +1,716 @@
+//! The ledger of changes: what plans, volumes, nodes, drains and targets are, and how they came to be so.
+//!
+//! Called as `propose` with typed changes, who asks, why, and the version that they looked at; the answer is
+//! an entry that is to be kept whole or not at all, or what it collided with. `take` lays a kept entry over
+//! the state, the same way for the one who proposed it, for a start that reads them back, and for hosts that
+//! follow the feed. Without input or output; nothing here decides over transfers.
+//!
+//! Two changes collide if they touch the same subject, or if one rests on a subject that the other takes
+//! away. Who looked at an older version is not refused for that alone: only for a subject that has changed
+//! since, or may have, where the trail no longer reaches back so far. Guards against two clerks that each
+//! undo the other unseen; harm: two changes of different figures of one plan collide too, and the second is
+//! asked again.
+//!
+//! Memory: the state, and a trail of at most as many entries as it was made with.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The state after so many entries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version(pub u64);
+
+impl Version {
+    pub fn next(self) -> Version {
+        Version(self.0 + 1)
+    }
+}
+
+pub type Name = Arc<str>;
+
+/// Figures of a plan, for one volume over all hosts. Rates are units a second; a limit of 0 is none.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Plan {
+    pub rate: f64,
+    pub reservation: f64,
+    pub limit: f64,
+    /// Units that the limit's store holds, and by how much it may be passed.
+    pub burst: f64,
+    pub slack: f64,
+    pub weight: f64,
+    pub price: f64,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Volume {
+    pub plan: Name,
+    /// Through which hosts it works.
+    pub hosts: Arc<[Name]>,
+    /// Where its data may lie.
+    pub cells: Arc<[u32]>,
+    pub blocks: u64,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    pub zone: Name,
+    pub cell: u32,
+    /// Units a second; 0: nobody has said.
+    pub capacity: f64,
+}
+
+/// Somebody wants the node empty.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Drain {
+    /// After which it is given up; zero: never.
+    pub within: Duration,
+}
+
+/// Changes that are to land at a stated time, by the wall clock since 1970.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Timed {
+    pub at: Duration,
+    pub who: String,
+    pub why: String,
+    pub force: bool,
+    pub changes: Vec<Change>,
+}
+
+/// What a change touches.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Subject {
+    Plan(Name),
+    Volume(u64),
+    Node(u32),
+    Drain(u32),
+    Target(Name),
+    Timed(u64),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Plan(name) => write!(f, "plan {name}"),
+            Subject::Volume(id) => write!(f, "volume {id}"),
+            Subject::Node(id) => write!(f, "node {id}"),
+            Subject::Drain(id) => write!(f, "drain of node {id}"),
+            Subject::Target(name) => write!(f, "target {name}"),
+            Subject::Timed(id) => write!(f, "timed change {id}"),
+        }
+    }
+}
+
+/// Puts something in the place of what was there; None takes it away.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    Plan { name: Name, to: Option<Plan> },
+    Volume { id: u64, to: Option<Volume> },
+    Node { id: u32, to: Option<Node> },
+    Drain { node: u32, to: Option<Drain> },
+    Target { name: Name, to: Option<Arc<[u64]>> },
+    Timed { id: u64, to: Option<Timed> },
+}
+
+impl Change {
+    pub fn subject(&self) -> Subject {
+        match self {
+            Change::Plan { name, .. } => Subject::Plan(name.clone()),
+            Change::Volume { id, .. } => Subject::Volume(*id),
+            Change::Node { id, .. } => Subject::Node(*id),
+            Change::Drain { node, .. } => Subject::Drain(*node),
+            Change::Target { name, .. } => Subject::Target(name.clone()),
+            Change::Timed { id, .. } => Subject::Timed(*id),
+        }
+    }
+
+    /// Whether it takes its subject away.
+    pub fn ends(&self) -> bool {
+        match self {
+            Change::Plan { to, .. } => to.is_none(),
+            Change::Volume { to, .. } => to.is_none(),
+            Change::Node { to, .. } => to.is_none(),
+            Change::Drain { to, .. } => to.is_none(),
+            Change::Target { to, .. } => to.is_none(),
+            Change::Timed { to, .. } => to.is_none(),
+        }
+    }
+
+    /// What it rests on beside its subject.
+    fn rests_on(&self) -> Vec<Subject> {
+        match self {
+            Change::Volume { to: Some(v), .. } => vec![Subject::Plan(v.plan.clone())],
+            Change::Drain { node, to: Some(_) } => vec![Subject::Node(*node)],
+            Change::Target { to: Some(t), .. } => t.iter().map(|v| Subject::Volume(*v)).collect(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// One atomic step of the state.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    pub version: Version,
+    /// Since 1970, by the clock of who kept it.
+    pub at: Duration,
+    pub who: String,
+    pub why: String,
+    /// What spoke against it, where it was forced.
+    pub against: String,
+    pub changes: Vec<Change>,
+    /// What puts back what was there before, in the order in which to do it.
+    pub before: Vec<Change>,
+    /// A host that knows only what was before may now send more of a limited volume than is promised to it:
+    /// such a one must be heard of before the change is over. See [`crate::feed`].
+    pub lowers: bool,
+}
+
+/// By whom and why, as the trail keeps it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Asks<'a> {
+    pub who: &'a str,
+    pub why: &'a str,
+    pub against: &'a str,
+    pub at: Duration,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Refused {
+    /// Changed since it was looked at, by that entry.
+    Collision {
+        subject: Subject,
+        with: Version,
+        who: String,
+    },
+    /// The trail does not reach back to what was looked at.
+    TooOld {
+        oldest: Version,
+    },
+    /// Who proposes has looked at what is not kept here.
+    Ahead {
+        latest: Version,
+    },
+    Unknown(Subject),
+    /// Something else stands on it.
+    InUse {
+        what: Subject,
+        by: Subject,
+    },
+    Twice(Subject),
+    Empty,
+    Figure {
+        subject: Subject,
+        what: String,
+    },
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Collision { subject, with, who } => {
+                write!(f, "{subject} was changed meanwhile, by entry {} of {who}", with.0)
+            }
+            Refused::TooOld { oldest } => {
+                write!(f, "looked at before entry {}, the oldest that is still known", oldest.0)
+            }
+            Refused::Ahead { latest } => write!(f, "looked at a version after {}, the latest", latest.0),
+            Refused::Unknown(subject) => write!(f, "{subject} does not exist"),
+            Refused::InUse { what, by } => write!(f, "{what} is in use by {by}"),
+            Refused::Twice(subject) => write!(f, "{subject} is changed twice at once"),
+            Refused::Empty => write!(f, "changes nothing"),
+            Refused::Figure { subject, what } => write!(f, "{subject}: {what}"),
+        }
+    }
+}
+
+/// Why a kept entry cannot be laid over this state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutOfOrder {
+    /// It is here already, or something newer is: a feed that was set back.
+    Older,
+    /// Entries before it have not come.
+    Gap { wants: Version },
+}
+
+/// What a deployment says once and no change touches.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Facts {
+    /// Names of all hosts; a volume works through some of them.
+    pub hosts: BTreeSet<Name>,
+    /// How long a leg may be decided before it crosses: a limit's slack must cover it.
+    pub linger: Duration,
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ledger {
+    facts: Facts,
+    version: Version,
+    plans: BTreeMap<Name, Plan>,
+    volumes: BTreeMap<u64, Volume>,
+    nodes: BTreeMap<u32, Node>,
+    drains: BTreeMap<u32, Drain>,
+    targets: BTreeMap<Name, Arc<[u64]>>,
+    timed: BTreeMap<u64, Timed>,
+    /// Volumes by plan: a plan that thousands stand on is taken away, or not, without looking at all volumes.
+    standing: BTreeMap<Name, BTreeSet<u64>>,
+    /// Each name, and each set of hosts or cells, is held once however many volumes have it.
+    names: HashSet<Name>,
+    host_sets: HashSet<Arc<[Name]>>,
+    cell_sets: HashSet<Arc<[u32]>>,
+    trail: VecDeque<Entry>,
+    most_trail: usize,
+}
+
+impl Ledger {
+    pub fn new(facts: Facts, most_trail: usize) -> Self {
+        Ledger { facts, most_trail: most_trail.max(1), ..Ledger::default() }
+    }
+
+    /// A state as it was kept: its version, everything in it, and the last entries, oldest first.
+    pub fn restored(
+        mut self, version: Version, state: impl IntoIterator<Item = Change>, trail: Vec<Entry>,
+    ) -> Self {
+        state.into_iter().for_each(|c| self.put(&c));
+        self.version = version;
+        let from = trail.len().saturating_sub(self.most_trail);
+        self.trail = trail.into_iter().skip(from).collect();
+        self
+    }
+
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    pub fn plan(&self, name: &str) -> Option<&Plan> {
+        self.plans.get(name)
+    }
+
+    pub fn volume(&self, id: u64) -> Option<&Volume> {
+        self.volumes.get(&id)
+    }
+
+    pub fn node(&self, id: u32) -> Option<&Node> {
+        self.nodes.get(&id)
+    }
+
+    pub fn plans(&self) -> impl Iterator<Item = (&Name, &Plan)> {
+        self.plans.iter()
+    }
+
+    pub fn volumes(&self) -> impl Iterator<Item = (u64, &Volume)> {
+        self.volumes.iter().map(|(id, v)| (*id, v))
+    }
+
+    pub fn nodes(&self) -> impl Iterator<Item = (u32, &Node)> {
+        self.nodes.iter().map(|(id, n)| (*id, n))
+    }
+
+    pub fn drains(&self) -> impl Iterator<Item = (u32, &Drain)> {
+        self.drains.iter().map(|(id, d)| (*id, d))
+    }
+
+    pub fn targets(&self) -> impl Iterator<Item = (&Name, &Arc<[u64]>)> {
+        self.targets.iter()
+    }
+
+    pub fn timed(&self) -> impl Iterator<Item = (u64, &Timed)> {
+        self.timed.iter().map(|(id, t)| (*id, t))
+    }
+
+    /// Volumes on a plan.
+    pub fn standing(&self, plan: &str) -> impl Iterator<Item = u64> + '_ {
+        self.standing.get(plan).into_iter().flatten().copied()
+    }
+
+    /// The last entries, oldest first.
+    pub fn trail(&self) -> impl DoubleEndedIterator<Item = &Entry> + ExactSizeIterator {
+        self.trail.iter()
+    }
+
+    /// Entries after that one; None where the trail no longer reaches back so far.
+    pub fn since(&self, version: Version) -> Option<impl Iterator<Item = &Entry> + '_> {
+        let first = self.trail.front().map_or(self.version.next(), |e| e.version);
+        (version.next() >= first).then(|| {
+            let from = self.trail.partition_point(|e| e.version <= version);
+            self.trail.range(from..)
+        })
+    }
+
+    /// Everything, as changes that would make it from nothing.
+    pub fn state(&self) -> impl Iterator<Item = Change> + '_ {
+        let plans = self.plans.iter().map(|(n, p)| Change::Plan { name: n.clone(), to: Some(p.clone()) });
+        let nodes = self.nodes.iter().map(|(id, n)| Change::Node { id: *id, to: Some(n.clone()) });
+        let volumes = self.volumes.iter().map(|(id, v)| Change::Volume { id: *id, to: Some(v.clone()) });
+        let drains = self.drains.iter().map(|(n, d)| Change::Drain { node: *n, to: Some(d.clone()) });
+        let targets =
+            self.targets.iter().map(|(n, t)| Change::Target { name: n.clone(), to: Some(t.clone()) });
+        let timed = self.timed.iter().map(|(id, t)| Change::Timed { id: *id, to: Some(t.clone()) });
+        plans.chain(nodes).chain(volumes).chain(drains).chain(targets).chain(timed)
+    }
+
+    /// What would make this state that one; nothing where they are alike.
+    pub fn towards(&self, other: &Ledger) -> Vec<Change> {
+        let gone = self.state().map(|c| c.subject()).filter(|s| other.now(s).ends()).map(|s| other.now(&s));
+        let new = other.state().filter(|c| self.now(&c.subject()) != *c);
+        // What stands on something goes before it, and comes after it.
+        let mut gone: Vec<Change> = gone.collect();
+        gone.reverse();
+        new.chain(gone).collect()
+    }
+
+    /// The entry that these changes would make, asked by someone who looked at that version.
+    pub fn propose(&self, looked_at: Version, by: Asks, changes: Vec<Change>) -> Result<Entry, Refused> {
+        if changes.is_empty() {
+            return Err(Refused::Empty);
+        }
+        self.unchanged_since(looked_at, &changes)?;
+        let mut after = Overlay { below: self, over: BTreeMap::new() };
+        let mut before = Vec::new();
+        for change in &changes {
+            let subject = change.subject();
+            self.fine(change)?;
+            before.insert(0, self.now(&subject));
+            if after.over.insert(subject.clone(), change).is_some() {
+                return Err(Refused::Twice(subject));
+            }
+        }
+        after.whole()?;
+        if changes.iter().all(|c| self.now(&c.subject()) == *c) {
+            return Err(Refused::Empty);
+        }
+        let lowers = after.lowers();
+        let Asks { who, why, against, at } = by;
+        let (who, why, against) = (who.to_string(), why.to_string(), against.to_string());
+        Ok(Entry { version: self.version.next(), at, who, why, against, changes, before, lowers })
+    }
+
+    /// The entry that puts back what an earlier one changed, where nothing has changed it since. What was to
+    /// land at a stated time and did is not put back: it would land again at once.
+    pub fn undo(&self, entry: Version, by: Asks) -> Result<Entry, Refused> {
+        let oldest = self.trail.front().map_or(self.version, |e| e.version);
+        let found = self.trail.iter().find(|e| e.version == entry);
+        let back = &found.ok_or(Refused::TooOld { oldest })?.before;
+        let back = back.iter().filter(|c| !matches!(c, Change::Timed { to: Some(_), .. }));
+        self.propose(entry, by, back.cloned().collect())
+    }
+
+    /// Lays a kept entry over the state.
+    pub fn take(&mut self, entry: Entry) -> Result<(), OutOfOrder> {
+        let wants = self.version.next();
+        if entry.version < wants {
+            return Err(OutOfOrder::Older);
+        }
+        if entry.version > wants {
+            return Err(OutOfOrder::Gap { wants });
+        }
+        self.lay(entry);
+        Ok(())
+    }
+
+    /// Lays an entry over the state whose version may lie further on: what a source said that could not tell
+    /// each step.
+    pub fn leap(&mut self, entry: Entry) -> Result<(), OutOfOrder> {
+        if entry.version <= self.version {
+            return Err(OutOfOrder::Older);
+        }
+        self.lay(entry);
+        Ok(())
+    }
+
+    fn lay(&mut self, entry: Entry) {
+        entry.changes.iter().for_each(|c| self.put(c));
+        self.version = entry.version;
+        self.trail.push_back(entry);
+        while self.trail.len() > self.most_trail {
+            self.trail.pop_front();
+        }
+    }
+
+    /// Takes the last entry back, one that was never kept.
+    pub fn take_back(&mut self) -> Option<Entry> {
+        let entry = self.trail.pop_back()?;
+        entry.before.iter().for_each(|c| self.put(c));
+        self.version = Version(entry.version.0 - 1);
+        Some(entry)
+    }
+
+    /// Whether anything that the changes touch or rest on has changed since.
+    fn unchanged_since(&self, looked_at: Version, changes: &[Change]) -> Result<(), Refused> {
+        if looked_at > self.version {
+            return Err(Refused::Ahead { latest: self.version });
+        }
+        let oldest = self.trail.front().map_or(self.version, |e| e.version);
+        let Some(since) = self.since(looked_at) else { return Err(Refused::TooOld { oldest }) };
+        let touched: BTreeSet<Subject> =
+            changes.iter().flat_map(|c| c.rests_on().into_iter().chain([c.subject()])).collect();
+        for entry in since {
+            // A volume that was put on a plan meanwhile does not change that plan for others.
+            if let Some(c) = entry.changes.iter().find(|c| touched.contains(&c.subject())) {
+                let (subject, with, who) = (c.subject(), entry.version, entry.who.clone());
+                return Err(Refused::Collision { subject, with, who });
+            }
+        }
+        Ok(())
+    }
+
+    /// The change that would put a subject as it is now.
+    pub fn now(&self, subject: &Subject) -> Change {
+        match subject {
+            Subject::Plan(name) => Change::Plan { name: name.clone(), to: self.plans.get(name).cloned() },
+            Subject::Volume(id) => Change::Volume { id: *id, to: self.volumes.get(id).cloned() },
+            Subject::Node(id) => Change::Node { id: *id, to: self.nodes.get(id).cloned() },
+            Subject::Drain(node) => Change::Drain { node: *node, to: self.drains.get(node).cloned() },
+            Subject::Target(name) => {
+                Change::Target { name: name.clone(), to: self.targets.get(name).cloned() }
+            }
+            Subject::Timed(id) => Change::Timed { id: *id, to: self.timed.get(id).cloned() },
+        }
+    }
+
+    fn name(&mut self, name: &Name) -> Name {
+        self.names.get(name).cloned().unwrap_or_else(|| {
+            self.names.insert(name.clone());
+            name.clone()
+        })
+    }
+
+    fn put(&mut self, change: &Change) {
+        fn set<K: Ord, V>(map: &mut BTreeMap<K, V>, key: K, to: Option<V>) {
+            match to {
+                Some(to) => drop(map.insert(key, to)),
+                None => drop(map.remove(&key)),
+            }
+        }
+        match change.clone() {
+            Change::Plan { name, to } => set(&mut self.plans, name, to),
+            Change::Node { id, to } => set(&mut self.nodes, id, to),
+            Change::Drain { node, to } => set(&mut self.drains, node, to),
+            Change::Target { name, to } => set(&mut self.targets, name, to),
+            Change::Timed { id, to } => set(&mut self.timed, id, to),
+            Change::Volume { id, to } => {
+                let to = to.map(|v| self.shared(v));
+                let new = to.as_ref().map(|v| v.plan.clone());
+                let old = match to {
+                    Some(v) => self.volumes.insert(id, v),
+                    None => self.volumes.remove(&id),
+                };
+                let old = old.map(|v| v.plan);
+                if old == new {
+                    return;
+                }
+                if let Some(standing) = old.and_then(|plan| self.standing.get_mut(&plan)) {
+                    standing.remove(&id);
+                }
+                new.into_iter().for_each(|plan| _ = self.standing.entry(plan).or_default().insert(id));
+            }
+        }
+    }
+
+    fn shared(&mut self, v: Volume) -> Volume {
+        let plan = self.name(&v.plan);
+        let (hosts, cells) = (self.host_sets.get(&v.hosts).cloned(), self.cell_sets.get(&v.cells).cloned());
+        let hosts = hosts.unwrap_or_else(|| {
+            self.host_sets.insert(v.hosts.clone());
+            v.hosts
+        });
+        let cells = cells.unwrap_or_else(|| {
+            self.cell_sets.insert(v.cells.clone());
+            v.cells
+        });
+        Volume { plan, hosts, cells, blocks: v.blocks }
+    }
+
+    /// What is wrong with a change by itself.
+    fn fine(&self, change: &Change) -> Result<(), Refused> {
+        let bad = |what: String| Err(Refused::Figure { subject: change.subject(), what });
+        match change {
+            Change::Plan { to: Some(p), .. } => {
+                let all = [p.rate, p.reservation, p.limit, p.burst, p.slack, p.weight, p.price];
+                if all.iter().any(|n| !n.is_finite() || *n < 0.0) {
+                    return bad("a figure is negative or no number".into());
+                }
+                if p.limit <= 0.0 {
+                    return Ok(());
+                }
+                // Below its reserve a limit would break a promise, and a host that is cut off from the feed
+                // falls back to the reserve: see docs/design/plans.md.
+                if p.limit < p.reservation {
+                    return bad("its limit is below its reservation".into());
+                }
+                if p.burst <= 0.0 {
+                    return bad("a limit needs a burst above 0".into());
+                }
+                let least = p.limit * self.facts.linger.as_secs_f64();
+                if p.slack < least {
+                    return bad(format!("its slack is below what may still cross of its limit, {least}"));
+                }
+                Ok(())
+            }
+            Change::Volume { to: Some(v), .. } => {
+                if v.hosts.is_empty() {
+                    return bad("works through no host".into());
+                }
+                if let Some(host) = v.hosts.iter().find(|h| !self.facts.hosts.contains(*h)) {
+                    return bad(format!("works through {host}, which is no host here"));
+                }
+                if v.hosts.iter().collect::<BTreeSet<_>>().len() < v.hosts.len() {
+                    return bad("works through one host twice".into());
+                }
+                if v.blocks == 0 {
+                    return bad("has no blocks".into());
+                }
+                Ok(())
+            }
+            Change::Node { to: Some(n), .. } if !(n.capacity.is_finite() && n.capacity >= 0.0) => {
+                bad("its capacity is negative or no number".into())
+            }
+            Change::Timed { to: Some(t), .. } => {
+                if t.changes.iter().any(|c| matches!(c, Change::Timed { .. })) {
+                    return bad("a timed change within a timed change".into());
+                }
+                t.changes.iter().try_for_each(|c| self.fine(c))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// The state as changes would leave it, without a copy of all that they do not touch.
+struct Overlay<'a> {
+    below: &'a Ledger,
+    over: BTreeMap<Subject, &'a Change>,
+}
+
+impl Overlay<'_> {
+    fn plan(&self, name: &Name) -> Option<&Plan> {
+        match self.over.get(&Subject::Plan(name.clone())) {
+            Some(Change::Plan { to, .. }) => to.as_ref(),
+            _ => self.below.plans.get(name),
+        }
+    }
+
+    fn volume(&self, id: u64) -> Option<&Volume> {
+        match self.over.get(&Subject::Volume(id)) {
+            Some(Change::Volume { to, .. }) => to.as_ref(),
+            _ => self.below.volumes.get(&id),
+        }
+    }
+
+    fn node(&self, id: u32) -> Option<&Node> {
+        match self.over.get(&Subject::Node(id)) {
+            Some(Change::Node { to, .. }) => to.as_ref(),
+            _ => self.below.nodes.get(&id),
+        }
+    }
+
+    fn drains(&self, node: u32) -> bool {
+        match self.over.get(&Subject::Drain(node)) {
+            Some(change) => !change.ends(),
+            None => self.below.drains.contains_key(&node),
+        }
+    }
+
+    /// A cell that no node holds any more, if any, and a volume whose data may lie there.
+    fn unheld(&self) -> Option<(u32, u64)> {
+        let touched = self.over.keys().any(|s| matches!(s, Subject::Node(_)));
+        let changed = self.over.values().filter_map(|c| match c {
+            Change::Volume { id, to: Some(_) } => Some(*id),
+            _ => None,
+        });
+        // Only a change of nodes can leave a volume behind that it does not touch itself.
+        let all: Vec<u64> = if touched { self.below.volumes.keys().copied().collect() } else { Vec::new() };
+        let ids: BTreeSet<u32> = self.below.nodes.keys().copied().collect();
+        let new = self.over.keys().filter_map(|s| if let Subject::Node(n) = s { Some(*n) } else { None });
+        let nodes = ids.into_iter().chain(new).filter_map(|n| self.node(n));
+        let cells: BTreeSet<u32> = nodes.map(|n| n.cell).collect();
+        if cells.is_empty() {
+            return None; // nothing is said of nodes here
+        }
+        let volumes = changed.chain(all).filter_map(|id| Some((id, self.volume(id)?)));
+        let missing = |v: &Volume| v.cells.iter().copied().find(|c| !cells.contains(c));
+        volumes.filter_map(|(id, v)| Some((missing(v)?, id))).next()
+    }
+
+    /// Whether what is left hangs together.
+    fn whole(&self) -> Result<(), Refused> {
+        for (subject, change) in &self.over {
+            if change.ends() && self.below.now(subject).ends() {
+                return Err(Refused::Unknown(subject.clone()));
+            }
+            match change {
+                Change::Plan { name, to: None } => {
+                    let stays = |id: &&u64| self.volume(**id).is_some_and(|v| v.plan == *name);
+                    let standing = self.below.standing.get(name).into_iter().flatten();
+                    if let Some(by) = standing.into_iter().find(stays) {
+                        return Err(Refused::InUse { what: subject.clone(), by: Subject::Volume(*by) });
+                    }
+                }
+                Change::Volume { id, to: None } => {
+                    let holds = |name: &Name, volumes: &Arc<[u64]>| {
+                        let left = match self.over.get(&Subject::Target(name.clone())) {
+                            Some(Change::Target { to, .. }) => to.as_ref(),
+                            _ => Some(volumes),
+                        };
+                        left.is_some_and(|t| t.contains(id))
+                    };
+                    if let Some((name, _)) = self.below.targets.iter().find(|(n, t)| holds(n, t)) {
+                        let by = Subject::Target(name.clone());
+                        return Err(Refused::InUse { what: subject.clone(), by });
+                    }
+                }
+                Change::Volume { to: Some(v), .. } if self.plan(&v.plan).is_none() => {
+                    return Err(Refused::Unknown(Subject::Plan(v.plan.clone())));
+                }
+                Change::Drain { node, to: Some(_) } if self.node(*node).is_none() => {
+                    return Err(Refused::Unknown(Subject::Node(*node)));
+                }
+                Change::Node { id, to: None } if self.drains(*id) => {
+                    return Err(Refused::InUse { what: subject.clone(), by: Subject::Drain(*id) });
+                }
+                Change::Target { to: Some(t), .. } => {
+                    if let Some(v) = t.iter().find(|v| self.volume(**v).is_none()) {
+                        return Err(Refused::Unknown(Subject::Volume(*v)));
+                    }
+                }
+                _ => {}
+            }
+        }
+        if let Some((cell, volume)) = self.unheld() {
+            let what = format!("its data may lie in cell {cell}, which no node holds");
+            return Err(Refused::Figure { subject: Subject::Volume(volume), what });
+        }
+        Ok(())
+    }
+
+    /// Whether a host that knows only what was before may hold itself entitled to more of a limited volume
+    /// than it is now: see [`crate::feed`].
+    fn lowers(&self) -> bool {
+        let of_plan = |name: &Name| {
+            let (was, is) = (self.below.plans.get(name), self.plan(name));
+            let standing = || self.below.standing.get(name).is_some_and(|s| !s.is_empty());
+            is.is_some_and(|is| is.limit > 0.0 && was.is_some_and(|was| lowered(was, is)) && standing())
+        };
+        let of_volume = |id: u64| {
+            let Some(v) = self.volume(id) else { return false };
+            let Some(is) = self.plan(&v.plan).filter(|p| p.limit > 0.0) else { return false };
+            let Some(was) = self.below.volumes.get(&id) else { return true };
+            let fewer = was.hosts.iter().any(|h| !v.hosts.contains(h)) || v.hosts.len() > was.hosts.len();
+            fewer || self.below.plans.get(&was.plan).is_none_or(|p| lowered(p, is))
+        };
+        self.over.values().any(|c| match c {
+            Change::Plan { name, .. } => of_plan(name),
+            Change::Volume { id, .. } => of_volume(*id),
+            _ => false,
+        })
+    }
+}
+
+/// What can never be taken from a host unheard, its part of the reservation and of the burst, shrinks.
+fn lowered(was: &Plan, is: &Plan) -> bool {
+    was.limit <= 0.0 || is.reservation < was.reservation || is.burst < was.burst
+}
--- /dev/null
+++ b/crates/plans/src/feed.rs
@@ -0,0 +1,264 @@
+//! Who follows which version of the ledger, when nobody follows an old one any more, and what a host may
+//! send of a limited volume meanwhile.
+//!
+//! Called on both sides of the feed. A source calls `asked` when a host asks for what is new, and `settled`
+//! to learn up to where changes have come everywhere; a host calls `told` with each answer, and [`part`] with
+//! what each version that it must still reckon with says of a volume. The argument why limits hold meanwhile
+//! is in docs/design/plans.md. In short:
+//!
+//! - a host keeps to the least that any version says from the settled one, as far as it knows, to the newest
+//!   it has. The settled version itself lies in every host's window, so all parts add up to no more than that
+//!   version's limit, whoever knows what;
+//! - an answer carries the entries and a lease together, so whoever has the lease has the entries;
+//! - a host counts its lease from when it asked, the source from when it answered, which is later, and a
+//!   margin longer: no delay, and no clock that runs slower by less than the margin, lets a host follow beyond
+//!   what the source believes;
+//! - without a lease a host keeps to its part of the reservation, which no change takes away unheard: a change
+//!   that does take of it is not settled before the host has said that it has it, or somebody has said that
+//!   the host is gone;
+//! - a host never goes back, and neither does what is settled.
+//!
+//! Without input or output. Memory: a few words for each host.
+
+use crate::changes::Version;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A host, by its place in the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostNo(pub u32);
+
+/// What the source knows of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Held {
+    /// The newest version that it said to have; None: it was never heard of, so nothing was ever granted.
+    has: Option<Version>,
+    /// When the last lease that it may hold has run out, with the margin.
+    until: Duration,
+    /// Somebody answers for it that it sends nothing.
+    gone: bool,
+}
+
+/// What a host is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// All entries that it has not, and for how long it may follow them from when it asked.
+    Grant {
+        lease: Duration,
+    },
+    /// It has more than the source: that was set back to an old state. Nothing is granted to anyone before
+    /// somebody has looked, so leases run out and hosts fall back to what no change can take away.
+    Behind {
+        has: Version,
+    },
+    Stranger,
+}
+
+/// Versions that lower what no host loses unheard, as far as they are known.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Lowerings {
+    /// Before that one nothing is known.
+    from: Version,
+    at: Vec<Version>,
+    latest: Version,
+}
+
+impl Lowerings {
+    /// After a version of which only that much is known.
+    pub fn new(from: Version) -> Self {
+        Lowerings { from, at: Vec::new(), latest: from }
+    }
+
+    pub fn add(&mut self, version: Version, lowers: bool) {
+        self.latest = version;
+        if lowers {
+            self.at.push(version);
+        }
+    }
+
+    /// The last version up to which a host that has `has` is owed what it then knew.
+    fn reach(&self, has: Version) -> Version {
+        if has < self.from {
+            return has;
+        }
+        let next = self.at.get(self.at.partition_point(|v| *v <= has));
+        next.map_or(self.latest, |v| Version(v.0 - 1))
+    }
+
+    /// Forgets what lies before a version that is settled.
+    pub fn forget(&mut self, before: Version) {
+        self.from = self.from.max(before);
+        self.at.retain(|v| *v > before);
+    }
+}
+
+/// The source's side.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Leases {
+    lease: Duration,
+    margin: Duration,
+    hosts: BTreeMap<HostNo, Held>,
+    settled: Version,
+    behind: Option<Version>,
+}
+
+impl Leases {
+    /// `settled`: what was, before an earlier start told anyone. `hosts`: all there are, with what each was last
+    /// known to have; None: it was never heard of. Leases of an earlier start may be out.
+    pub fn new(
+        lease: Duration, margin: Duration, now: Duration, settled: Version,
+        hosts: impl IntoIterator<Item = (HostNo, Option<Version>)>,
+    ) -> Self {
+        let held = |has: Option<Version>| {
+            let until = if has.is_some() { now + lease + margin } else { now };
+            Held { has, until, gone: false }
+        };
+        let hosts = hosts.into_iter().map(|(host, has)| (host, held(has))).collect();
+        Leases { lease, margin, hosts, settled, behind: None }
+    }
+
+    pub fn lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// A host asks, and says what it has; `latest` is the ledger's version.
+    pub fn asked(&mut self, now: Duration, host: HostNo, has: Version, latest: Version) -> Answer {
+        let Some(held) = self.hosts.get_mut(&host) else { return Answer::Stranger };
+        if has > latest {
+            self.behind = self.behind.max(Some(has));
+        }
+        if let Some(has) = self.behind {
+            return Answer::Behind { has };
+        }
+        held.has = held.has.max(Some(has));
+        (held.until, held.gone) = (now + self.lease + self.margin, false);
+        Answer::Grant { lease: self.lease }
+    }
+
+    /// What a host is known to have.
+    pub fn has(&self, host: HostNo) -> Option<Version> {
+        self.hosts.get(&host).and_then(|h| h.has)
+    }
+
+    /// Somebody answers for it that this host sends nothing until it asks again.
+    pub fn gone(&mut self, host: HostNo) {
+        self.hosts.get_mut(&host).into_iter().for_each(|h| h.gone = true);
+    }
+
+    /// Up to which version all changes have come everywhere that they must. It never goes back.
+    pub fn settled(&mut self, now: Duration, lowerings: &Lowerings) -> Version {
+        let reached = self.hosts.values().map(|h| Self::reach(h, now, lowerings)).min();
+        self.settled = self.settled.max(reached.unwrap_or(lowerings.latest));
+        self.settled
+    }
+
+    fn reach(h: &Held, now: Duration, lowerings: &Lowerings) -> Version {
+        match h.has {
+            None => lowerings.latest,
+            Some(_) if h.gone => lowerings.latest,
+            Some(has) if now < h.until => has,
+            Some(has) => lowerings.reach(has),
+        }
+    }
+
+    /// Hosts on which a version waits, and whether only their own word can end that.
+    pub fn waits_for(&self, now: Duration, version: Version, lowerings: &Lowerings) -> Vec<(HostNo, bool)> {
+        let waits = self.hosts.iter().filter(|(_, h)| Self::reach(h, now, lowerings) < version);
+        let silent = |h: &Held| h.has.is_some_and(|has| lowerings.reach(has) < version);
+        waits.map(|(no, h)| (*no, silent(h))).collect()
+    }
+
+    /// When what is settled may change by time alone.
+    pub fn wake_at(&self, now: Duration) -> Option<Duration> {
+        let behind = |h: &&Held| h.has.is_some_and(|has| has > self.settled || !h.gone);
+        self.hosts.values().filter(behind).map(|h| h.until).filter(|u| *u > now).min()
+    }
+
+    /// A version that some host has and the source has not, until somebody has looked.
+    pub fn behind(&self) -> Option<Version> {
+        self.behind
+    }
+
+    /// Somebody has looked, and what is to count now has a version after all that hosts have.
+    pub fn caught_up(&mut self) {
+        self.behind = None;
+    }
+}
+
+/// A host's side. It is kept before it is followed, and read back at a start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Follower {
+    pub has: Version,
+    /// Versions before this one need not be reckoned with any more.
+    pub settled: Version,
+    until: Duration,
+}
+
+impl Follower {
+    /// As it was kept: without a lease.
+    pub fn kept(has: Version, settled: Version) -> Self {
+        Follower { has, settled: settled.min(has), until: Duration::ZERO }
+    }
+
+    /// An answer to what was asked at `sent`, by this host's clock. An older one than what it has is not
+    /// followed, nor is its lease.
+    pub fn told(&mut self, sent: Duration, version: Version, settled: Version, lease: Duration) {
+        if version >= self.has {
+            self.until = if version > self.has { sent + lease } else { self.until.max(sent + lease) };
+            self.has = version;
+            self.settled = self.settled.max(settled).min(version);
+        }
+    }
+
+    pub fn leased(&self, now: Duration) -> bool {
+        now < self.until
+    }
+
+    /// When its lease runs out.
+    pub fn until(&self) -> Duration {
+        self.until
+    }
+}
+
+/// What one version says of a volume, as one host reads it. Rates are units a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Says {
+    pub reservation: f64,
+    /// 0: none.
+    pub limit: f64,
+    pub burst: f64,
+    /// Through how many hosts it works, and whether this is one of them.
+    pub hosts: usize,
+    pub mine: bool,
+}
+
+/// A host's part of a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Part {
+    pub rate: f64,
+    pub burst: f64,
+}
+
+/// What a host may send of a volume by all versions that it must reckon with; None: no limit. A version in
+/// which the volume does not exist says nothing.
+///
+/// ```
+/// use grebecleat_plans::feed::{part, Part, Says};
+/// let says = |limit, hosts| Says { reservation: 4.0, limit, burst: 2.0 * limit, hosts, mine: true };
+/// // Raised from 8 to 12 over two hosts, not settled yet: still 4, and the burst that goes with it.
+/// assert_eq!(part([says(8.0, 2), says(12.0, 2)], true), Some(Part { rate: 4.0, burst: 8.0 }));
+/// // A third host comes in: from now on each has a third.
+/// assert_eq!(part([says(12.0, 2), says(12.0, 3)], true), Some(Part { rate: 4.0, burst: 8.0 }));
+/// // Without a lease: the part of the reservation.
+/// assert_eq!(part([says(12.0, 2)], false), Some(Part { rate: 2.0, burst: 12.0 }));
+/// assert_eq!(part([says(0.0, 2)], false), None);
+/// ```
+pub fn part(window: impl IntoIterator<Item = Says>, leased: bool) -> Option<Part> {
+    let limited = window.into_iter().filter(|s| s.limit > 0.0);
+    let each = limited.map(|s| {
+        let share = if s.mine { 1.0 / s.hosts.max(1) as f64 } else { 0.0 };
+        let rate = if leased { s.limit } else { s.reservation };
+        Part { rate: rate * share, burst: s.burst * share }
+    });
+    each.reduce(|a, b| Part { rate: a.rate.min(b.rate), burst: a.burst.min(b.burst) })
+}
--- a/crates/state/src/planner.rs
+++ b/crates/plans/src/planner.rs
@@ -282,7 +282,7 @@
 /// Whether the reserves hold with these nodes out.
 ///
 /// ```
-/// use grebecleat_state::planner::{check, Node, Site, Volume};
+/// use grebecleat_plans::planner::{check, Node, Site, Volume};
 /// let node = |id| Node { id, zone: 1, capacity: 100.0 };
 /// let volume = |id, reserve, nodes: &[u32]| Volume {
 ///     id, reserve, weight: 1.0, homes: nodes.iter().map(|n| (*n, 1.0 / nodes.len() as f64)).collect(),
--- a/crates/state/tests/planner.rs
+++ b/crates/plans/tests/planner.rs
@@ -1,6 +1,6 @@
 //! The planner beside brute force on small sites, and beside the plain greedy answer.
 
-use grebecleat_state::planner::*;
+use grebecleat_plans::planner::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
