Admission asks a flow that stands, with every node and zone out; moves that mend a site

Change: the flow behind 'who gives way' stands by itself, grows and shrinks where it is, and takes back what was only tried. Admission keeps the ledger's site in it and says what speaks against a change and what it warns of.

--- a/crates/bench/src/planner.rs
+++ b/crates/bench/src/planner.rs
@@ -1,10 +1,13 @@
-//! How long the planner takes, by the size of a site, whose promises hold and whose do not.
+//! How long the planner takes, by the size of a site, whose promises hold and whose do not; and how long it
+//! takes to say whether one change may land, with every node and zone out in turn.
 
+use grebecleat_plans::admission::Admission;
+use grebecleat_plans::changes::{self, Asks, Change, Facts, Ledger};
 use grebecleat_plans::planner::{check, Node, Site, Volume};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Volumes on some neighbouring nodes each, reserves that fill that part of all nodes.
 fn site(nodes: u32, volumes: u64, filled: f64) -> Site {
@@ -25,6 +28,61 @@
     Site { nodes: all, volumes, spread: 2.0 }
 }
 
+/// The same site as a ledger.
+fn ledger(s: &Site) -> Ledger {
+    let plan = |v: &Volume| changes::Plan { reservation: v.reserve, weight: v.weight, ..Default::default() };
+    let node = |n: &Node| changes::Node { zone: n.zone.to_string().into(), cell: n.id, capacity: n.capacity };
+    let volume = |v: &Volume| changes::Volume {
+        plan: v.id.to_string().into(),
+        hosts: ["h".into()].into(),
+        cells: v.homes.iter().map(|h| h.0).collect(),
+        blocks: 8,
+    };
+    let nodes = s.nodes.iter().map(|n| Change::Node { id: n.id, to: Some(node(n)) });
+    let plans = s.volumes.iter().map(|v| Change::Plan { name: v.id.to_string().into(), to: Some(plan(v)) });
+    let volumes = s.volumes.iter().map(|v| Change::Volume { id: v.id, to: Some(volume(v)) });
+    let facts = Facts { hosts: ["h".into()].into(), linger: Duration::ZERO };
+    Ledger::new(facts, 100).restored(Default::default(), nodes.chain(plans).chain(volumes), Vec::new())
+}
+
+fn admission() {
+    println!("\n| volumes | nodes | filled | opened, ms | a change, no loss looked at, ms | with all losses, ms | losses |");
+    println!("| ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    for (volumes, nodes) in [(100, 10), (1000, 50), (10_000, 200), (100_000, 1000)] {
+        for filled in [0.5, 0.7, 0.9] {
+            let s = site(nodes, volumes, filled);
+            let mut l = ledger(&s);
+            let begun = Instant::now();
+            let mut a = Admission::open(&l, s.spread);
+            let opened = begun.elapsed().as_secs_f64() * 1e3;
+            let mut took = [Vec::new(), Vec::new()];
+            let mut losses = 0;
+            for (i, steps) in [0, 0, 0, 0, 0, usize::MAX, usize::MAX, usize::MAX].into_iter().enumerate() {
+                let id = i as u64 * 7;
+                let reserve = s.volumes[id as usize].reserve * 1.2;
+                let plan = changes::Plan { reservation: reserve, weight: 1.0, ..Default::default() };
+                let change = vec![Change::Plan { name: id.to_string().into(), to: Some(plan) }];
+                let begun = Instant::now();
+                let entry = l.propose(l.version(), Asks::default(), change.clone()).expect("in order");
+                l.take(entry).expect("the next");
+                let o = a.land(&l, &change, steps);
+                took[usize::from(steps > 0)].push(begun.elapsed().as_secs_f64() * 1e3);
+                losses = losses.max(o.unseen);
+            }
+            let median = |of: &mut Vec<f64>| {
+                of.sort_by(f64::total_cmp);
+                of[of.len() / 2]
+            };
+            let [few, all] = &mut took;
+            println!(
+                "| {volumes} | {nodes} | {filled} | {opened:.1} | {:.2} | {:.1} | {losses} |",
+                median(few),
+                median(all)
+            );
+        }
+    }
+}
+
 pub fn measure() {
     println!("| volumes | nodes | filled | holds | carried | give way | ms |");
     println!("| ---: | ---: | ---: | --- | ---: | ---: | ---: |");
@@ -42,4 +100,5 @@
             );
         }
     }
+    admission();
 }
--- /dev/null
+++ b/crates/plans/src/admission.rs
@@ -0,0 +1,294 @@
+//! Whether a change may land: what it does to the promises that were made.
+//!
+//! Called as `land` with the ledger as changes would leave it; the answer says what speaks against them, and
+//! who asked decides: either they stay, or the ledger takes them back and `undo` is called. It keeps the site
+//! that the ledger describes in a [`Standing`] flow, wanted drains taken out of it. Against a change speaks
+//! that reserves which could be met cannot be met any more, or more of them cannot; it is warned of if they
+//! could not with any one node or any one zone out, where they could before. What was already broken is no
+//! reason against a change that does not make it worse: or nobody could mend a site step by step. Where no
+//! node's capacity has been said, nothing can be judged, and the answer says so.
+//!
+//! Losses are looked at one by one, those first that share nodes with what is changed; a look is cut off
+//! after a number of steps, and the answer says how many losses were not looked at. Without input or output.
+//! Memory: the flow, and one figure for each node and zone.
+
+use crate::changes::{self, Change, Ledger, Name};
+use crate::planner::{check, Node, Out, Site, Volume, PARTS};
+use crate::standing::{Missing, Standing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Volumes that are named; of more the number is told.
+const NAMED: usize = 8;
+
+/// What speaks against a change.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reason {
+    /// Reserves that cannot be met, units a second, and the volumes that give way, the lightest first.
+    Short { by: f64, volumes: Vec<(u64, f64)> },
+    /// Reserves of data that lies only where nothing can serve it.
+    OutOfReach { by: f64 },
+    /// Reserves that could not be met with something out.
+    Without { out: Out, zone: Option<Name>, by: f64 },
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Short { by, volumes } => {
+                write!(f, "{by:.1} units a second of reserves cannot be met; what gives way:")?;
+                for (id, by) in volumes.iter().take(NAMED) {
+                    write!(f, " volume {id} by {by:.1}")?;
+                }
+                match volumes.len().saturating_sub(NAMED) {
+                    0 => Ok(()),
+                    more => write!(f, " and {more} more"),
+                }
+            }
+            Reason::OutOfReach { by } => write!(f, "{by:.1} units a second of reserves lie out of reach"),
+            Reason::Without { out, zone, by } => {
+                let what = match (out, zone) {
+                    (Out::Node(id), _) => format!("node {id}"),
+                    (_, Some(zone)) => format!("zone {zone}"),
+                    _ => "a part".into(),
+                };
+                write!(f, "with {what} out, {by:.1} units a second of reserves could not be met")
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Opinion {
+    /// Refused for these, unless it is forced.
+    pub against: Vec<Reason>,
+    pub warnings: Vec<Reason>,
+    /// Losses that were not looked at, since it would have taken too long.
+    pub unseen: usize,
+    /// No node's capacity is known.
+    pub blind: bool,
+}
+
+/// What a site can lose, and what would then be missing.
+#[derive(Debug, Clone, Default)]
+struct Loss {
+    nodes: BTreeSet<u32>,
+    missing: Missing,
+    /// The figure is of the present state.
+    fresh: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Admission {
+    standing: Standing,
+    zones: Vec<Name>,
+    /// Which nodes hold a cell.
+    holders: BTreeMap<u32, BTreeSet<u32>>,
+    reservations: BTreeMap<Name, f64>,
+    known: bool,
+    drains: BTreeSet<u32>,
+    losses: BTreeMap<Out, Loss>,
+    /// Figures of losses before the last changes.
+    was: BTreeMap<Out, Loss>,
+}
+
+impl Admission {
+    /// `spread`: see [`Site`].
+    pub fn open(ledger: &Ledger, spread: f64) -> Admission {
+        let mut a =
+            Admission { standing: Standing::of(&Site { spread, ..Site::default() }), ..Admission::default() };
+        let all: Vec<Change> = ledger.state().collect();
+        a.apply(ledger, &all);
+        a
+    }
+
+    /// The site as the ledger describes it, for whoever looks at it whole.
+    pub fn site(&self, ledger: &Ledger) -> Site {
+        let nodes = ledger.nodes().map(|(id, n)| self.node(id, n)).collect();
+        let volumes = ledger.volumes().map(|(id, v)| self.planned(ledger, id, v)).collect();
+        Site { nodes, volumes, spread: self.standing.spread() }
+    }
+
+    /// Nodes that somebody wants empty.
+    pub fn drains(&self) -> &BTreeSet<u32> {
+        &self.drains
+    }
+
+    pub fn missing(&self) -> Missing {
+        self.standing.missing()
+    }
+
+    /// What these changes do, which the ledger already has. `steps`: how many losses may be looked at.
+    pub fn land(&mut self, after: &Ledger, changes: &[Change], steps: usize) -> Opinion {
+        let before = self.standing.missing();
+        self.was = self.losses.clone();
+        let mut touched = self.homes_of(after, changes);
+        self.apply(after, changes);
+        touched.extend(self.homes_of(after, changes));
+        if !self.known {
+            return Opinion { blind: true, ..Opinion::default() };
+        }
+        let (now, slack) = (self.standing.missing(), self.standing.slack());
+        let mut o = Opinion::default();
+        if now.short > before.short + slack {
+            let volumes = check(&self.site(after), &self.drains).short;
+            o.against.push(Reason::Short { by: now.short, volumes });
+        }
+        if now.out_of_reach > before.out_of_reach + slack {
+            o.against.push(Reason::OutOfReach { by: now.out_of_reach });
+        }
+        if !o.against.is_empty() {
+            return o;
+        }
+        let mut order: Vec<(bool, Out)> =
+            self.losses.iter().map(|(out, l)| (l.nodes.is_disjoint(&touched), *out)).collect();
+        order.sort_unstable();
+        o.unseen = order.len().saturating_sub(steps);
+        for (_, out) in order.into_iter().take(steps) {
+            let was = self.was.get(&out).map_or(Missing::default(), |l| l.missing);
+            let missing = self.look(out);
+            if missing.exceeds(&was, slack) {
+                let zone = if let Out::Zone(z) = out { self.zones.get(z as usize).cloned() } else { None };
+                o.warnings.push(Reason::Without { out, zone, by: missing.short });
+            }
+        }
+        o
+    }
+
+    /// The changes of the last [`Admission::land`] were taken back: the ledger is as it was before.
+    pub fn undo(&mut self, ledger: &Ledger, changes: &[Change]) {
+        self.apply(ledger, changes);
+        self.losses = std::mem::take(&mut self.was);
+    }
+
+    /// Brings figures of losses up to the present state, so many at most; answers how many are left. Whoever
+    /// has time calls it between changes.
+    pub fn refresh(&mut self, steps: usize) -> usize {
+        let stale: Vec<Out> = self.losses.iter().filter(|(_, l)| !l.fresh).map(|(out, _)| *out).collect();
+        stale.iter().take(steps).for_each(|out| _ = self.look(*out));
+        stale.len().saturating_sub(steps)
+    }
+
+    /// What would be missing for a loss, beside data that is out of reach with it whatever was promised.
+    fn look(&mut self, out: Out) -> Missing {
+        let short = self.standing.without(&self.losses[&out].nodes).short;
+        let l = self.losses.get_mut(&out).expect("listed");
+        (l.missing, l.fresh) = (Missing { short, out_of_reach: 0.0 }, true);
+        l.missing
+    }
+
+    fn list_losses(&mut self) {
+        let up = || self.standing.nodes().filter(|n| !self.drains.contains(&n.id) && n.capacity > 0.0);
+        let mut nodes: BTreeMap<Out, BTreeSet<u32>> = BTreeMap::new();
+        for n in up() {
+            nodes.entry(Out::Node(n.id)).or_default().insert(n.id);
+            nodes.entry(Out::Zone(n.zone)).or_default().insert(n.id);
+        }
+        // A zone that is all there is leaves nothing to serve with: no promise is meant to hold without it.
+        let all = up().count();
+        nodes.retain(|out, l| !matches!(out, Out::Zone(_)) || l.len() < all);
+        let old = std::mem::take(&mut self.losses);
+        let loss = |(out, nodes)| {
+            let missing = old.get(&out).map_or(Missing::default(), |l| l.missing);
+            (out, Loss { nodes, missing, fresh: false })
+        };
+        self.losses = nodes.into_iter().map(loss).collect();
+    }
+
+    fn zone(&mut self, zone: &Name) -> u32 {
+        let at = self.zones.iter().position(|z| z == zone).unwrap_or_else(|| {
+            self.zones.push(zone.clone());
+            self.zones.len() - 1
+        });
+        at as u32
+    }
+
+    fn node(&self, id: u32, n: &changes::Node) -> Node {
+        let zone = self.zones.iter().position(|z| *z == n.zone).unwrap_or(self.zones.len());
+        Node { id, zone: zone as u32, capacity: n.capacity }
+    }
+
+    /// A volume as the planner sees it: spread over its cells alike.
+    fn planned(&self, ledger: &Ledger, id: u64, v: &changes::Volume) -> Volume {
+        let plan = ledger.plan(&v.plan);
+        let part = 1.0 / v.cells.len().max(1) as f64;
+        let holder = |cell: &u32| self.holders.get(cell).and_then(|h| h.first().copied());
+        let mut homes: Vec<(u32, f64)> = v.cells.iter().filter_map(|c| Some((holder(c)?, part))).collect();
+        homes.sort_unstable_by_key(|h| h.0);
+        homes.dedup_by_key(|h| h.0);
+        let (reserve, weight) = plan.map_or((0.0, 0.0), |p| (p.reservation, p.weight));
+        Volume { id, reserve, weight, homes }
+    }
+
+    /// Brings the site to what the ledger says of what these changes touch.
+    fn apply(&mut self, ledger: &Ledger, changes: &[Change]) {
+        let mut volumes: BTreeSet<u64> = BTreeSet::new();
+        let mut moved = false;
+        for change in changes {
+            match change {
+                Change::Node { id, .. } => {
+                    let old: Vec<u32> =
+                        self.holders.iter().filter(|h| h.1.contains(id)).map(|h| *h.0).collect();
+                    let new = ledger.node(*id).map(|n| n.cell);
+                    if old != new.into_iter().collect::<Vec<_>>() {
+                        moved = true;
+                        old.iter().for_each(|c| _ = self.holders.get_mut(c).is_some_and(|h| h.remove(id)));
+                        self.holders.retain(|_, h| !h.is_empty());
+                        new.into_iter().for_each(|c| _ = self.holders.entry(c).or_default().insert(*id));
+                    }
+                    let node = match ledger.node(*id) {
+                        Some(n) => {
+                            self.zone(&n.zone);
+                            self.known |= n.capacity > 0.0;
+                            self.node(*id, n)
+                        }
+                        None => Node { id: *id, zone: 0, capacity: 0.0 },
+                    };
+                    self.standing.set_node(node);
+                }
+                Change::Drain { node, .. } => {
+                    let wanted = ledger.drains().any(|(n, _)| n == *node);
+                    if wanted {
+                        self.drains.insert(*node)
+                    } else {
+                        self.drains.remove(node)
+                    };
+                    self.standing.set_up(*node, !wanted);
+                }
+                Change::Volume { id, .. } => _ = volumes.insert(*id),
+                Change::Plan { name, .. } => {
+                    let is = ledger.plan(name).map_or(0.0, |p| p.reservation);
+                    let was = self.reservations.insert(name.clone(), is);
+                    if was.is_none_or(|was| (was - is).abs() * PARTS >= 0.5) {
+                        volumes.extend(ledger.standing(name));
+                    }
+                }
+                Change::Target { .. } | Change::Timed { .. } => {}
+            }
+        }
+        if moved {
+            volumes.extend(ledger.volumes().map(|(id, _)| id));
+        }
+        let planned =
+            volumes.into_iter().map(|id| (id, ledger.volume(id).map(|v| self.planned(ledger, id, v))));
+        let planned: Vec<(u64, Option<Volume>)> = planned.collect();
+        self.standing.set_volumes(planned);
+        self.list_losses();
+    }
+
+    /// Nodes that hold what the changes touch.
+    fn homes_of(&self, ledger: &Ledger, changes: &[Change]) -> BTreeSet<u32> {
+        let mut homes = BTreeSet::new();
+        for change in changes {
+            match change {
+                Change::Volume { id, .. } => homes.extend(self.standing.homes_of(*id)),
+                Change::Plan { name, .. } => {
+                    homes.extend(ledger.standing(name).flat_map(|id| self.standing.homes_of(id)));
+                }
+                Change::Node { id, .. } | Change::Drain { node: id, .. } => _ = homes.insert(*id),
+                Change::Target { .. } | Change::Timed { .. } => {}
+            }
+        }
+        homes
+    }
+}
--- a/crates/plans/src/lib.rs
+++ b/crates/plans/src/lib.rs
@@ -5,6 +5,10 @@
 //! meanwhile; [`planner`] says whether promises can be kept. It must never decide over a single transfer.
 //! Begin with [`changes`].
 
+pub mod admission;
 pub mod changes;
 pub mod feed;
+pub mod flow;
+pub mod moves;
 pub mod planner;
+pub mod standing;
--- a/crates/plans/src/planner.rs
+++ b/crates/plans/src/planner.rs
@@ -6,8 +6,7 @@
 //! output.
 //!
 //! A volume can be served only where its extents lie. How far its load may gather on some of them is the
-//! site's
-//! `spread`: 1 is load spread over its extents alike, more lets a node carry that many times its part; the more,
+//! site's `spread`: 1 is load spread over its extents alike, more lets a node carry that many times its part; the more,
 //! the more hopeful the answer. What lies on a node that is out is out of reach, and its part of the reserve
 //! is told by itself: nobody can carry it.
 //!
@@ -16,12 +15,13 @@
 //! least gives way whatever the order. Volumes with like homes are one in the network; who gives way is found
 //! by a flow that grows volume by volume.
 
+use crate::flow::Flow;
 use petgraph::algo::maximum_flow::dinics;
 use petgraph::graph::{DiGraph, NodeIndex};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Flows are counted in thousandths of units a second.
-const PARTS: f64 = 1000.0;
+pub(crate) const PARTS: f64 = 1000.0;
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Node {
@@ -41,7 +41,7 @@
     pub homes: Vec<(u32, f64)>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Site {
     pub nodes: Vec<Node>,
     pub volumes: Vec<Volume>,
@@ -74,12 +74,21 @@
 }
 
 /// A volume's reserve where it can still be served, and the most that each of its homes may carry.
-struct Load {
-    reserve: u64,
-    homes: Vec<(usize, u64)>,
+pub(crate) struct Load {
+    pub reserve: u64,
+    pub homes: Vec<(usize, u64)>,
+}
+
+impl Load {
+    /// `up`: the places of a volume's homes that can serve it, with the part that lies on each.
+    pub fn of(v: &Volume, up: Vec<(usize, f64)>, spread: f64) -> Load {
+        let reached = v.reserve * up.iter().map(|h| h.1).sum::<f64>().min(1.0);
+        let most = |part: f64| whole(reached).min(whole(v.reserve * part * spread) + 1);
+        Load { reserve: whole(reached), homes: up.iter().map(|(n, part)| (*n, most(*part))).collect() }
+    }
 }
 
-fn whole(units: f64) -> u64 {
+pub(crate) fn whole(units: f64) -> u64 {
     (units * PARTS).round().max(0.0) as u64
 }
 
@@ -99,10 +108,7 @@
                 let place = place.get(id).copied().filter(|_| !out.contains(id))?;
                 Some((place, *part))
             };
-            let homes: Vec<(usize, f64)> = v.homes.iter().filter_map(up).collect();
-            let reached = v.reserve * homes.iter().map(|h| h.1).sum::<f64>().min(1.0);
-            let most = |part: f64| whole(reached).min(whole(v.reserve * part * site.spread) + 1);
-            Load { reserve: whole(reached), homes: homes.iter().map(|(n, part)| (*n, most(*part))).collect() }
+            Load::of(v, v.homes.iter().filter_map(up).collect(), site.spread)
         };
         Network { site, capacity: capacity.collect(), loads: site.volumes.iter().map(load).collect() }
     }
@@ -155,130 +161,17 @@
             let (a, b) = (&volumes[*a], &volumes[*b]);
             b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id))
         });
-        let mut placing = Placing::new(&self.capacity);
-        let left = all.into_iter().map(|(v, amount)| (v, placing.put(&self.loads[v].homes, amount)));
+        let mut flow = Flow::new(&self.capacity);
+        let left = all.into_iter().map(|(v, amount)| {
+            let homes = &self.loads[v].homes;
+            let g = flow.group_of(&homes.iter().map(|h| h.0).collect::<Vec<_>>());
+            flow.offer(g, homes.iter().map(|h| h.1.min(amount)));
+            (v, flow.fill(g, amount))
+        });
         left.filter(|(_, left)| *left > 0).map(|(v, left)| (volumes[v].id, left as f64 / PARTS)).collect()
     }
 }
 
-/// Volumes with like homes: how much of them lies on each home, and may.
-struct Alike {
-    homes: Vec<usize>,
-    on: Vec<u64>,
-    most: Vec<u64>,
-}
-
-/// A flow that grows volume by volume: what is carried stays carried, and moves between homes to make room.
-///
-/// A flow solver would have to begin anew for each volume; this goes on from the last. Nodes from which
-/// nothing leads to room any more are shut, since volumes that come later only take room away, so that a
-/// search does not go again and again through what is full.
-struct Placing {
-    room: Vec<u64>,
-    shut: Vec<bool>,
-    alike: Vec<Alike>,
-    of_homes: HashMap<Vec<usize>, usize>,
-    /// By node: which have a home there.
-    at: Vec<Vec<usize>>,
-}
-
-/// A step of a search: from which node, through whose volumes, from and to which of their homes.
-type Step = (usize, usize, usize, usize);
-
-impl Placing {
-    fn new(capacity: &[u64]) -> Self {
-        let (room, shut) = (capacity.to_vec(), vec![false; capacity.len()]);
-        let at = vec![Vec::new(); capacity.len()];
-        Placing { room, shut, alike: Vec::new(), of_homes: HashMap::new(), at }
-    }
-
-    /// Carries as much of a volume as it can; answers what is left over.
-    fn put(&mut self, homes: &[(usize, u64)], amount: u64) -> u64 {
-        let nodes: Vec<usize> = homes.iter().map(|h| h.0).collect();
-        let next = self.alike.len();
-        let g = *self.of_homes.entry(nodes.clone()).or_insert(next);
-        if g == next {
-            nodes.iter().for_each(|n| self.at[*n].push(g));
-            let none = vec![0; nodes.len()];
-            self.alike.push(Alike { homes: nodes, on: none.clone(), most: none });
-        }
-        // One more of these lets those before it gather more on a home that was as full of them as it may be;
-        // what was shut behind that home no longer is.
-        let a = &self.alike[g];
-        let tight = a.homes.iter().enumerate().any(|(i, n)| a.on[i] == a.most[i] && !self.shut[*n]);
-        if tight && a.homes.iter().enumerate().any(|(i, n)| a.on[i] > 0 && self.shut[*n]) {
-            self.shut.fill(false);
-        }
-        self.alike[g].most.iter_mut().zip(homes).for_each(|(sum, h)| *sum += h.1.min(amount));
-        let mut left = amount;
-        while left > 0 {
-            match self.search(g) {
-                Some((first, path)) => left -= self.carry(g, first, &path, left),
-                None => break,
-            }
-        }
-        left
-    }
-
-    /// The shortest way from these volumes to a node with room: their home, and what must move on from there.
-    fn search(&mut self, g: usize) -> Option<(usize, Vec<Step>)> {
-        let mut from: HashMap<usize, Option<Step>> = HashMap::new();
-        let mut seen: Vec<usize> = Vec::new();
-        for (n, (on, most)) in
-            self.alike[g].homes.iter().zip(self.alike[g].on.iter().zip(&self.alike[g].most))
-        {
-            if on < most && !self.shut[*n] && from.insert(*n, None).is_none() {
-                seen.push(*n);
-            }
-        }
-        let mut next = 0;
-        while let Some(n) = seen.get(next).copied() {
-            next += 1;
-            if self.room[n] > 0 {
-                let (mut path, mut at) = (Vec::new(), n);
-                while let Some(Some(step)) = from.get(&at).copied() {
-                    path.push(step);
-                    at = step.0;
-                }
-                return Some((at, path));
-            }
-            for h in &self.at[n] {
-                let a = &self.alike[*h];
-                let here = a.homes.iter().position(|m| *m == n).expect("listed by its home");
-                if a.on[here] == 0 {
-                    continue;
-                }
-                for (there, m) in a.homes.iter().enumerate() {
-                    if a.on[there] < a.most[there] && !self.shut[*m] && !from.contains_key(m) {
-                        from.insert(*m, Some((n, *h, here, there)));
-                        seen.push(*m);
-                    }
-                }
-            }
-        }
-        seen.into_iter().for_each(|n| self.shut[n] = true);
-        None
-    }
-
-    /// Carries along a way what its narrowest step lets through.
-    fn carry(&mut self, g: usize, first: usize, path: &[Step], wanted: u64) -> u64 {
-        let own = self.alike[g].homes.iter().position(|n| *n == first).expect("its own home");
-        let end = path.first().map_or(first, |(_, h, _, there)| self.alike[*h].homes[*there]);
-        let mut much = wanted.min(self.room[end]).min(self.alike[g].most[own] - self.alike[g].on[own]);
-        for (_, h, here, there) in path {
-            let a = &self.alike[*h];
-            much = much.min(a.on[*here]).min(a.most[*there] - a.on[*there]);
-        }
-        self.alike[g].on[own] += much;
-        for (_, h, here, there) in path {
-            self.alike[*h].on[*here] -= much;
-            self.alike[*h].on[*there] += much;
-        }
-        self.room[end] -= much;
-        much
-    }
-}
-
 /// Whether the reserves hold with these nodes out.
 ///
 /// ```
--- /dev/null
+++ b/crates/plans/tests/admission.rs
@@ -0,0 +1,194 @@
+//! What speaks against a change, case by case, and that nothing of an opinion depends on how it came about.
+
+use grebecleat_plans::admission::{Admission, Opinion, Reason};
+use grebecleat_plans::changes::*;
+use grebecleat_plans::planner::{check, Out};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const ALL: usize = 1000;
+
+fn plan(name: &str, reservation: f64) -> Change {
+    let to = Some(Plan { rate: 100.0, reservation, weight: 1.0, price: 1.0, ..Plan::default() });
+    Change::Plan { name: name.into(), to }
+}
+
+fn volume(id: u64, plan: &str, cells: &[u32]) -> Change {
+    let (plan, hosts, cells) = (plan.into(), ["h".into()].into(), cells.into());
+    Change::Volume { id, to: Some(Volume { plan, hosts, cells, blocks: 8 }) }
+}
+
+fn node(id: u32, zone: &str, capacity: f64) -> Change {
+    Change::Node { id, to: Some(Node { zone: zone.into(), cell: id, capacity }) }
+}
+
+fn drain(node: u32, on: bool) -> Change {
+    Change::Drain { node, to: on.then(Drain::default) }
+}
+
+fn ledger() -> Ledger {
+    Ledger::new(Facts { hosts: ["h".into()].into(), linger: Duration::ZERO }, 10)
+}
+
+fn land(l: &mut Ledger, changes: Vec<Change>) {
+    let entry = l.propose(l.version(), Asks::default(), changes).expect("in order");
+    l.take(entry).expect("the next");
+}
+
+/// Two zones of two nodes, each node of 100; four volumes, each on two nodes of different zones.
+fn begun() -> Ledger {
+    let mut l = ledger();
+    let nodes = [node(1, "a", 100.0), node(2, "a", 100.0), node(3, "b", 100.0), node(4, "b", 100.0)];
+    land(&mut l, nodes.into());
+    land(&mut l, vec![plan("basic", 20.0), plan("gold", 80.0), plan("big", 85.0), plan("none", 0.0)]);
+    land(
+        &mut l,
+        vec![
+            volume(1, "basic", &[1, 3]),
+            volume(2, "basic", &[2, 4]),
+            volume(3, "basic", &[1, 4]),
+            volume(4, "basic", &[2, 3]),
+        ],
+    );
+    l
+}
+
+fn opinion(l: &mut Ledger, a: &mut Admission, changes: Vec<Change>) -> Opinion {
+    let entry = l.propose(l.version(), Asks::default(), changes.clone()).expect("in order");
+    l.take(entry).expect("the next");
+    let o = a.land(l, &changes, ALL);
+    l.take_back();
+    a.undo(l, &changes);
+    o
+}
+
+#[test]
+fn what_speaks_against_a_change() {
+    let mut l = begun();
+    let mut a = Admission::open(&l, 2.0);
+    a.refresh(ALL);
+    let cases: [(&str, Vec<Change>, &[&str]); 9] = [
+        ("nothing much", vec![volume(5, "basic", &[1, 2])], &[]),
+        ("no reserve at all", vec![volume(5, "none", &[1])], &[]),
+        ("a lower reserve", vec![plan("basic", 10.0)], &[]),
+        (
+            "more than its node can do",
+            vec![volume(5, "gold", &[1]), volume(6, "gold", &[1])],
+            &["against: 60.0 units a second of reserves cannot be met; what gives way: volume 6 by 60.0"],
+        ),
+        (
+            "as much as holds, and no node to spare",
+            vec![volume(5, "gold", &[1, 2]), volume(6, "gold", &[1, 2])],
+            // With node 1 out, half of what lies on both must be carried by node 2, and the rest is out of reach.
+            &[],
+        ),
+        (
+            "what holds with all there and not without",
+            vec![volume(5, "big", &[1, 2, 3]), volume(6, "big", &[1, 2, 3]), volume(7, "big", &[1, 2, 3])],
+            &[
+                // Without node 4, volumes 1 to 4 lie on the three nodes of the large ones, which ask for 255.
+                "warns: with zone a out, 5.0 units a second of reserves could not be met",
+                "warns: with zone b out, 10.0 units a second of reserves could not be met",
+                "warns: with node 4 out, 15.0 units a second of reserves could not be met",
+            ],
+        ),
+        (
+            "a drain with room beside it",
+            vec![drain(1, true)],
+            &["against: 20.0 units a second of reserves lie out of reach"],
+        ),
+        (
+            "a weaker node",
+            vec![node(1, "a", 5.0), node(3, "b", 5.0)],
+            &["against: 10.0 units a second of reserves cannot be met; what gives way: volume 1 by 10.0"],
+        ),
+        ("a new node", vec![node(9, "c", 50.0)], &[]),
+    ];
+    let before = a.missing();
+    for (what, changes, expected) in cases {
+        let o = opinion(&mut l, &mut a, changes);
+        let against = o.against.iter().map(|r| format!("against: {r}"));
+        let told: Vec<String> = against.chain(o.warnings.iter().map(|r| format!("warns: {r}"))).collect();
+        assert_eq!(told, expected, "{what}");
+        assert!(!o.blind && o.unseen == 0);
+        assert_eq!(a.missing(), before, "{what}: taken back");
+    }
+}
+
+/// What is broken already does not keep anybody from mending it, or from what has nothing to do with it.
+#[test]
+fn a_broken_site_is_mended_step_by_step() {
+    let mut l = begun();
+    land(&mut l, vec![volume(5, "gold", &[1]), volume(6, "gold", &[1]), volume(7, "gold", &[2])]);
+    let mut a = Admission::open(&l, 2.0);
+    a.refresh(ALL);
+    assert!((a.missing().short - 60.0).abs() < 0.1);
+    assert_eq!(opinion(&mut l, &mut a, vec![volume(6, "basic", &[1])]), Opinion::default(), "better");
+    assert_eq!(opinion(&mut l, &mut a, vec![volume(8, "none", &[3])]), Opinion::default(), "no worse");
+    let worse = opinion(&mut l, &mut a, vec![volume(8, "basic", &[1])]);
+    assert!(matches!(worse.against[..], [Reason::Short { .. }]), "{worse:?}");
+    // And what lands is the new measure.
+    land(&mut l, vec![volume(8, "basic", &[1])]);
+    a.land(&l, &[volume(8, "basic", &[1])], ALL);
+    assert!((a.missing().short - 80.0).abs() < 0.1);
+    assert_eq!(opinion(&mut l, &mut a, vec![volume(8, "none", &[1])]), Opinion::default());
+}
+
+#[test]
+fn without_capacities_nothing_is_judged_and_few_steps_look_near_first() {
+    let mut l = ledger();
+    land(&mut l, vec![node(1, "a", 0.0), plan("gold", 80.0)]);
+    let mut a = Admission::open(&l, 2.0);
+    assert!(opinion(&mut l, &mut a, vec![volume(1, "gold", &[1])]).blind);
+    let mut l = begun();
+    let mut a = Admission::open(&l, 2.0);
+    a.refresh(ALL);
+    let changes =
+        vec![volume(5, "big", &[3, 4, 2]), volume(6, "big", &[3, 4, 2]), volume(7, "big", &[3, 4, 2])];
+    land(&mut l, changes.clone());
+    let o = a.land(&l, &changes, 5);
+    let zones = |r: &Reason| matches!(r, Reason::Without { out: Out::Zone(_), .. });
+    // Node 1 shares nothing with them, and its loss, which would be told too, is looked at last.
+    assert!(o.unseen == 1 && o.warnings.len() == 2 && o.warnings.iter().all(zones), "{o:?}");
+    assert_eq!((a.refresh(0), a.refresh(ALL)), (1, 0));
+}
+
+/// After any changes, landed or taken back, what is missing is what the planner says of the ledger.
+#[test]
+fn it_stands_where_the_ledger_stands() {
+    for seed in 0..120 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut l = begun();
+        let mut a = Admission::open(&l, 1.5);
+        for _ in 0..40 {
+            let cells: BTreeSet<u32> = (0..3).map(|_| rng.random_range(1..5)).collect();
+            let cells: Vec<u32> = cells.into_iter().collect();
+            let name = ["basic", "gold", "none"][rng.random_range(0..3)];
+            let change = match rng.random_range(0..8) {
+                0 => plan(name, f64::from(rng.random_range(0..90))),
+                1 => node(
+                    rng.random_range(1..5),
+                    ["a", "b", "c"][rng.random_range(0..3)],
+                    f64::from(rng.random_range(1..200)),
+                ),
+                2 => drain(rng.random_range(1..5), rng.random_range(0..2) == 0),
+                3 => Change::Volume { id: rng.random_range(1..9), to: None },
+                _ => volume(rng.random_range(1..9), name, &cells),
+            };
+            let Ok(entry) = l.propose(l.version(), Asks::default(), vec![change.clone()]) else { continue };
+            l.take(entry).unwrap();
+            let o = a.land(&l, &[change.clone()], rng.random_range(0..9));
+            if !o.against.is_empty() && rng.random_range(0..2) == 0 {
+                l.take_back();
+                a.undo(&l, &[change]);
+            }
+            let out = l.drains().map(|(n, _)| n).collect();
+            let v = check(&a.site(&l), &out);
+            let seen = a.missing();
+            assert!((seen.short - (v.asked - v.carried)).abs() < 0.05, "seed {seed}: {seen:?} {v:?}");
+            assert!((seen.out_of_reach - v.out_of_reach).abs() < 0.05, "seed {seed}: {seen:?} {v:?}");
+        }
+    }
+}
