--- a/crates/plans/src/admission.rs
+++ b/crates/plans/src/admission.rs
@@ -114,6 +114,11 @@
         &self.drains
     }
 
+    /// How many single losses there are to look at.
+    pub fn losses(&self) -> usize {
+        self.losses.len()
+    }
+
     pub fn missing(&self) -> Missing {
         self.standing.missing()
     }
--- a/crates/plans/src/changes.rs
+++ b/crates/plans/src/changes.rs
@@ -13,7 +13,7 @@
 //!
 //! Memory: the state, and a trail of at most as many entries as it was made with.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,6 +76,9 @@
     pub why: String,
     pub force: bool,
     pub changes: Vec<Change>,
+    /// How their subjects were when they were asked for: of one that is not so any more, nobody knows whether
+    /// it is still meant.
+    pub expects: Vec<Change>,
 }
 
 /// What a change touches.
@@ -152,6 +155,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     pub version: Version,
+    /// The version that it follows: the one before, but where a state prevailed over newer ones.
+    pub from: Version,
     /// Since 1970, by the clock of who kept it.
     pub at: Duration,
     pub who: String,
@@ -164,6 +169,8 @@
     /// A host that knows only what was before may now send more of a limited volume than is promised to it:
     /// such a one must be heard of before the change is over. See [`crate::feed`].
     pub lowers: bool,
+    /// To a host that hears of a volume first by this entry: how that was before earlier ones.
+    pub also: Vec<(Version, Change)>,
 }
 
 /// By whom and why, as the trail keeps it.
@@ -260,11 +267,20 @@
     cell_sets: HashSet<Arc<[u32]>>,
     trail: VecDeque<Entry>,
     most_trail: usize,
+    /// Entries after that one are not dropped.
+    needed: Version,
+    /// The last entry of the trail that touched a subject.
+    touched: HashMap<Subject, Version>,
 }
 
 impl Ledger {
     pub fn new(facts: Facts, most_trail: usize) -> Self {
-        Ledger { facts, most_trail: most_trail.max(1), ..Ledger::default() }
+        Ledger { facts, most_trail: most_trail.max(1), needed: Version(u64::MAX), ..Ledger::default() }
+    }
+
+    /// From here on entries after that one stay in the trail, however many there are.
+    pub fn need(&mut self, after: Version) {
+        self.needed = after;
     }
 
     /// A state as it was kept: its version, everything in it, and the last entries, oldest first.
@@ -273,8 +289,7 @@
     ) -> Self {
         state.into_iter().for_each(|c| self.put(&c));
         self.version = version;
-        let from = trail.len().saturating_sub(self.most_trail);
-        self.trail = trail.into_iter().skip(from).collect();
+        trail.into_iter().for_each(|e| self.remember(e));
         self
     }
 
@@ -332,10 +347,15 @@
         self.trail.iter()
     }
 
+    /// Whether the trail is as long as it may be, with entries alone that are needed.
+    pub fn trail_is_full(&self) -> bool {
+        self.trail.len() >= self.most_trail && self.trail.front().is_some_and(|e| e.version > self.needed)
+    }
+
     /// Entries after that one; None where the trail no longer reaches back so far.
     pub fn since(&self, version: Version) -> Option<impl Iterator<Item = &Entry> + '_> {
-        let first = self.trail.front().map_or(self.version.next(), |e| e.version);
-        (version.next() >= first).then(|| {
+        let first = self.trail.front().map_or(self.version, |e| e.from);
+        (version >= first).then(|| {
             let from = self.trail.partition_point(|e| e.version <= version);
             self.trail.range(from..)
         })
@@ -353,6 +373,17 @@
         plans.chain(nodes).chain(volumes).chain(drains).chain(targets).chain(timed)
     }
 
+    /// The same as it was at a version that the trail reaches back to.
+    pub fn state_at(&self, version: Version) -> impl Iterator<Item = Change> + '_ {
+        let mut was: BTreeMap<Subject, Change> = BTreeMap::new();
+        for entry in self.trail.iter().rev().take_while(|e| e.version > version) {
+            was.extend(entry.before.iter().map(|c| (c.subject(), c.clone())));
+        }
+        let changed: BTreeSet<Subject> = was.keys().cloned().collect();
+        let stayed = self.state().filter(move |c| !changed.contains(&c.subject()));
+        was.into_values().filter(|c| !c.ends()).chain(stayed)
+    }
+
     /// What would make this state that one; nothing where they are alike.
     pub fn towards(&self, other: &Ledger) -> Vec<Change> {
         let gone = self.state().map(|c| c.subject()).filter(|s| other.now(s).ends()).map(|s| other.now(&s));
@@ -386,7 +417,18 @@
         let lowers = after.lowers();
         let Asks { who, why, against, at } = by;
         let (who, why, against) = (who.to_string(), why.to_string(), against.to_string());
-        Ok(Entry { version: self.version.next(), at, who, why, against, changes, before, lowers })
+        let (from, version) = (self.version, self.version.next());
+        Ok(Entry { version, from, at, who, why, against, changes, before, lowers, also: Vec::new() })
+    }
+
+    /// An entry that changes nothing and lets this state prevail over all others up to a version.
+    pub fn prevail(&self, over: Version, by: Asks) -> Entry {
+        let Asks { who, why, against, at } = by;
+        let (who, why, against) = (who.to_string(), why.to_string(), against.to_string());
+        let (from, version) = (self.version, over.max(self.version).next());
+        // Nobody knows what hosts were promised meanwhile.
+        let (changes, before, also) = (Vec::new(), Vec::new(), Vec::new());
+        Entry { version, from, at, who, why, against, changes, before, lowers: true, also }
     }
 
     /// The entry that puts back what an earlier one changed, where nothing has changed it since. What was to
@@ -401,33 +443,44 @@
 
     /// Lays a kept entry over the state.
     pub fn take(&mut self, entry: Entry) -> Result<(), OutOfOrder> {
-        let wants = self.version.next();
-        if entry.version < wants {
+        if entry.version <= self.version {
             return Err(OutOfOrder::Older);
         }
-        if entry.version > wants {
-            return Err(OutOfOrder::Gap { wants });
+        if entry.from != self.version {
+            return Err(OutOfOrder::Gap { wants: self.version.next() });
         }
-        self.lay(entry);
+        entry.changes.iter().for_each(|c| self.put(c));
+        self.version = entry.version;
+        self.remember(entry);
         Ok(())
     }
 
-    /// Lays an entry over the state whose version may lie further on: what a source said that could not tell
-    /// each step.
-    pub fn leap(&mut self, entry: Entry) -> Result<(), OutOfOrder> {
-        if entry.version <= self.version {
-            return Err(OutOfOrder::Older);
+    fn remember(&mut self, entry: Entry) {
+        for c in &entry.changes {
+            self.touched.insert(c.subject(), entry.version);
+        }
+        for (version, was) in &entry.also {
+            let at = self.trail.binary_search_by_key(version, |e| e.version);
+            let earlier = at.ok().and_then(|at| self.trail.get_mut(at));
+            earlier.into_iter().for_each(|e| e.before.push(was.clone()));
+        }
+        self.trail.push_back(entry);
+        while self.trail.len() > self.most_trail
+            && self.trail.front().is_some_and(|e| e.version <= self.needed)
+        {
+            let old = self.trail.pop_front().expect("not empty");
+            self.unremember(&old);
         }
-        self.lay(entry);
-        Ok(())
     }
 
-    fn lay(&mut self, entry: Entry) {
-        entry.changes.iter().for_each(|c| self.put(c));
-        self.version = entry.version;
-        self.trail.push_back(entry);
-        while self.trail.len() > self.most_trail {
-            self.trail.pop_front();
+    /// An entry is no longer in the trail: what it touched and nothing later did is not known any more.
+    fn unremember(&mut self, old: &Entry) {
+        for c in &old.changes {
+            if let std::collections::hash_map::Entry::Occupied(e) = self.touched.entry(c.subject()) {
+                if *e.get() == old.version {
+                    e.remove();
+                }
+            }
         }
     }
 
@@ -435,23 +488,45 @@
     pub fn take_back(&mut self) -> Option<Entry> {
         let entry = self.trail.pop_back()?;
         entry.before.iter().for_each(|c| self.put(c));
-        self.version = Version(entry.version.0 - 1);
+        self.version = entry.from;
+        for c in &entry.changes {
+            let subject = c.subject();
+            let touches = |e: &&Entry| e.changes.iter().any(|c| c.subject() == subject);
+            match self.trail.iter().rev().find(touches).map(|e| e.version) {
+                Some(version) => _ = self.touched.insert(subject, version),
+                None => _ = self.touched.remove(&subject),
+            }
+        }
         Some(entry)
     }
 
+    /// The last entry of the trail that touched a subject.
+    pub fn touched(&self, subject: &Subject) -> Option<Version> {
+        self.touched.get(subject).copied()
+    }
+
+    /// Drops entries up to that version from the trail, and answers them.
+    pub fn forget(&mut self, upto: Version) -> Vec<Entry> {
+        let n = self.trail.partition_point(|e| e.version <= upto);
+        let old: Vec<Entry> = self.trail.drain(..n).collect();
+        old.iter().for_each(|e| self.unremember(e));
+        old
+    }
+
     /// Whether anything that the changes touch or rest on has changed since.
     fn unchanged_since(&self, looked_at: Version, changes: &[Change]) -> Result<(), Refused> {
         if looked_at > self.version {
             return Err(Refused::Ahead { latest: self.version });
         }
         let oldest = self.trail.front().map_or(self.version, |e| e.version);
-        let Some(since) = self.since(looked_at) else { return Err(Refused::TooOld { oldest }) };
-        let touched: BTreeSet<Subject> =
-            changes.iter().flat_map(|c| c.rests_on().into_iter().chain([c.subject()])).collect();
-        for entry in since {
-            // A volume that was put on a plan meanwhile does not change that plan for others.
-            if let Some(c) = entry.changes.iter().find(|c| touched.contains(&c.subject())) {
-                let (subject, with, who) = (c.subject(), entry.version, entry.who.clone());
+        if self.since(looked_at).is_none() {
+            return Err(Refused::TooOld { oldest });
+        }
+        // A volume that was put on a plan meanwhile does not change that plan for others.
+        for subject in changes.iter().flat_map(|c| c.rests_on().into_iter().chain([c.subject()])) {
+            if let Some(with) = self.touched(&subject).filter(|v| *v > looked_at) {
+                let by = self.trail.iter().rev().find(|e| e.version == with);
+                let who = by.map(|e| e.who.clone()).unwrap_or_default();
                 return Err(Refused::Collision { subject, with, who });
             }
         }
@@ -698,7 +773,10 @@
         let of_volume = |id: u64| {
             let Some(v) = self.volume(id) else { return false };
             let Some(is) = self.plan(&v.plan).filter(|p| p.limit > 0.0) else { return false };
-            let Some(was) = self.below.volumes.get(&id) else { return true };
+            let Some(was) = self.below.volumes.get(&id) else {
+                // One of that name may have been before, and somebody may still know that one.
+                return self.below.touched(&Subject::Volume(id)).is_some();
+            };
             let fewer = was.hosts.iter().any(|h| !v.hosts.contains(h)) || v.hosts.len() > was.hosts.len();
             fewer || self.below.plans.get(&was.plan).is_none_or(|p| lowered(p, is))
         };
--- a/crates/plans/src/feed.rs
+++ b/crates/plans/src/feed.rs
@@ -59,7 +59,8 @@
 pub struct Lowerings {
     /// Before that one nothing is known.
     from: Version,
-    at: Vec<Version>,
+    /// Each with the version before it.
+    at: Vec<(Version, Version)>,
     latest: Version,
 }
 
@@ -70,9 +71,9 @@
     }
 
     pub fn add(&mut self, version: Version, lowers: bool) {
-        self.latest = version;
+        let before = std::mem::replace(&mut self.latest, version);
         if lowers {
-            self.at.push(version);
+            self.at.push((version, before));
         }
     }
 
@@ -81,14 +82,14 @@
         if has < self.from {
             return has;
         }
-        let next = self.at.get(self.at.partition_point(|v| *v <= has));
-        next.map_or(self.latest, |v| Version(v.0 - 1))
+        let next = self.at.get(self.at.partition_point(|v| v.0 <= has));
+        next.map_or(self.latest, |v| v.1)
     }
 
     /// Forgets what lies before a version that is settled.
     pub fn forget(&mut self, before: Version) {
         self.from = self.from.max(before);
-        self.at.retain(|v| *v > before);
+        self.at.retain(|v| v.0 > before);
     }
 }
 
@@ -121,18 +122,39 @@
         self.lease
     }
 
-    /// A host asks, and says what it has; `latest` is the ledger's version.
+    /// A host asks, says what it has, and is answered at once; `latest` is the ledger's version.
     pub fn asked(&mut self, now: Duration, host: HostNo, has: Version, latest: Version) -> Answer {
-        let Some(held) = self.hosts.get_mut(&host) else { return Answer::Stranger };
-        if has > latest {
-            self.behind = self.behind.max(Some(has));
+        self.heard(host, has, latest);
+        self.grant(now, host)
+    }
+
+    /// Some host has followed what is not known here.
+    pub fn is_behind(&mut self, has: Version) {
+        self.behind = self.behind.max(Some(has));
+    }
+
+    /// A host says what it has and uses.
+    pub fn heard(&mut self, host: HostNo, has: Version, latest: Version) {
+        let Some(held) = self.hosts.get_mut(&host) else { return };
+        if has <= latest {
+            held.has = held.has.max(Some(has));
+        } else {
+            self.is_behind(has);
         }
-        if let Some(has) = self.behind {
-            return Answer::Behind { has };
+    }
+
+    /// A host is answered, and has a lease from then on.
+    pub fn grant(&mut self, now: Duration, host: HostNo) -> Answer {
+        match (self.hosts.get_mut(&host), self.behind) {
+            (None, _) => Answer::Stranger,
+            (_, Some(has)) => Answer::Behind { has },
+            (Some(held), None) => {
+                // Whatever it said, from here on it may follow something.
+                held.has = held.has.or(Some(Version(0)));
+                (held.until, held.gone) = (now + self.lease + self.margin, false);
+                Answer::Grant { lease: self.lease }
+            }
         }
-        held.has = held.has.max(Some(has));
-        (held.until, held.gone) = (now + self.lease + self.margin, false);
-        Answer::Grant { lease: self.lease }
     }
 
     /// What a host is known to have.
@@ -145,10 +167,11 @@
         self.hosts.get_mut(&host).into_iter().for_each(|h| h.gone = true);
     }
 
-    /// Up to which version all changes have come everywhere that they must. It never goes back.
-    pub fn settled(&mut self, now: Duration, lowerings: &Lowerings) -> Version {
+    /// Up to which version all changes have come everywhere that they must. It never goes back, and never
+    /// beyond `upto`: of what may yet be taken back nothing is settled.
+    pub fn settled(&mut self, now: Duration, lowerings: &Lowerings, upto: Version) -> Version {
         let reached = self.hosts.values().map(|h| Self::reach(h, now, lowerings)).min();
-        self.settled = self.settled.max(reached.unwrap_or(lowerings.latest));
+        self.settled = self.settled.max(reached.unwrap_or(lowerings.latest).min(upto));
         self.settled
     }
 
--- a/crates/plans/src/lib.rs
+++ b/crates/plans/src/lib.rs
@@ -2,13 +2,17 @@
 //!
 //! For: what is decided about plans and volumes while they are in service, by whom, and when it is in force.
 //! [`changes`] is the ledger; [`feed`] says who follows which version of it and what a host may send
-//! meanwhile; [`planner`] says whether promises can be kept. It must never decide over a single transfer.
-//! Begin with [`changes`].
+//! meanwhile; [`source`] is the state service's decisions over both, [`follow`] a host's; [`planner`] says
+//! whether promises can be kept, [`admission`] whether a change may land, [`moves`] what would mend a site,
+//! both by a flow that stands ([`standing`], [`flow`]). It must never decide over a single transfer. Begin with
+//! [`changes`].
 
 pub mod admission;
 pub mod changes;
 pub mod feed;
 pub mod flow;
+pub mod follow;
 pub mod moves;
 pub mod planner;
+pub mod source;
 pub mod standing;
