A store that survives crashes, in use for extents; plans and volumes change in the decisions

Need: plans, their trail, what hosts have and where extents lie must outlive a crash, and a damaged file must say so; changes must reach running decisions without a restart.

The portal keeps its places there (--store). The decisions hear of new figures of a plan and new terms of a volume: what a limit is owed stays owed, what is held keeps to the new terms, a retired volume's held transfers are given up and its legs heard of.

--- a/crates/bench/src/deferral.rs
+++ b/crates/bench/src/deferral.rs
@@ -176,7 +176,7 @@
     println!("| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
     for (heeds, window) in [(true, true), (false, true), (true, false), (false, false)] {
         let portal = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let stage = Stage::of(program, &site(portal, window), NODES, &["--places", "PLACES"])?;
+        let stage = Stage::of(program, &site(portal, window), NODES, &["--store", "PLACES"])?;
         let rest = (times * CAPACITY - ASKED * RESERVED as f64) / OTHERS as f64;
         let load = |lun, reserved: bool| Load {
             at: portal,
--- a/crates/bench/src/iscsi.rs
+++ b/crates/bench/src/iscsi.rs
@@ -103,7 +103,7 @@
              target(name = \"{NAME}\", volumes = [{}])\n",
             luns.join(", ")
         );
-        let stage = Stage::with(program, NODES, &more, &["--places", "PLACES"])?;
+        let stage = Stage::with(program, NODES, &more, &["--store", "PLACES"])?;
         prepare(&stage, *bytes)?;
         let load = |open: usize, digests: bool| -> Vec<Load> {
             let each = open.div_ceil(LINES.min(open));
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -91,9 +91,10 @@
     /// Where this host's iSCSI portal listens; overrides the settings.
     #[arg(long)]
     pub portal: Option<SocketAddr>,
-    /// Keeps where extents lie, for an iSCSI portal of this host in the settings.
+    /// Keeps what must outlive this process: where extents lie, for an iSCSI portal, and plans as they were last
+    /// told.
     #[arg(long)]
-    pub places: Option<PathBuf>,
+    pub store: Option<PathBuf>,
     /// Seed of the decisions; new at each start if left out.
     #[arg(long)]
     pub seed: Option<u64>,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,8 +10,11 @@
 use grebecleat_settings::{Kind, Settings};
 use grebecleat_standin::clients::Tally;
 use grebecleat_standin::{net, rehearse, serve};
+use grebecleat_state::{extents::Extents, keeper::Keeper, store::Kept};
+use grebecleat_target::portal::{self, Places};
 use grebecleat_wire::{clock, pb, trace::Tracer};
 use indicatif::{ProgressBar, ProgressStyle};
+use std::collections::BTreeMap;
 use std::io::{IsTerminal, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -108,6 +111,13 @@
     let _ = writeln!(out, "listening {what}").and_then(|()| out.flush());
 }
 
+/// Entries that a store keeps of its trail.
+const MOST_TRAIL: u64 = 100_000;
+
+fn open_store(path: &Path) -> Result<(Keeper, Kept, BTreeMap<u64, Extents>), Stop> {
+    Keeper::open(path, MOST_TRAIL).map_err(|e| Stop::Failed(format!("store {}: {e}", path.display())))
+}
+
 fn run(a: HostArgs) -> Result<(), Stop> {
     let settings = Arc::new(load(&a.file)?);
     let names: Vec<&str> = settings.hosts.iter().map(|h| h.name.as_str()).collect();
@@ -144,13 +154,15 @@
     if let (Some(portal), Some(at)) = (portals.first_mut(), a.portal) {
         portal.listen = at;
     }
-    if let (true, None) = (!portals.is_empty(), &a.places) {
-        return Err(bad("--places: needed, since the settings give this host a portal".into()));
+    if let (true, None) = (!portals.is_empty(), &a.store) {
+        return Err(bad("--store: needed, since the settings give this host a portal".into()));
     }
+    let store = a.store.as_deref().map(open_store).transpose()?;
     let counts = host::run(options, |address, handle| {
         for spec in &portals {
-            let places = a.places.clone().unwrap_or_default();
-            match grebecleat_target::portal::start(&settings, spec, &handle, &places) {
+            let Some((keeper, kept, places)) = &store else { continue };
+            let places = Places { keeper, places, ceiling: kept.ceiling };
+            match portal::start(&settings, spec, &handle, places) {
                 Ok(at) => info!(host = %name, portal = %at, "iscsi portal up"),
                 Err(why) => {
                     eprintln!("grebecleat: {why}");
--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -89,7 +89,7 @@
         let (places, trace) = (self.dir.join("places"), self.dir.join("h.trace"));
         let path = |p: &Path| p.to_str().unwrap().to_string();
         let args = ["run", &self.script, "--list", &self.list.1, "--listen", "127.0.0.1:0"];
-        start(&[&args[..], &["--places", &path(&places), "--trace", &path(&trace)]].concat())
+        start(&[&args[..], &["--store", &path(&places), "--trace", &path(&trace)]].concat())
     }
 
     fn initiator(&self, isid: u8, digests: bool) -> Initiator {
--- a/crates/standin/src/rehearse.rs
+++ b/crates/standin/src/rehearse.rs
@@ -132,8 +132,8 @@
         args.extend(["--host".into(), name.clone(), "--list".into(), self.list.to_string()]);
         args.extend(["--listen".into(), listen.into(), "--remember".into(), remember]);
         if let Some(portal) = self.portals[place] {
-            let places = self.o.dir.join(format!("{name}.places")).display().to_string();
-            args.extend(["--portal".into(), portal.to_string(), "--places".into(), places]);
+            let store = self.o.dir.join(format!("{name}.store")).display().to_string();
+            args.extend(["--portal".into(), portal.to_string(), "--store".into(), store]);
         }
         let (child, said) = self.start(name, &args)?;
         let address = said.parse().map_err(io::Error::other)?;
--- /dev/null
+++ b/crates/state/tests/common/mod.rs
@@ -0,0 +1,136 @@
+//! A disk that loses what was not synced, tears what was being written, fills up, and fails when told to.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use redb::StorageBackend;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+/// What a disk writes in one piece.
+const SECTOR: usize = 512;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fails {
+    Never,
+    /// The machine dies at that operation: it, and all after it, come to nothing.
+    DiesAt(u64),
+    /// That one operation fails, with nothing done.
+    OnceAt(u64),
+    /// From that operation on nothing can be written, for so many.
+    FullFrom(u64, u64),
+    ReadOnly,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// What a machine that starts anew finds for certain.
+    durable: Vec<u8>,
+    /// What the running one sees.
+    seen: Vec<u8>,
+    /// Writes since the last sync, by sector, oldest first; and lengths.
+    pending: Vec<(usize, Vec<u8>)>,
+    ops: u64,
+    fails: Option<Fails>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Disk(Arc<Mutex<Inner>>);
+
+impl Disk {
+    pub fn of(bytes: Vec<u8>) -> Disk {
+        Disk(Arc::new(Mutex::new(Inner { durable: bytes.clone(), seen: bytes, ..Inner::default() })))
+    }
+
+    pub fn fails(&self, fails: Fails) {
+        self.0.lock().unwrap().fails = Some(fails);
+    }
+
+    /// Operations so far that change it: writes, lengths and syncs.
+    pub fn ops(&self) -> u64 {
+        self.0.lock().unwrap().ops
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        self.0.lock().unwrap().seen.clone()
+    }
+
+    /// What is found after the machine died: all that was synced, and any sectors of the rest.
+    pub fn after_death(&self, seed: u64) -> Vec<u8> {
+        let inner = self.0.lock().unwrap();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut bytes = inner.durable.clone();
+        // The file's length changes at once or not at all; what was never written reads as zeroes.
+        bytes.resize(if rng.random() { inner.seen.len().max(bytes.len()) } else { bytes.len() }, 0);
+        let part = [0.0, 0.5, 0.95, 1.0][rng.random_range(0..4)];
+        for (at, sector) in &inner.pending {
+            if rng.random::<f64>() < part && at + sector.len() <= bytes.len() {
+                bytes[*at..at + sector.len()].copy_from_slice(sector);
+            }
+        }
+        bytes
+    }
+
+    pub fn backend(&self) -> Box<dyn StorageBackend> {
+        Box::new(self.clone())
+    }
+
+    fn op<T>(&self, done: impl FnOnce(&mut Inner) -> T) -> io::Result<T> {
+        let mut inner = self.0.lock().unwrap();
+        let op = inner.ops;
+        inner.ops += 1;
+        let why = match inner.fails {
+            Some(Fails::DiesAt(at)) if op >= at => "the machine died",
+            Some(Fails::OnceAt(at)) if op == at => "input/output error",
+            Some(Fails::FullFrom(at, n)) if op >= at && op < at + n => "no space left on device",
+            Some(Fails::ReadOnly) => "read-only file system",
+            _ => return Ok(done(&mut inner)),
+        };
+        Err(io::Error::other(why))
+    }
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.lock().unwrap().seen.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let inner = self.0.lock().unwrap();
+        let (from, to) = (offset as usize, offset as usize + out.len());
+        let bytes = inner.seen.get(from..to).ok_or_else(|| io::Error::other("read beyond the end"))?;
+        out.copy_from_slice(bytes);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.op(|inner| inner.seen.resize(len as usize, 0))
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.op(|inner| {
+            inner.durable = inner.seen.clone();
+            inner.pending.clear();
+        })
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        // What was being written when the machine died may lie there in part.
+        {
+            let mut inner = self.0.lock().unwrap();
+            if matches!(inner.fails, Some(Fails::DiesAt(at)) if inner.ops == at) {
+                let sectors = data.chunks(SECTOR).enumerate();
+                let torn: Vec<_> = sectors.map(|(i, s)| (offset as usize + i * SECTOR, s.to_vec())).collect();
+                inner.pending.extend(torn);
+            }
+        }
+        self.op(|inner| {
+            let at = offset as usize;
+            if inner.seen.len() < at + data.len() {
+                inner.seen.resize(at + data.len(), 0);
+            }
+            inner.seen[at..at + data.len()].copy_from_slice(data);
+            let sectors = data.chunks(SECTOR).enumerate();
+            inner.pending.extend(sectors.map(|(i, s)| (at + i * SECTOR, s.to_vec())));
+        })
+    }
+}
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -7,7 +7,6 @@
 use crate::blocks::Answer;
 use crate::engine::{ConnNo, Engine, Input, Output, Request, TargetFacts, VolumeFacts, XferNo};
 use crate::pressure::Figures;
-use crate::store::{Keep, Place, Store};
 use crate::versions::Versions;
 use bytes::Bytes;
 use grebecleat_host::run::Handle;
@@ -16,6 +15,9 @@
 use grebecleat_iscsi::pdu::{self, Digests, Opcode, Pdu, Reader};
 use grebecleat_iscsi::scsi::Unit;
 use grebecleat_settings::{PortalSpec, Settings};
+use grebecleat_state::extents::Extents;
+use grebecleat_state::keeper::Keeper;
+use grebecleat_state::store::{Keep, StoreFault};
 use grebecleat_wire::pb::{self, frame::Body, record::Kind, Outcome};
 use grebecleat_wire::{clock, pb::Final, trace::Tracer};
 use may::go;
@@ -27,7 +29,6 @@
 use std::io::{self, IoSlice, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
@@ -108,23 +109,18 @@
     }
 }
 
+/// Where extents lie, and what is kept beside them, as it was at this start.
+pub struct Places<'a> {
+    pub keeper: &'a Keeper,
+    pub places: &'a BTreeMap<u64, Extents>,
+    pub ceiling: u64,
+}
+
 /// Starts a portal beside a running host; where it listens.
 pub fn start(
-    settings: &Arc<Settings>, spec: &PortalSpec, host: &Handle, store: &Path,
+    settings: &Arc<Settings>, spec: &PortalSpec, host: &Handle, store: Places,
 ) -> Result<SocketAddr, String> {
     let (to, events) = mpsc::channel();
-    let (kept, failed) = (to.clone(), to.clone());
-    let store = Store::open(
-        store,
-        move |keep| {
-            let input = match keep {
-                Keep::Place(p) => Input::Stored { no: p.no },
-                Keep::Ceiling(ceiling) => Input::Reserved { ceiling },
-            };
-            drop(kept.send(Event::Input(input)));
-        },
-        move |why| drop(failed.send(Event::Failed(why))),
-    )?;
     let listener = TcpListener::bind(spec.listen).map_err(|e| format!("portal on {}: {e}", spec.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let engine = engine(settings, spec, address, &store);
@@ -143,7 +139,8 @@
         engine,
         local,
         told,
-        store: Some(store),
+        keeper: Some(store.keeper.clone()),
+        to: to.clone(),
         lines: BTreeMap::new(),
         start: u64::from(std::process::id()) << 32 ^ clock::now().as_nanos() as u64,
         settings: settings.clone(),
@@ -154,7 +151,7 @@
     Ok(address)
 }
 
-fn engine(settings: &Settings, spec: &PortalSpec, address: SocketAddr, store: &Store) -> Engine {
+fn engine(settings: &Settings, spec: &PortalSpec, address: SocketAddr, store: &Places) -> Engine {
     let secret = |s: &Option<(String, String)>| {
         s.as_ref().map(|(name, secret)| Secret { name: name.clone(), secret: secret.clone().into_bytes() })
     };
@@ -210,7 +207,8 @@
     local: grebecleat_host::run::Local,
     told: Arc<AtomicBool>,
     /// None once it can no longer be written.
-    store: Option<Store>,
+    keeper: Option<Keeper>,
+    to: Sender<Event>,
     lines: BTreeMap<ConnNo, Arc<Line>>,
     /// Tells this start's transfers from another's.
     start: u64,
@@ -242,13 +240,13 @@
                         let read = self.local.read();
                         inputs.extend(read.into_iter().filter_map(|b| self.final_of(b)));
                     }
-                    Event::Failed(why) => {
+                    Event::Failed(why) if self.keeper.take().is_some() => {
                         error!(
                             "places can no longer be kept: {why}; extents that lie nowhere are not written"
                         );
-                        self.store = None;
                         inputs.push(Input::StoreGone);
                     }
+                    Event::Failed(_) => {}
                 }
             }
             for input in &inputs {
@@ -282,14 +280,25 @@
             Output::Close { conn } => self.lines.get(&conn).into_iter().for_each(|l| l.finish()),
             Output::Take(r) => takes.push(self.take(r)),
             Output::Store { no, volume, extent, cell } => {
-                let place = Keep::Place(Place { no, volume, extent, cell });
-                self.store.iter().for_each(|s| s.keep(place));
+                self.keep(Keep::Place { volume, extent, cell }, Input::Stored { no });
             }
-            Output::Reserve { ceiling } => self.store.iter().for_each(|s| s.keep(Keep::Ceiling(ceiling))),
+            Output::Reserve { ceiling } => self.keep(Keep::Ceiling(ceiling), Input::Reserved { ceiling }),
             Output::Note { text } => info!("{text}"),
         }
     }
 
+    /// Hands something to the keeper; the engine hears of it once it is on the disk.
+    fn keep(&self, keep: Keep, kept: Input) {
+        let to = self.to.clone();
+        let told = move |done: Result<(), StoreFault>| {
+            let event = done.map_or_else(|why| Event::Failed(why.to_string()), |()| Event::Input(kept));
+            let _ = to.send(event);
+        };
+        if let Some(keeper) = &self.keeper {
+            keeper.keep(vec![keep], told);
+        }
+    }
+
     fn take(&self, r: Request) -> Body {
         let stream = match r.write {
             true => self.spec.write,
--- a/crates/wire/build.rs
+++ b/crates/wire/build.rs
@@ -1,7 +1,7 @@
 //! Compiles the messages with `protox`, so that no `protoc` has to be installed.
 
 fn main() {
-    println!("cargo:rerun-if-changed=proto/grebecleat.proto");
+    println!("cargo:rerun-if-changed=proto");
     let files = protox::compile(["proto/grebecleat.proto"], ["proto"]).expect("the messages compile");
     prost_build::Config::new().bytes(["."]).compile_fds(files).expect("the messages become Rust");
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -122,6 +122,14 @@
     ((late - LATE_USUAL) / (0.5 - LATE_USUAL)).clamp(0.05, 1.0)
 }
 
+/// The least and the best benefit that a unit can bring.
+pub fn scale(streams: &[StreamType], plans: &[Plan], units: &UnitFacts) -> (f64, f64) {
+    let benefits = streams.iter().flat_map(|s| plans.iter().map(|p| s.benefit * p.price));
+    let best = benefits.clone().fold(1e-6, f64::max);
+    let least = benefits.fold(best, f64::min) * units.spare_part.clamp(0.01, 0.9);
+    (least.max(best * 1e-3), best)
+}
+
 /// In how many ticks so many held transfers are ranked once.
 pub fn seldom(held: usize) -> u32 {
     (1 + held / AT_ONCE).min(SELDOM) as u32
@@ -149,11 +157,7 @@
         let tightest = streams.iter().map(|s| s.slo).filter(|d| *d > TICK).min().unwrap_or(INTERVAL);
         let (rng, per_unit) = (Pcg64Mcg::seed_from_u64(seed), Histogram::new(TICK / 5, 1.4, 16));
         let (cold, list, rest) = (ColdRule::default(), ListRule::default(), Duration::ZERO);
-        let benefits = streams.iter().flat_map(|s| plans.iter().map(|p| s.benefit * p.price));
-        let best = benefits.clone().fold(1e-6, f64::max);
-        let least = benefits.fold(best, f64::min) * units.spare_part.clamp(0.01, 0.9);
-        let values = (least.max(best * 1e-3), best);
-        let bk = Books { values, ..Books::default() };
+        let bk = Books { values: scale(&streams, &plans, &units), ..Books::default() };
         Control { rng, streams, plans, units, caps, cold, list, budget: None, rest, tightest, per_unit, bk }
     }
 
@@ -194,6 +198,23 @@
                 self.leg_over(id, node, end, over);
             }
             Event::Withdrawn { id } => self.bk.close(id),
+            Event::Plan { plan, facts } => {
+                self.plans.resize(self.plans.len().max(plan.0 + 1), Plan::default());
+                self.plans[plan.0] = facts;
+                self.bk.values = scale(&self.streams, &self.plans, &self.units);
+            }
+            Event::Volume { volume, terms: Some(terms) } => {
+                let new = || Volume::new(terms, self.plans[terms.plan.0].reservation);
+                self.bk.retired.remove(&volume);
+                self.bk.volumes.entry(volume).or_insert_with(new).retune(terms);
+            }
+            // What is out stays out, and its end is heard; what is held would wait for nothing.
+            Event::Volume { volume, terms: None } => {
+                let held = self.bk.xfers.iter().filter(|(_, x)| x.x.volume == volume && x.want == Want::Held);
+                let held: Vec<XferId> = held.map(|(id, _)| *id).collect();
+                held.into_iter().for_each(|id| self.give_up(id, COME_BACK));
+                self.bk.retired.insert(volume);
+            }
             Event::List { kind, entries } => self.follow(kind, entries),
             Event::Timer { .. } | Event::Probed { .. } | Event::Told { .. } => {}
         }
@@ -202,15 +223,8 @@
     fn take(&mut self, x: Transfer) {
         self.bk.taken.add(self.bk.now);
         let (stream, plan, id) = (&self.streams[x.stream_type.0], &self.plans[x.plan.0], x.id);
-        let hosts = x.hosts.max(1);
-        self.bk.volumes.entry(x.volume).or_insert_with(|| {
-            let part = |of: f64| of / hosts as f64;
-            let reserve = TokenBucket::new(part(plan.reservation), part(plan.reservation), plan.reservation);
-            // A restarted host has forgotten what it drew, so its part starts empty. Harm: slow first bursts.
-            let limit = || TokenBucket::new(part(plan.limit), part(plan.limit_burst), 0.0);
-            let limit = (plan.limit > 0.0).then(limit);
-            Volume { plan: x.plan, hosts, done: 0.0, done_rate: 0.0, reported: None, reserve, limit }
-        });
+        let volume = || Volume::new(Terms::even(x.plan, plan, x.hosts), plan.reservation);
+        self.bk.volumes.entry(x.volume).or_insert_with(volume);
         if let (true, Some(key)) = (stream.ordered, x.key) {
             self.bk.keys.join(key, id);
         }
@@ -251,7 +265,7 @@
         let Some((x, nd)) = self.bk.xfers.get_mut(&id).zip(self.bk.nodes.get_mut(&node)) else { return };
         let (now, units) = (self.bk.now, x.x.units);
         let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
-        let base = self.plans[x.x.plan.0].base_rate;
+        let base = self.plans[v.plan.0].base_rate;
         v.reported = told.map(|percent| (percent / 100.0 * base, now)).or(v.reported);
         nd.leg_over(&x.x);
         self.bk.stirred.insert(node);
@@ -457,6 +471,7 @@
         self.bk.usual_rate = heard.clone().sum::<f64>() / heard.count().max(1) as f64;
         self.tune_cold();
         self.bk.keys.sweep(now);
+        self.bk.forget_retired();
         self.bk.forget_legs(self.budget.as_ref().map_or(INTERVAL, |rule| rule.window + INTERVAL));
         self.per_unit.halve_above(PER_UNIT_KEPT);
     }
@@ -473,13 +488,13 @@
         let nd = id.and_then(|n| self.bk.nodes.get(&n));
         let stream = &self.streams[x.x.stream_type.0];
         let spare = nd.and_then(|nd| nd.flows.get(&x.x.volume)).and_then(|f| f.spare.as_ref());
-        let reserved = self.bk.volumes[&x.x.volume].reserve.held() > 0.0;
+        let v = &self.bk.volumes[&x.x.volume];
         let (part, paid) = match spare {
-            _ if reserved => (1.0, true),
+            _ if v.reserve.held() > 0.0 => (1.0, true),
             Some(b) if b.held() <= 0.0 => (self.units.spare_part, false),
             _ => (self.units.share_part, true),
         };
-        (part * stream.benefit * self.plans[x.x.plan.0].price, paid)
+        (part * stream.benefit * self.plans[v.plan.0].price, paid)
     }
 
     /// The rules and the buckets let it go to this node now.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,26 @@
     pub price: f64,
 }
 
+/// On what terms this host serves a volume.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    pub plan: PlanId,
+    /// Through how many hosts it works.
+    pub hosts: usize,
+    /// This host's own part of a limit: units a second, and units at once.
+    pub limit: Option<(f64, f64)>,
+}
+
+impl Terms {
+    /// Even parts of a plan's limit.
+    pub fn even(id: PlanId, plan: &Plan, hosts: usize) -> Self {
+        let hosts = hosts.max(1);
+        let part = |of: f64| of / hosts as f64;
+        let limit = (plan.limit > 0.0).then(|| (part(plan.limit), part(plan.limit_burst)));
+        Terms { plan: id, hosts, limit }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct UnitFacts {
     pub mean: f64,
@@ -199,6 +219,17 @@
     Withdrawn {
         id: XferId,
     },
+    /// A plan's figures from now on; that of a new plan has the next number.
+    Plan {
+        plan: PlanId,
+        facts: Plan,
+    },
+    /// A volume's terms from now on; None: it is served here no more. A volume of which nothing is told has
+    /// those of its first transfer.
+    Volume {
+        volume: VolumeId,
+        terms: Option<Terms>,
+    },
     List {
         kind: ListKind,
         entries: Vec<ListEntry>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,29 @@
     pub limit: Option<TokenBucket>,
 }
 
+impl Volume {
+    /// `reservation`: of the plan, over all hosts. A part of a limit starts empty, since a host that starts,
+    /// or comes in, cannot know what was drawn before. Harm: slow first bursts.
+    pub fn new(terms: Terms, reservation: f64) -> Self {
+        let part = reservation / terms.hosts.max(1) as f64;
+        let reserve = TokenBucket::new(part, part, reservation);
+        let (plan, hosts) = (terms.plan, terms.hosts);
+        let mut v = Volume { plan, hosts, done: 0.0, done_rate: 0.0, reported: None, reserve, limit: None };
+        v.retune(terms);
+        v
+    }
+
+    /// New terms. What a limit's bucket holds, or owes, stays, cut to its depth.
+    pub fn retune(&mut self, terms: Terms) {
+        (self.plan, self.hosts) = (terms.plan, terms.hosts);
+        self.limit = terms.limit.map(|(rate, depth)| {
+            let mut limit = self.limit.take().unwrap_or_else(|| TokenBucket::new(rate, depth, 0.0));
+            limit.retune(rate, depth);
+            limit
+        });
+    }
+}
+
 /// What a node answered since the last interval.
 #[derive(Debug, Default)]
 pub struct Answers {
@@ -285,6 +308,8 @@
     /// The least and the best benefit that a unit can bring.
     pub values: (f64, f64),
     pub volumes: BTreeMap<VolumeId, Volume>,
+    /// Volumes that are served no more, of which something may yet be out.
+    pub retired: BTreeSet<VolumeId>,
     pub xfers: BTreeMap<XferId, Xfer>,
     /// Held transfers that any node may take.
     pub floating: Vec<XferId>,
@@ -379,6 +404,22 @@
         }
     }
 
+    /// Forgets volumes that are served no more, once nothing of them is left.
+    pub fn forget_retired(&mut self) {
+        if self.retired.is_empty() {
+            return;
+        }
+        let left: BTreeSet<VolumeId> = self.xfers.values().map(|x| x.x.volume).collect();
+        for id in std::mem::take(&mut self.retired) {
+            if left.contains(&id) {
+                self.retired.insert(id);
+            } else {
+                self.volumes.remove(&id);
+                self.nodes.values_mut().for_each(|nd| _ = nd.flows.remove(&id));
+            }
+        }
+    }
+
     /// Nodes to look at: all that are busy after a tick, else those where something changed or fell due.
     pub fn to_visit(&mut self, all: bool) -> Vec<NodeId> {
         let mut stirred = std::mem::take(&mut self.stirred);
