--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -43,6 +43,10 @@
 pub enum Command {
     /// Runs one host of a deployment until SIGTERM has drained it; a second signal ends it at once.
     Run(HostArgs),
+    /// Runs the state service: keeps plans and volumes, and tells hosts what changes.
+    StateService(StateArgs),
+    /// Shows and changes plans and volumes while they are in service.
+    Plans(PlansArgs),
     /// Checks a settings file whole, and says what is wrong with it and where.
     Check { file: PathBuf },
     /// Plays a scripted day on this machine's loopback: list, nodes, hosts, clients; then the audit.
@@ -82,6 +86,9 @@
     /// Where the list of nodes answers; overrides the settings.
     #[arg(long)]
     pub list: Option<SocketAddr>,
+    /// Where the state service answers; overrides the settings.
+    #[arg(long)]
+    pub state: Option<SocketAddr>,
     /// Records every frame that crosses a socket.
     #[arg(long)]
     pub trace: Option<PathBuf>,
@@ -163,3 +170,109 @@
     #[arg(long)]
     pub keep: bool,
 }
+
+#[derive(ClapArgs)]
+pub struct StateArgs {
+    /// Settings of the deployment, with a state_service().
+    pub file: PathBuf,
+    /// Keeps plans, volumes, drains and their trail; snapshots are written beside it.
+    #[arg(long)]
+    pub store: PathBuf,
+    /// Where to listen; overrides the settings.
+    #[arg(long)]
+    pub listen: Option<SocketAddr>,
+    /// Records every frame that crosses a socket.
+    #[arg(long)]
+    pub trace: Option<PathBuf>,
+}
+
+#[derive(ClapArgs)]
+pub struct PlansArgs {
+    /// Where the state service answers.
+    #[arg(long, env = "GREBECLEAT_STATE", default_value = "127.0.0.1:7070")]
+    pub at: SocketAddr,
+    /// Who you are, for the trail; the name you are logged in with if left out.
+    #[arg(long)]
+    pub who: Option<String>,
+    /// How it is printed.
+    #[arg(long, value_enum, default_value = "text")]
+    pub output: Format,
+    #[command(subcommand)]
+    pub command: PlansCommand,
+}
+
+#[derive(ClapArgs)]
+pub struct Change {
+    /// Why, for the trail.
+    #[arg(long, default_value = "")]
+    pub why: String,
+    /// Whatever speaks against it; what does is kept in the trail.
+    #[arg(long)]
+    pub force: bool,
+}
+
+#[derive(Subcommand)]
+pub enum PlansCommand {
+    /// Plans, volumes, nodes, drains, targets and timed changes as they are.
+    List,
+    /// One of them: plan NAME, volume ID, node ID, target NAME.
+    Show { kind: String, name: String },
+    /// Changes them, all that is given as one: 'plan basic limit=20' 'volume 103 plan=gold' 'drain 5' ...
+    Set {
+        /// One change each; see the operators' page for all forms.
+        #[arg(required = true)]
+        changes: Vec<String>,
+        /// To land later: 2026-12-01T22:00:00Z, or +90m from now.
+        #[arg(long)]
+        at_time: Option<String>,
+        /// Refused if anything it touches has changed since that entry; since it was read, if left out.
+        #[arg(long)]
+        looked_at: Option<u64>,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Entries of the trail, the last ones last.
+    History {
+        /// How many.
+        #[arg(long, default_value_t = 20)]
+        most: u32,
+        /// Only entries that touch this, such as 'volume 103'.
+        #[arg(long)]
+        of: Option<String>,
+    },
+    /// Puts back what an entry changed, as a new entry.
+    Undo {
+        entry: u64,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Where a settings file and what is in service differ.
+    Diff { file: PathBuf },
+    /// Makes what is in service what a settings file declares, as one entry.
+    Declare {
+        file: PathBuf,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// The service, its store and its hosts; what waits for whom.
+    Status,
+    /// What extents to move so that promises hold, with some nodes emptied.
+    Moves {
+        /// Nodes that are to be emptied, beside those that drain.
+        #[arg(long, value_delimiter = ',')]
+        empty: Vec<u32>,
+    },
+    /// You answer for it that a host sends nothing: what waits for its word waits no longer.
+    Gone { host: String },
+    /// After a restore: what is here counts, whatever hosts have followed.
+    Prevail {
+        #[arg(long, default_value = "")]
+        why: String,
+    },
+    /// Writes everything that the service has into a file.
+    Snapshot { file: PathBuf },
+    /// Reads a store or a snapshot whole, and says what is in it or what is wrong. The service must not run.
+    Check { file: PathBuf },
+    /// Builds a store from a snapshot; the old one is moved aside. The service must not run.
+    Restore { snapshot: PathBuf, store: PathBuf },
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,15 +2,17 @@
 
 mod args;
 mod logs;
+mod plans;
 
-use args::{Args, Command, HostArgs, ListArgs, NodeArgs, RehearseArgs, Stage as StageArgs};
+use args::{Args, Command, HostArgs, ListArgs, NodeArgs, RehearseArgs, Stage as StageArgs, StateArgs};
 use clap::{CommandFactory, Parser};
 use grebecleat_audit::{Case, Verdict, RULES};
 use grebecleat_host::run as host;
+use grebecleat_plans::follow::{Follow, Start};
 use grebecleat_settings::{Kind, Settings};
 use grebecleat_standin::clients::Tally;
 use grebecleat_standin::{net, rehearse, serve};
-use grebecleat_state::{extents::Extents, keeper::Keeper, store::Kept};
+use grebecleat_state::{declared::facts, extents::Extents, keeper::Keeper, serve as service, store::Kept};
 use grebecleat_target::portal::{self, Places};
 use grebecleat_wire::{clock, pb, trace::Tracer};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -50,6 +52,8 @@
     }
     let ended = match args.command {
         Command::Run(a) => run(a),
+        Command::StateService(a) => state_service(a),
+        Command::Plans(a) => plans::run(a),
         Command::Check { file } => check(&file),
         Command::Rehearse(a) => rehearsal(a),
         Command::Audit { dir, script } => audit(&dir, &script),
@@ -139,25 +143,39 @@
     let seed = a.seed.unwrap_or_else(|| clock::now().as_nanos() as u64 ^ u64::from(std::process::id()) << 40);
     let me = net::hello(pb::Role::Host, names[host], seed);
     let (name, tracer) = (names[host].to_string(), tracer(a.trace, me)?);
+    let mut portals: Vec<_> = settings.portals.iter().filter(|p| p.host == host).cloned().collect();
+    if let (Some(portal), Some(at)) = (portals.first_mut(), a.portal) {
+        portal.listen = at;
+    }
+    if let (true, None) = (!portals.is_empty(), &a.store) {
+        return Err(bad("--store: needed, since the settings give this host a portal".into()));
+    }
+    let store = a.store.as_deref().map(open_store).transpose()?;
+    let state = match (&settings.state, &store) {
+        (None, _) => None,
+        (Some(_), None) => {
+            return Err(bad("--store: needed, since the settings name a state_service()".into()));
+        }
+        (Some(spec), Some((keeper, kept, _))) => {
+            let address = here(a.state, spec.address, "--state")?;
+            let ledger = Follow::ledger_of(facts(&settings));
+            let ledger = ledger.restored(kept.version, kept.state.clone(), kept.trail.clone());
+            let start = Start { ledger, settled: kept.settled, era: kept.era };
+            Some(host::StateLink { address, keeper: keeper.clone(), start })
+        }
+    };
     let options = host::Options {
         settings: settings.clone(),
         host,
         listen,
         list,
+        state,
         peers,
         tracer,
         remember: a.remember,
         seed,
         workers: a.workers,
     };
-    let mut portals: Vec<_> = settings.portals.iter().filter(|p| p.host == host).cloned().collect();
-    if let (Some(portal), Some(at)) = (portals.first_mut(), a.portal) {
-        portal.listen = at;
-    }
-    if let (true, None) = (!portals.is_empty(), &a.store) {
-        return Err(bad("--store: needed, since the settings give this host a portal".into()));
-    }
-    let store = a.store.as_deref().map(open_store).transpose()?;
     let counts = host::run(options, |address, handle| {
         for spec in &portals {
             let Some((keeper, kept, places)) = &store else { continue };
@@ -178,6 +196,26 @@
     Ok(())
 }
 
+fn state_service(a: StateArgs) -> Result<(), Stop> {
+    let settings = Arc::new(load(&a.file)?);
+    let Some(spec) = &settings.state else {
+        return Err(bad(format!("{}: no state_service() in the file", a.file.display())));
+    };
+    let listen = a.listen.or(spec.address);
+    let listen = listen.ok_or_else(|| bad("--listen: neither given nor in the settings".into()))?;
+    let tracer = tracer(a.trace, net::hello(pb::Role::State, "state", 1))?;
+    let (file, store) = (a.file.display().to_string(), a.store);
+    let options = service::Options { settings: settings.clone(), file, store, listen, tracer };
+    let started = |address, handle: service::Handle| {
+        listening(address);
+        info!(%address, "state service up");
+        host::on_signals_do(move || handle.stop());
+    };
+    service::serve(options, started).map_err(Stop::Failed)?;
+    info!("state service ended");
+    Ok(())
+}
+
 fn kinds_of(text: Option<&str>) -> Result<Vec<Kind>, Stop> {
     let Some(text) = text else { return Ok(Vec::new()) };
     let known = || Kind::ALL.iter().map(|k| k.0).collect::<Vec<_>>().join(", ");
--- /dev/null
+++ b/crates/cli/src/plans.rs
@@ -0,0 +1,417 @@
+//! `grebecleat plans`: an operator's acts on plans and volumes, in words or as JSON.
+
+use crate::args::{Change as How, Format, PlansArgs, PlansCommand};
+use crate::{bad, load, Stop};
+use grebecleat_plans::changes::{Change, Facts, Ledger, Subject, Version};
+use grebecleat_state::client::{Came, Client, Shown};
+use grebecleat_state::codec::change_pb;
+use grebecleat_state::declared::facts;
+use grebecleat_state::serve::{differences, new_era};
+use grebecleat_state::store::{Kept, Store};
+use grebecleat_state::words::{change, date, differences as told, moment, said};
+use grebecleat_state::{snapshot, store::StoreFault};
+use grebecleat_wire::pb::{self, frame::Body, look::What};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::Path;
+use std::time::{Duration, SystemTime};
+
+fn failed(e: impl std::fmt::Display) -> Stop {
+    Stop::Failed(e.to_string())
+}
+
+fn now() -> Duration {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+/// One way to put things out, in words or as one JSON value.
+struct Out(Format);
+
+impl Out {
+    fn put(&self, lines: impl IntoIterator<Item = String>, value: Value) {
+        let mut to = std::io::stdout().lock();
+        // Whoever reads it may have seen enough.
+        let _ = match self.0 {
+            Format::Text => lines.into_iter().try_for_each(|l| writeln!(to, "{l}")),
+            Format::Json => writeln!(to, "{value:#}"),
+        };
+    }
+}
+
+pub fn run(a: PlansArgs) -> Result<(), Stop> {
+    let out = Out(a.output);
+    let who = a.who.or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "operator".into());
+    match &a.command {
+        PlansCommand::Check { file } => return check(file, &out),
+        PlansCommand::Restore { snapshot, store } => return restore(snapshot, store, &out),
+        _ => {}
+    }
+    let hello = format!("{who} by plans");
+    let c = Client::connect(a.at, &hello);
+    let c = &mut c.map_err(|e| {
+        failed(format!("no state service at {}: {e}; is it running, or elsewhere (--at)?", a.at))
+    })?;
+    match a.command {
+        PlansCommand::List => list(c, &out),
+        PlansCommand::Show { kind, name } => show(c, &kind, &name, &out),
+        PlansCommand::Set { changes, at_time, looked_at, change } => {
+            set(c, &out, &who, changes, at_time, looked_at, change)
+        }
+        PlansCommand::History { most, of } => history(c, most, of, &out),
+        PlansCommand::Undo { entry, change: How { why, force } } => {
+            let undo = |call| Body::Undo(pb::Undo { call, who, why, entry, force });
+            landed(c.change(undo).map_err(failed)?, &out)
+        }
+        PlansCommand::Diff { file } => diff(c, &file, &out),
+        PlansCommand::Declare { file, change } => declare(c, &file, who, change, &out),
+        PlansCommand::Status => status(c, &out),
+        PlansCommand::Moves { empty } => moves(c, empty, &out),
+        PlansCommand::Gone { host } => {
+            let gone = |call| Body::HostGone(pb::HostGone { call, who, host });
+            landed(c.change(gone).map_err(failed)?, &out)
+        }
+        PlansCommand::Prevail { why } => {
+            let prevail = |call| Body::Prevail(pb::Prevail { call, who, why });
+            landed(c.change(prevail).map_err(failed)?, &out)
+        }
+        PlansCommand::Snapshot { file } => write_snapshot(c, &file, &out),
+        PlansCommand::Check { .. } | PlansCommand::Restore { .. } => unreachable!("done above"),
+    }
+}
+
+/// The service's state as a ledger, in which changes can be worded.
+fn ledger(s: &Shown) -> Ledger {
+    let hosts = s.last.hosts.iter().map(|h| h.name.as_str().into()).collect();
+    let facts = Facts { hosts, linger: Duration::ZERO };
+    Ledger::new(facts, 1).restored(s.version, s.state.iter().cloned(), Vec::new())
+}
+
+fn state(c: &mut Client) -> Result<Shown, Stop> {
+    c.look(What::State, 0, 0, Vec::new()).map_err(failed)
+}
+
+fn as_json(c: &Change) -> Value {
+    match c {
+        Change::Plan { name, to } => json!({ "plan": &**name, "to": to.as_ref().map(|p| json!({
+            "rate": p.rate, "reservation": p.reservation, "limit": p.limit, "burst": p.burst, "slack": p.slack,
+            "weight": p.weight, "price": p.price })) }),
+        Change::Volume { id, to } => json!({ "volume": id, "to": to.as_ref().map(|v| json!({
+            "plan": &*v.plan, "hosts": v.hosts.iter().map(|h| &**h).collect::<Vec<_>>(),
+            "cells": &*v.cells, "blocks": v.blocks })) }),
+        Change::Node { id, to } => json!({ "node": id, "to": to.as_ref().map(|n| json!({
+            "zone": &*n.zone, "cell": n.cell, "capacity": n.capacity })) }),
+        Change::Drain { node, to } => json!({ "drain": node, "to": to.as_ref().map(|d| json!({
+            "within_s": d.within.as_secs_f64() })) }),
+        Change::Target { name, to } => json!({ "target": &**name, "to": to.as_ref().map(|t| json!({
+            "volumes": &**t })) }),
+        Change::Timed { id, to } => json!({ "timed": id, "to": to.as_ref().map(|t| json!({
+            "at": date(t.at), "who": t.who, "why": t.why, "force": t.force,
+            "changes": t.changes.iter().map(as_json).collect::<Vec<_>>() })) }),
+    }
+}
+
+fn list(c: &mut Client, out: &Out) -> Result<(), Stop> {
+    let s = state(c)?;
+    let head = format!("entry {}, settled {}", s.version.0, s.settled.0);
+    let all: Vec<Value> = s.state.iter().map(as_json).collect();
+    let value = json!({ "version": s.version.0, "settled": s.settled.0, "state": all });
+    out.put([head].into_iter().chain(s.state.iter().map(said)), value);
+    Ok(())
+}
+
+fn subject(kind: &str, name: &str) -> Result<Subject, Stop> {
+    let number =
+        |name: &str| name.parse().map_err(|_| bad(format!("{kind}: expected a number, found {name}")));
+    Ok(match kind {
+        "plan" => Subject::Plan(name.into()),
+        "volume" => Subject::Volume(number(name)?),
+        "node" => Subject::Node(number(name)? as u32),
+        "drain" => Subject::Drain(number(name)? as u32),
+        "target" => Subject::Target(name.into()),
+        "timed" => Subject::Timed(number(name)?),
+        _ => return Err(bad(format!("expected plan, volume, node, drain, target or timed, found {kind}"))),
+    })
+}
+
+fn show(c: &mut Client, kind: &str, name: &str, out: &Out) -> Result<(), Stop> {
+    let subject = subject(kind, name)?;
+    let s = state(c)?;
+    let Some(change) = s.state.iter().find(|c| c.subject() == subject) else {
+        return Err(failed(format!("{subject} does not exist")));
+    };
+    let trail = c.look(What::Trail, 0, 0, Vec::new()).map_err(failed)?;
+    let touches = trail.entries.iter().rev().find(|e| e.changes.iter().any(|c| c.subject() == subject));
+    let last = touches.map(|e| format!("last changed by entry {} of {}, {}", e.version.0, e.who, date(e.at)));
+    let on = |c: &&Change| matches!((c, &subject), (Change::Volume { to: Some(v), .. }, Subject::Plan(p)) if v.plan == *p);
+    let standing = s.state.iter().filter(on).count();
+    let standing = matches!(subject, Subject::Plan(_)).then(|| format!("{standing} volumes stand on it"));
+    out.put([said(change)].into_iter().chain(standing).chain(last), as_json(change));
+    Ok(())
+}
+
+fn landed(came: Came, out: &Out) -> Result<(), Stop> {
+    match came {
+        Came::Refused(why) => {
+            out.put([], json!({ "refused": why }));
+            eprintln!("refused: {why}");
+            Err(Stop::Broken)
+        }
+        Came::Landed(l) => {
+            let mut lines = vec![format!("entry {}", l.version)];
+            lines.extend(l.warnings.iter().map(|w| format!("warning: {w}")));
+            if l.unseen > 0 {
+                lines.push(format!("{} losses of a node or zone were not looked at", l.unseen));
+            }
+            if l.blind {
+                lines.push("no node's capacity is stated, so nobody can say whether reserves hold".into());
+            }
+            if !l.waits_for.is_empty() {
+                let hosts = l.waits_for.join(", ");
+                lines.push(format!("in force everywhere only once {hosts} has been heard, or declared gone"));
+            }
+            let value = json!({ "version": l.version, "warnings": l.warnings, "unseen": l.unseen,
+                "blind": l.blind, "waits_for": l.waits_for });
+            out.put(lines, value);
+            Ok(())
+        }
+    }
+}
+
+fn set(
+    c: &mut Client, out: &Out, who: &str, lines: Vec<String>, at: Option<String>, looked_at: Option<u64>,
+    how: How,
+) -> Result<(), Stop> {
+    let s = state(c)?;
+    let l = ledger(&s);
+    let changes = lines.iter().map(|line| change(&l, line)).collect::<Result<Vec<_>, _>>();
+    let changes = changes.map_err(|e| bad(e.to_string()))?;
+    let at = match at {
+        None => None,
+        Some(text) => {
+            let expected = "expected a moment such as 2026-12-01T22:00:00Z or +90m";
+            Some(moment(&text, now()).ok_or_else(|| bad(format!("--at-time: {expected}, found {text}")))?)
+        }
+    };
+    let propose = |call| {
+        Body::Propose(pb::Propose {
+            call,
+            who: who.into(),
+            why: how.why,
+            looked_at: Some(looked_at.unwrap_or(s.version.0)),
+            changes: changes.iter().map(change_pb).collect(),
+            at_us: at.map(grebecleat_wire::clock::micros),
+            force: how.force,
+        })
+    };
+    landed(c.change(propose).map_err(failed)?, out)
+}
+
+fn history(c: &mut Client, most: u32, of: Option<String>, out: &Out) -> Result<(), Stop> {
+    let of = match of {
+        None => None,
+        Some(text) => {
+            let (kind, name) =
+                text.split_once(' ').ok_or_else(|| bad("--of: expected such as 'volume 103'".into()))?;
+            Some(subject(kind, name.trim())?)
+        }
+    };
+    let shown = c.look(What::Trail, 0, if of.is_some() { 0 } else { most }, Vec::new()).map_err(failed)?;
+    let wanted = |e: &&grebecleat_plans::changes::Entry| {
+        of.as_ref().is_none_or(|s| e.changes.iter().any(|c| c.subject() == *s))
+    };
+    let entries: Vec<_> = shown.entries.iter().filter(wanted).collect();
+    let entries = &entries[entries.len().saturating_sub(most as usize)..];
+    let lines = entries.iter().flat_map(|e| {
+        let settled = if e.version <= shown.settled { "" } else { ", not settled" };
+        let why = if e.why.is_empty() { String::new() } else { format!(": {}", e.why) };
+        let against = (!e.against.is_empty()).then(|| format!("    forced against: {}", e.against));
+        let what = told(&e.changes, &e.before).into_iter().map(|l| format!("    {l}"));
+        let head = format!("{} {} {}{settled}{why}", e.version.0, date(e.at), e.who);
+        [head].into_iter().chain(against).chain(what).collect::<Vec<_>>()
+    });
+    let value = entries.iter().map(|e| {
+        json!({ "version": e.version.0, "at": date(e.at), "who": e.who, "why": e.why, "against": e.against,
+            "changes": e.changes.iter().map(as_json).collect::<Vec<_>>(),
+            "before": e.before.iter().map(as_json).collect::<Vec<_>>() })
+    });
+    out.put(lines.collect::<Vec<_>>(), value.collect());
+    Ok(())
+}
+
+fn diff(c: &mut Client, file: &Path, out: &Out) -> Result<(), Stop> {
+    let settings = load(file)?;
+    let s = state(c)?;
+    let here = ledger(&s);
+    let apart = differences(&settings, s.state);
+    let declared = Ledger::new(facts(&settings), 1).restored(
+        Version(1),
+        grebecleat_state::declared::declared(&settings),
+        Vec::new(),
+    );
+    let lines: Vec<String> = apart
+        .iter()
+        .flat_map(|c| {
+            let was = declared.now(&c.subject());
+            match (was.ends(), c.ends()) {
+                (true, _) => vec![format!("only in service:  {}", said(c))],
+                (_, true) => vec![format!("only in the file: {}", said(&was))],
+                _ => vec![
+                    format!("in the file:      {}", said(&was)),
+                    format!("in service:       {}", said(&here.now(&c.subject()))),
+                ],
+            }
+        })
+        .collect();
+    let none = apart.is_empty().then(|| "nothing differs".to_string());
+    out.put(lines.into_iter().chain(none), apart.iter().map(as_json).collect());
+    Ok(())
+}
+
+fn declare(c: &mut Client, file: &Path, who: String, how: How, out: &Out) -> Result<(), Stop> {
+    let settings = load(file)?;
+    let s = state(c)?;
+    // Drains and timed changes are nobody's declaration, and stay.
+    let keep = |c: &Change| matches!(c, Change::Drain { .. } | Change::Timed { .. });
+    let here = ledger(&s);
+    let declared = grebecleat_state::declared::declared(&settings);
+    let declared = Ledger::new(facts(&settings), 1).restored(Version(1), declared, Vec::new());
+    let changes: Vec<pb::Change> =
+        here.towards(&declared).iter().filter(|c| !keep(c)).map(change_pb).collect();
+    if changes.is_empty() {
+        out.put(["nothing differs".to_string()], json!({ "version": s.version.0 }));
+        return Ok(());
+    }
+    let why = if how.why.is_empty() { format!("as declared in {}", file.display()) } else { how.why };
+    let looked_at = Some(s.version.0);
+    let propose = |call| {
+        Body::Propose(pb::Propose { call, who, why, looked_at, changes, at_us: None, force: how.force })
+    };
+    landed(c.change(propose).map_err(failed)?, out)
+}
+
+fn status(c: &mut Client, out: &Out) -> Result<(), Stop> {
+    let s = c.look(What::Status, 0, 0, Vec::new()).map_err(failed)?;
+    let mut lines = vec![format!("entry {}, settled {}", s.version.0, s.settled.0)];
+    if !s.last.trouble.is_empty() {
+        lines.push(format!("trouble with the store: {}", s.last.trouble));
+    }
+    if let Some(behind) = s.last.behind {
+        lines.push(format!(
+            "a host has followed entry {behind} of another history: nobody is told anything until it is said what counts \
+             (plans prevail)"
+        ));
+    }
+    lines.push(match (s.last.short, s.last.out_of_reach) {
+        (short, lost) if short < 0.01 && lost < 0.01 => {
+            "all reserves can be met, or no capacities are stated".into()
+        }
+        (short, lost) => {
+            format!("{short:.1} units a second of reserves cannot be met, {lost:.1} lie out of reach")
+        }
+    });
+    for h in &s.last.hosts {
+        let has = if h.heard_of { format!("has entry {}", h.has) } else { "was never heard of".into() };
+        let waits = match (h.holds_up, h.silent) {
+            (true, true) => "; what is not settled waits for its word, or plans gone",
+            (true, false) => "; what is not settled waits for it, or its lease",
+            _ => "",
+        };
+        lines.push(format!("host {} {has}{waits}", h.name));
+    }
+    let hosts: Vec<Value> = s.last.hosts.iter().map(|h| {
+        json!({ "name": h.name, "heard_of": h.heard_of, "has": h.has, "holds_up": h.holds_up, "silent": h.silent })
+    }).collect();
+    let value = json!({ "version": s.version.0, "settled": s.settled.0, "era": s.era.0, "hosts": hosts,
+        "short": s.last.short, "out_of_reach": s.last.out_of_reach, "behind": s.last.behind,
+        "trouble": s.last.trouble });
+    out.put(lines, value);
+    Ok(())
+}
+
+fn moves(c: &mut Client, empty: Vec<u32>, out: &Out) -> Result<(), Stop> {
+    let s = c.look(What::Proposal, 0, 0, empty).map_err(failed)?;
+    let bytes: u64 = s.last.moves.iter().map(|m| m.bytes).sum();
+    let each = |m: &pb::MoveExtents| {
+        format!("volume {}: {} extents from node {} to node {}", m.volume, m.extents, m.from, m.to)
+    };
+    let mut lines: Vec<String> = s.last.moves.iter().map(each).collect();
+    lines.push(format!("{} moves, {:.1} MiB", s.last.moves.len(), bytes as f64 / f64::from(1 << 20)));
+    if s.last.short > 0.01 {
+        lines.push(format!("{:.1} units a second of reserves stay short whatever is moved", s.last.short));
+    }
+    let value = s.last.moves.iter().map(
+        |m| json!({ "volume": m.volume, "from": m.from, "to": m.to, "extents": m.extents, "bytes": m.bytes }),
+    );
+    let value = json!({ "moves": value.collect::<Vec<_>>(), "bytes": bytes, "short": s.last.short });
+    out.put(lines, value);
+    Ok(())
+}
+
+fn write_snapshot(c: &mut Client, file: &Path, out: &Out) -> Result<(), Stop> {
+    let s = state(c)?;
+    let trail = c.look(What::Trail, 0, 0, Vec::new()).map_err(failed)?;
+    let status = c.look(What::Status, 0, 0, Vec::new()).map_err(failed)?;
+    let hosts =
+        status.last.hosts.iter().filter(|h| h.heard_of).map(|h| (h.name.as_str().into(), Version(h.has)));
+    let (version, settled, era) = (s.version, s.settled.min(s.version), s.era);
+    let trail = trail.entries.into_iter().filter(|e| e.version <= version).collect();
+    let kept =
+        Kept { version, settled, era, state: s.state, trail, hosts: hosts.collect(), ..Kept::default() };
+    snapshot::write(file, &(kept, BTreeMap::new()), now()).map_err(failed)?;
+    out.put([format!("entry {} in {}", version.0, file.display())], json!({ "version": version.0 }));
+    Ok(())
+}
+
+/// A store, or a snapshot where it is none.
+fn check(file: &Path, out: &Out) -> Result<(), Stop> {
+    if !file.exists() {
+        return Err(failed(format!("{} does not exist", file.display())));
+    }
+    let is_snapshot = file.extension().is_some_and(|e| e == "snapshot");
+    let read = match is_snapshot {
+        true => snapshot::read(file),
+        false => Store::open(file, u64::MAX).map(|(_, kept, places)| (kept, places)),
+    };
+    match read {
+        Ok((kept, places)) => {
+            let extents: u64 = places.values().map(|p| p.len()).sum();
+            let line = format!(
+                "{}: in order: entry {}, {} records, {} entries of the trail, {extents} extents of {} volumes",
+                file.display(),
+                kept.version.0,
+                kept.state.len(),
+                kept.trail.len(),
+                places.len()
+            );
+            let value = json!({ "version": kept.version.0, "records": kept.state.len(), "trail": kept.trail.len(),
+                "extents": extents });
+            out.put([line], value);
+            Ok(())
+        }
+        Err(fault @ (StoreFault::Locked | StoreFault::Newer { .. })) => {
+            Err(failed(format!("{}: {fault}", file.display())))
+        }
+        Err(fault) => {
+            eprintln!("{}: {fault}", file.display());
+            Err(Stop::Broken)
+        }
+    }
+}
+
+fn restore(from: &Path, store: &Path, out: &Out) -> Result<(), Stop> {
+    if store.exists() {
+        // One that is in use must not be pulled away from under its process.
+        if let Err(StoreFault::Locked) = Store::open(store, u64::MAX) {
+            return Err(failed(format!("{}: {}", store.display(), StoreFault::Locked)));
+        }
+    }
+    let aside = snapshot::restore(from, store, new_era()).map_err(failed)?;
+    let aside = aside.map(|a| format!("the store that was there is now {}", a.display()));
+    let line = format!(
+        "{} is restored; hosts that have followed something newer wait for 'plans prevail'",
+        store.display()
+    );
+    out.put([line].into_iter().chain(aside), json!({ "restored": store.display().to_string() }));
+    Ok(())
+}
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -9,15 +9,20 @@
 //! - a leg ends once, by the first of: its node's answer, its time, a reset, a cancel, or being taken back
 //!   from an outbox, which alone is told as "never ran";
 //! - what the list says of a node takes back every leg to it that has not crossed.
+//!
+//! Which volumes are served, and on what terms, [`crate::following`] says: the settings, or a state service.
 
-use crate::admission::{admit, Held};
+use crate::admission::{admit, Held, Turned};
+use crate::following::{Following, Out, Standing};
 use crate::listing::Listing;
 use crate::outbox::{LegNo, Outbox};
 use crate::pool::{Pool, Present, Step};
 use crate::stall::Stalls;
 use grebecleat::control::Control;
 use grebecleat::interface::*;
+use grebecleat_plans::follow::Start;
 use grebecleat_settings::{Bounds, Settings};
+use grebecleat_state::store::Keep;
 use grebecleat_wire::delay::Delay;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -75,6 +80,22 @@
     ListGone {
         conn: ConnId,
     },
+    StateUp {
+        conn: ConnId,
+        outbox: Arc<Outbox>,
+    },
+    StateFrames {
+        conn: ConnId,
+        frames: Vec<pb::Frame>,
+    },
+    StateGone {
+        conn: ConnId,
+    },
+    /// What [`Output::Keep`] asked for is on the disk, or why not.
+    Kept {
+        number: u64,
+        done: Result<(), String>,
+    },
     Remembered {
         list: pb::List,
     },
@@ -97,6 +118,13 @@
     DialList {
         conn: ConnId,
     },
+    DialState {
+        conn: ConnId,
+    },
+    Keep {
+        number: u64,
+        keeps: Vec<Keep>,
+    },
     Tell {
         to: Option<PeerId>,
         bytes: Vec<u8>,
@@ -135,6 +163,8 @@
 struct Open {
     client: ConnId,
     take: pb::Take,
+    /// The volume's plan when it was taken.
+    plan: PlanId,
     expiry: Duration,
     /// It has had its final answer, or nobody waits for one.
     over: bool,
@@ -189,7 +219,7 @@
 pub struct Desk {
     control: Control,
     settings: Arc<Settings>,
-    plan_of: HashMap<VolumeId, (PlanId, usize)>,
+    plans: Following,
     seed: u64,
     now: Duration,
     wanted_wake: Duration,
@@ -236,10 +266,10 @@
             rules.legs.clone(),
             rules.key_rest,
         );
-        let plan_of = s.volumes.iter().map(|v| (VolumeId(v.id), (PlanId(v.plan), v.hosts.len()))).collect();
+        let plans = Following::declared(s);
         Desk {
             control,
-            plan_of,
+            plans,
             seed,
             now: Duration::ZERO,
             wanted_wake: Duration::MAX,
@@ -269,6 +299,12 @@
         }
     }
 
+    /// Follows a state service, from what was last kept of it.
+    pub fn following(mut self, host: &str, start: Start) -> Self {
+        self.plans = Following::of(&self.settings, host, start, self.seed);
+        self
+    }
+
     fn bounds(&self) -> &Bounds {
         &self.settings.bounds
     }
@@ -303,7 +339,7 @@
         let timer = self.timers.first().map(|t| t.0);
         let leg = self.times.first().map(|t| t.0);
         let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
-        let wake = [timer, leg].into_iter().flatten().fold(beat, Duration::min);
+        let wake = [timer, leg, self.plans.wake_at()].into_iter().flatten().fold(beat, Duration::min);
         self.wanted_wake = wake.max(self.now);
         self.wanted_wake
     }
@@ -312,6 +348,7 @@
         self.now = now.max(self.now);
         self.counts.steps += 1;
         inputs.into_iter().for_each(|i| self.hear(i));
+        self.tend_plans();
         self.times_up();
         // However many timers a pause has let come due, the decisions are called once.
         let mut rung = None;
@@ -385,6 +422,17 @@
             }
             Input::ListGone { conn } if self.list.conn == Some(conn) => self.list_lost("connection lost"),
             Input::ListGone { .. } => {}
+            Input::StateUp { conn, outbox } => self.plans.up(conn, outbox),
+            Input::StateFrames { conn, frames } => {
+                for body in frames.into_iter().filter_map(|f| f.body) {
+                    if let Err(why) = self.plans.frame(conn, body) {
+                        self.complain(conn, &why);
+                        self.plans.gone(conn, self.now);
+                    }
+                }
+            }
+            Input::StateGone { conn } => self.plans.gone(conn, self.now),
+            Input::Kept { number, done } => self.plans.kept(number, done),
             Input::Remembered { list } => self.entries(ListKind::Remembered, &list.entries),
             Input::Word { from, bytes } => self.events.push(Event::Told { from, bytes }),
             Input::Drain => self.drain(),
@@ -420,8 +468,13 @@
             return self.throw_out(conn, "transfer of an unknown stream type");
         };
         let volume = VolumeId(t.volume);
-        let Some(&(plan, hosts)) = self.plan_of.get(&volume) else {
-            return self.throw_out(conn, "transfer of an unknown volume");
+        let (plan, hosts) = match self.plans.standing(volume) {
+            Standing::Here { plan, hosts } => (plan, hosts),
+            Standing::Nowhere if !self.plans.is_on() => {
+                return self.throw_out(conn, "transfer of an unknown volume");
+            }
+            // Its client may know less than we do of what changed, or more: it is told, and not hung up on.
+            other => return self.not_here(conn, t, other),
         };
         let units = t.units;
         if !(units.is_finite() && units > 0.0 && units <= self.settings.units.largest) {
@@ -455,11 +508,54 @@
             expiry,
             volume,
         }));
-        let open =
-            Open { client: conn, take: t, expiry, over: false, unsure: false, legs: 0, out: Vec::new() };
+        let open = Open {
+            client: conn,
+            take: t,
+            plan,
+            expiry,
+            over: false,
+            unsure: false,
+            legs: 0,
+            out: Vec::new(),
+        };
         self.xfers.insert(id, open);
     }
 
+    /// A transfer of a volume that this host does not serve never runs here.
+    fn not_here(&mut self, conn: ConnId, t: pb::Take, standing: Standing) {
+        self.counts.turned_away += 1;
+        // Elsewhere, or later, it may; of a volume that is no more there is nothing to come back for.
+        let outcome = match standing {
+            Standing::Nowhere => pb::Outcome::Abandoned,
+            _ => pb::Outcome::Deferred,
+        };
+        let come_back = Turned::Draining.come_back().min(self.settings.caps.come_back.unwrap_or_default());
+        let come_back = (outcome == pb::Outcome::Deferred && !come_back.is_zero()).then_some(come_back);
+        let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+        self.answer(
+            conn,
+            pb::Final { id: t.id, outcome: outcome.into(), come_back_us, ..pb::Final::default() },
+        );
+    }
+
+    /// Tells the decisions what changed of plans and volumes, and the disk and the service what they must know.
+    fn tend_plans(&mut self) {
+        let mut next = self.next;
+        let number = || {
+            next += 1;
+            next
+        };
+        let out = self.plans.step(self.now, &mut self.events, number);
+        self.next = next;
+        for o in out {
+            self.out.push(match o {
+                Out::Dial { conn } => Output::DialState { conn },
+                Out::Keep { number, keeps } => Output::Keep { number, keeps },
+                Out::Note { text } => Output::Note { text },
+            });
+        }
+    }
+
     fn answer(&mut self, conn: ConnId, told: pb::Final) {
         let Some(client) = self.clients.get(&conn) else { return };
         client.outbox.put(frame(Body::Final(told)));
@@ -581,14 +677,15 @@
             let l = self.legs.get_mut(&leg).expect("waiting legs are known");
             l.conn = Some(conn);
             let x = &self.xfers[&l.id];
-            let t = &x.take;
+            let (t, plan) = (&x.take, x.plan);
             let message = pb::Leg {
                 leg: leg.0,
                 id: t.id.clone(),
                 number: l.number,
                 node: node.0,
                 stream_type: t.stream_type,
-                plan: self.plan_of[&VolumeId(t.volume)].0 .0 as u32,
+                plan: plan.0 as u32,
+                plan_rate: self.plans.rate(plan),
                 volume: t.volume,
                 key: t.key,
                 units: t.units,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod admission;
 pub mod desk;
+pub mod following;
 pub mod listing;
 pub mod outbox;
 pub mod pool;
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -11,7 +11,9 @@
 use crate::listing::Listing;
 use crate::outbox::Outbox;
 use grebecleat::interface::PeerId;
+use grebecleat_plans::follow::Start;
 use grebecleat_settings::{Bounds, Settings};
+use grebecleat_state::keeper::Keeper;
 use grebecleat_wire::pb::{self, frame::Body};
 use grebecleat_wire::trace::Tracer;
 use grebecleat_wire::{clock, frame, VERSION};
@@ -50,6 +52,8 @@
     pub host: usize,
     pub listen: SocketAddr,
     pub list: SocketAddr,
+    /// Where the state service answers, and what was kept of it; None: the settings alone count.
+    pub state: Option<StateLink>,
     pub peers: Vec<(PeerId, SocketAddr)>,
     pub tracer: Tracer,
     /// Where the last list is kept for the next start.
@@ -58,6 +62,20 @@
     pub workers: usize,
 }
 
+/// How a host follows a state service.
+#[derive(Clone)]
+pub struct StateLink {
+    pub address: SocketAddr,
+    pub keeper: Keeper,
+    pub start: Start,
+}
+
+impl std::fmt::Debug for StateLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "state service at {}", self.address)
+    }
+}
+
 #[derive(Clone)]
 struct Shared {
     options: Arc<Options>,
@@ -167,6 +185,11 @@
 
 /// SIGTERM or SIGINT drains the host; a second one ends the process with code 3.
 pub fn on_signals(handle: Handle) {
+    on_signals_do(move || handle.drain());
+}
+
+/// The same for any process that can be told to end.
+pub fn on_signals_do(end: impl Fn() + Send + 'static) {
     std::thread::spawn(move || {
         let signals = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
         let Ok(mut signals) = signal_hook::iterator::Signals::new(signals) else { return };
@@ -175,7 +198,7 @@
                 warn!("ended by a second signal");
                 std::process::exit(3);
             }
-            handle.drain();
+            end();
         }
     });
 }
@@ -204,6 +227,9 @@
 /// The loop of the one owner of the decisions.
 fn own(shared: &Shared, inputs: &Receiver<Input>) -> Counts {
     let mut desk = Desk::new(shared.options.settings.clone(), shared.options.seed);
+    if let Some(link) = &shared.options.state {
+        desk = desk.following(&shared.me.name, link.start.clone());
+    }
     let (mut batch, mut alive) = (Vec::new(), true);
     // A first step, so that the decisions ask for the list without waiting for a client.
     batch.push(Input::Word { from: PeerId(u32::MAX), bytes: Vec::new() });
@@ -235,38 +261,29 @@
 
 /// Answers whether the host has ended.
 fn carry_out(shared: &Shared, output: Output) -> bool {
-    let bounds = shared.bounds();
     match output {
-        Output::Dial { conn, node, address } => {
-            let shared = shared.clone();
-            let timeout = bounds.dial_timeout;
-            go!(move || {
-                let up = |outbox| Input::NodeUp { conn, outbox };
-                let frames = |at, frames| Input::NodeFrames { conn, at, frames };
-                let stream = TcpStream::connect_timeout(&address, timeout);
-                let why = stream
-                    .map_err(|e| e.to_string())
-                    .and_then(|stream| serve(&shared, conn, stream, pb::Role::Node, timeout, up, frames));
-                if let Err(why) = why {
-                    tracing::debug!(node = node.0, conn = conn.0, "connection to node over: {why}");
-                }
-                let _ = shared.to_owner.send(Input::NodeGone { conn });
-            });
+        Output::Dial { conn, address, .. } => {
+            let up = move |outbox| Input::NodeUp { conn, outbox };
+            let frames = move |at, frames| Input::NodeFrames { conn, at, frames };
+            dial(shared, conn, address, pb::Role::Node, up, frames, Input::NodeGone { conn });
         }
         Output::DialList { conn } => {
-            let shared = shared.clone();
-            let (address, timeout) = (shared.options.list, bounds.dial_timeout);
-            go!(move || {
-                let up = |outbox| Input::ListUp { conn, outbox };
-                let frames = |_, frames| Input::ListFrames { conn, frames };
-                let stream = TcpStream::connect_timeout(&address, timeout);
-                let why = stream
-                    .map_err(|e| e.to_string())
-                    .and_then(|stream| serve(&shared, conn, stream, pb::Role::List, timeout, up, frames));
-                if let Err(why) = why {
-                    tracing::debug!(conn = conn.0, "connection to the list over: {why}");
-                }
-                let _ = shared.to_owner.send(Input::ListGone { conn });
+            let up = move |outbox| Input::ListUp { conn, outbox };
+            let frames = move |_, frames| Input::ListFrames { conn, frames };
+            dial(shared, conn, shared.options.list, pb::Role::List, up, frames, Input::ListGone { conn });
+        }
+        Output::DialState { conn } => {
+            let Some(link) = &shared.options.state else { return false };
+            let up = move |outbox| Input::StateUp { conn, outbox };
+            let frames = move |_, frames| Input::StateFrames { conn, frames };
+            dial(shared, conn, link.address, pb::Role::State, up, frames, Input::StateGone { conn });
+        }
+        Output::Keep { number, keeps } => {
+            let Some(link) = &shared.options.state else { return false };
+            let to_owner = shared.to_owner.clone();
+            link.keeper.keep(keeps, move |done| {
+                let done = done.map_err(|why| why.to_string());
+                let _ = to_owner.send(Input::Kept { number, done });
             });
         }
         Output::Tell { to, bytes } => {
@@ -301,6 +318,24 @@
     false
 }
 
+/// Dials, and serves the connection until it ends; `gone` is told whatever came of it.
+fn dial(
+    shared: &Shared, conn: ConnId, address: SocketAddr, role: pb::Role,
+    up: impl FnOnce(Arc<Outbox>) -> Input + Send + 'static,
+    frames: impl Fn(Duration, Vec<pb::Frame>) -> Input + Send + 'static, gone: Input,
+) {
+    let (shared, timeout) = (shared.clone(), shared.bounds().dial_timeout);
+    go!(move || {
+        let stream = TcpStream::connect_timeout(&address, timeout);
+        let served = stream.map_err(|e| e.to_string());
+        let served = served.and_then(|stream| serve(&shared, conn, stream, role, timeout, up, frames));
+        if let Err(why) = served {
+            tracing::debug!(conn = conn.0, %address, "connection over: {why}");
+        }
+        let _ = shared.to_owner.send(gone);
+    });
+}
+
 /// The old file stays whole until the new one is.
 fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let beside = path.with_extension("new");
--- a/crates/plans/src/changes.rs
+++ b/crates/plans/src/changes.rs
@@ -343,7 +343,7 @@
     }
 
     /// The last entries, oldest first.
-    pub fn trail(&self) -> impl DoubleEndedIterator<Item = &Entry> + ExactSizeIterator {
+    pub fn trail(&self) -> impl DoubleEndedIterator<Item = &Entry> + ExactSizeIterator + Clone {
         self.trail.iter()
     }
 
--- a/crates/plans/src/feed.rs
+++ b/crates/plans/src/feed.rs
@@ -184,11 +184,11 @@
         }
     }
 
-    /// Hosts on which a version waits, and whether only their own word can end that.
+    /// Hosts on which a version waits, and whether nothing but their own word can end that: they have not been
+    /// heard for as long as a lease.
     pub fn waits_for(&self, now: Duration, version: Version, lowerings: &Lowerings) -> Vec<(HostNo, bool)> {
         let waits = self.hosts.iter().filter(|(_, h)| Self::reach(h, now, lowerings) < version);
-        let silent = |h: &Held| h.has.is_some_and(|has| lowerings.reach(has) < version);
-        waits.map(|(no, h)| (*no, silent(h))).collect()
+        waits.map(|(no, h)| (*no, now >= h.until)).collect()
     }
 
     /// When what is settled may change by time alone.
--- a/crates/plans/src/source.rs
+++ b/crates/plans/src/source.rs
@@ -106,8 +106,9 @@
     Kept {
         upto: u64,
     },
-    /// Nothing after what was last kept ever will be.
+    /// What had that number is not, and nothing that was sent after it and rests on it ever will be.
     NotKept {
+        number: u64,
         why: String,
     },
 }
@@ -219,6 +220,8 @@
     known_sent: BTreeMap<u64, (HostNo, Version)>,
     waiting: BTreeMap<HostNo, Waiting>,
     next: u64,
+    /// Up to that number what was sent to the disk counts for nothing any more.
+    void: u64,
     next_timed: u64,
     not_before: Duration,
     /// Losses whose figures are of an older state, and how many may still be looked at in this step.
@@ -253,6 +256,7 @@
             not_before: Duration::ZERO,
             wall: Duration::ZERO,
             next: 0,
+            void: 0,
             out: Vec::new(),
             ledger,
             admission,
@@ -279,11 +283,16 @@
         self.settled_kept
     }
 
+    /// What some host has followed and nobody here knows of, until an operator has said what counts.
+    pub fn behind(&self) -> Option<Version> {
+        self.leases.behind()
+    }
+
     pub fn admission(&self) -> &Admission {
         &self.admission
     }
 
-    /// Hosts on which that version waits, and whether only their own word, or an operator's, can end that.
+    /// Hosts on which that version waits, and whether nothing but their own word, or an operator's, can end that.
     pub fn waits_for(&self, version: Version) -> Vec<(Name, bool)> {
         let waits = self.leases.waits_for(self.now, version, &self.lowerings);
         waits.into_iter().map(|(h, silent)| (self.hosts[h.0 as usize].clone(), silent)).collect()
@@ -349,8 +358,10 @@
             }
             Event::Prevail { call, who, why } => self.prevail(call, &who, &why),
             Event::Hung { call } => self.waiting.retain(|_, w| w.call != call),
-            Event::Kept { upto } => self.is_kept(upto),
-            Event::NotKept { why } => self.take_back(&why),
+            // Of what was taken back with an earlier one the disk may still speak.
+            Event::Kept { upto } if upto > self.void => self.is_kept(upto),
+            Event::NotKept { number, why } if number > self.void => self.take_back(&why),
+            Event::Kept { .. } | Event::NotKept { .. } => {}
         }
     }
 
@@ -524,7 +535,7 @@
             .filter(|e| e.version > self.settled_kept)
             .for_each(|e| self.lowerings.add(e.version, e.lowers));
         (self.settled_sent, self.known_sent) = (None, BTreeMap::new());
-        self.not_before = self.now + AGAIN;
+        (self.not_before, self.void) = (self.now + AGAIN, self.next);
         self.note(format!("not kept: {why}"));
     }
 
--- a/crates/plans/tests/fleet.rs
+++ b/crates/plans/tests/fleet.rs
@@ -322,8 +322,15 @@
     fn disks(&mut self) {
         if !self.keeping.is_empty() && self.rng.random_range(0..3) > 0 {
             if self.chance(40) {
-                self.keeping.clear();
-                return self.source_step(vec![source::Event::NotKept { why: "full".into() }]);
+                // What rests on the first fails after it, and what comes meanwhile does not.
+                let failed: Vec<u64> = self.keeping.drain(..).map(|k| k.0).collect();
+                for number in failed {
+                    self.source_step(vec![source::Event::NotKept { number, why: "full".into() }]);
+                    if self.rng.random() {
+                        self.operator();
+                    }
+                }
+                return;
             }
             let n = self.rng.random_range(1..=self.keeping.len());
             let mut upto = 0;
--- a/crates/plans/tests/source.rs
+++ b/crates/plans/tests/source.rs
@@ -132,12 +132,16 @@
     // What rests on one that cannot be kept falls with it.
     let a = r.propose(vec![plan("x", 1.0)], |_| ());
     let b = r.propose(vec![volume(3, "x")], |p| p.looked_at = Version(5));
+    let number = r.sent[0].0;
     r.sent.clear();
-    r.step(vec![Event::NotKept { why: "disk full".into() }]);
+    r.step(vec![Event::NotKept { number, why: "disk full".into() }]);
     let told = r.said();
     assert!(told.contains(&format!("{}: not kept: disk full", a.0)), "{told:?}");
     assert!(told.contains(&format!("{}: not kept: disk full", b.0)), "{told:?}");
     assert_eq!((r.s.ledger().version(), r.s.ledger().plan("x")), (Version(4), None));
+    // What the disk says later of what was taken back counts for nothing.
+    r.step(vec![Event::NotKept { number: number + 1, why: "it rests on the first".into() }]);
+    assert!(r.said().is_empty());
     // And can be asked again once there is room.
     r.now += ms(2000);
     let a = r.propose(vec![plan("x", 1.0)], |_| ());
@@ -276,12 +280,12 @@
     r.ask(0, 4, 2);
     r.keep();
     assert_eq!(r.s.settled(), Version(2));
-    assert_eq!(r.s.waits_for(Version(4)), [("h2".into(), true)]);
+    assert_eq!(r.s.waits_for(Version(4)), [("h2".into(), false)]);
     // Its lease runs out: what it need not hear of is over, the new limit is not.
     r.now += ms(3600);
     r.step(vec![]);
     r.keep();
-    assert_eq!(r.s.settled(), Version(3));
+    assert_eq!((r.s.settled(), r.s.waits_for(Version(4))), (Version(3), vec![("h2".into(), true)]));
     let call = r.call();
     r.step(vec![Event::Gone { call, host: HostNo(1), who: "clerk".into() }]);
     r.keep();
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -98,9 +98,11 @@
     bounds,
     portal,
     target,
+    state_service,
     rehearsal,
     load_of,
-    trouble
+    trouble,
+    change
 );
 
 fn fault(e: &starlark::Error, path: &str) -> Fault {
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -50,6 +50,8 @@
     pub id: u32,
     pub zone: usize,
     pub cell: u32,
+    /// Units a second that it can do, for the planner; 0: nobody has said.
+    pub capacity: f64,
     pub cores: u32,
     pub speed: f64,
     /// Places in its queue, beyond which it turns away.
@@ -81,6 +83,20 @@
     pub fails: f64,
 }
 
+/// Where hosts follow changes of plans, and on what terms.
+#[derive(Debug, Clone)]
+pub struct StateSpec {
+    pub address: Option<SocketAddr>,
+    /// For how long a host may act on what it was last told.
+    pub lease: Duration,
+    /// By how much clocks may run apart in that time.
+    pub margin: Duration,
+    /// How far a volume's load may gather on a part of its nodes: 1 is spread alike.
+    pub spread: f64,
+    pub most_trail: u64,
+    pub snapshot_every: Duration,
+}
+
 #[derive(Debug, Clone)]
 pub struct Rules {
     pub drain_grace: Duration,
@@ -153,6 +169,15 @@
     pub zone: Option<usize>,
 }
 
+/// A change of plans while a rehearsal runs, in the words of `grebecleat plans set`.
+#[derive(Debug, Clone)]
+pub struct ScriptedChange {
+    pub at: Duration,
+    pub words: Vec<String>,
+    pub who: String,
+    pub force: bool,
+}
+
 #[derive(Debug, Clone)]
 pub struct Rehearsal {
     pub seed: u64,
@@ -167,6 +192,7 @@
     /// iSCSI sessions at each target of each portal.
     pub sessions: u8,
     pub troubles: Vec<Trouble>,
+    pub changes: Vec<ScriptedChange>,
 }
 
 #[derive(Debug, Clone)]
@@ -179,6 +205,7 @@
     pub nodes: Vec<NodeSpec>,
     pub hosts: Vec<HostSpec>,
     pub list: ListSpec,
+    pub state: Option<StateSpec>,
     pub units: UnitFacts,
     pub caps: Caps,
     pub rules: Rules,
@@ -292,6 +319,8 @@
             }
         }
         let list = self.once("node_list", list);
+        let follows = self.calls.iter().any(|c| c.what == "state_service");
+        let state = follows.then(|| self.once("state_service", state));
         let units = self.once("units", units);
         let caps = self.once("legs", legs);
         let hosts_n = hosts.len();
@@ -331,6 +360,7 @@
             volumes,
             nodes,
             list,
+            state,
             units,
             caps,
             rules,
@@ -346,6 +376,7 @@
     fn rehearsal(&mut self, zones: &[&str], hosts: &[&str], nodes: &[NodeSpec]) -> Option<Rehearsal> {
         let ids: BTreeSet<u32> = nodes.iter().map(|n| n.id).collect();
         let troubles = self.each("trouble", |f| trouble(f, zones, hosts, &ids));
+        let changes = self.each("change", change);
         if !self.calls.iter().any(|c| c.what == "rehearsal") {
             return None;
         }
@@ -361,6 +392,7 @@
             bytes_per_unit: f.whole("bytes_per_unit", Some(512), (1, 1 << 20)) as u32,
             sessions: f.whole("sessions", Some(4), (0, 64)) as u8,
             troubles: troubles.clone(),
+            changes: changes.clone(),
         }))
     }
 }
@@ -449,6 +481,7 @@
         id,
         zone: f.one_of("zone", None, zones),
         cell: f.whole("cell", Some(u64::from(id)), (0, u64::from(u32::MAX))) as u32,
+        capacity: f.number("capacity", Some(0.0), (0.0, 1e9)),
         cores: f.whole("cores", Some(2), (1, 1024)) as u32,
         speed: f.number("speed", Some(1.0), (0.01, 1000.0)),
         queue: f.whole("queue", Some(64), (1, 1 << 20)) as usize,
@@ -490,6 +523,37 @@
     }
 }
 
+fn state(f: &mut Fields) -> StateSpec {
+    let spec = StateSpec {
+        address: address(f, "address"),
+        lease: f.span("lease", Some(ms(6000)), DAY),
+        margin: f.span("margin", Some(ms(1000)), DAY),
+        spread: f.number("spread", Some(2.0), (1.0, 1000.0)),
+        most_trail: f.whole("most_trail", Some(100_000), (100, 10_000_000)),
+        snapshot_every: f.span("snapshot_every", Some(ms(600_000)), DAY),
+    };
+    if spec.lease < ms(100) {
+        f.fault("lease", format!("expected at least ms(100), found {:?}", spec.lease));
+    }
+    spec
+}
+
+fn change(f: &mut Fields) -> ScriptedChange {
+    let words = f
+        .raw("words")
+        .and_then(|v| v.as_array().map(|a| a.iter().map(|w| w.as_str().map(str::to_string)).collect()));
+    let words: Option<Vec<String>> = words.flatten();
+    if words.as_ref().is_none_or(|w| w.is_empty()) {
+        f.fault("words", "expected a list of changes such as [\"plan basic limit=20\"]".into());
+    }
+    ScriptedChange {
+        at: f.span("at", None, DAY),
+        words: words.unwrap_or_default(),
+        who: f.text("who", Some("rehearsal")),
+        force: f.flag("force", Some(false)),
+    }
+}
+
 fn units(f: &mut Fields) -> UnitFacts {
     UnitFacts {
         mean: f.number("mean", Some(2.0), (0.01, 1e6)),
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -390,10 +390,9 @@
         }
         // Late by a period: the one before the last that is whole.
         let told = number(now).checked_sub(2).map(|p| meter.of(p, leg.volume));
-        let plan = &self.settings.plans[leg.plan as usize % self.settings.plans.len()].facts;
         let reported = told
-            .filter(|_| !self.settings.units.meter.is_zero() && plan.base_rate > 0.0)
-            .map(|units| units / period / plan.base_rate * 100.0);
+            .filter(|_| !self.settings.units.meter.is_zero() && leg.plan_rate > 0.0)
+            .map(|units| units / period / leg.plan_rate * 100.0);
         let busy = Some(self.running.len() as f64 / f64::from(self.spec.cores));
         let result = pb::Result::Ok.into();
         let answer = pb::LegAnswer { leg: leg.leg, result, reported, others: 0.0, busy, data, superseded };
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,8 +5,12 @@
 //! memory. It must never decide where one goes, which change lands, nor over any transfer. Begin with
 //! [`store`].
 
+pub mod client;
 pub mod codec;
+pub mod declared;
 pub mod extents;
 pub mod keeper;
+pub mod serve;
 pub mod snapshot;
 pub mod store;
+pub mod words;
