--- a/crates/host/tests/sockets.rs
+++ b/crates/host/tests/sockets.rs
@@ -49,6 +49,7 @@
         host: 0,
         listen: ([127, 0, 0, 1], 0).into(),
         list,
+        state: None,
         peers: Vec::new(),
         tracer: Tracer::default(),
         remember: None,
