--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,10 +4,11 @@
 //! broken, with the frames that show it. It never asks a host for its own counts, and shares nothing with it
 //! but the wire. All processes of a machine record one clock. Begin with [`Case::judge`]; each rule is a
 //! function of [`rules`]; [`run`] is the run as read from the traces. [`commands`] counts iSCSI commands and
-//! puts every block's reads and writes in order, by [`history`].
+//! puts every block's reads and writes in order, by [`history`]. [`plans`] says which limits were in force when.
 
 pub mod commands;
 pub mod history;
+pub mod plans;
 pub mod rules;
 pub mod run;
 
@@ -53,6 +54,8 @@
     pub drain_ms: f64,
     /// Of portals, where there were any.
     pub commands: commands::Commands,
+    /// How long each change of plans took from when it was first told to when it was over everywhere.
+    pub settled: Vec<(u64, std::time::Duration)>,
 }
 
 impl Verdict {
@@ -103,7 +106,9 @@
         rules::cold(settings, &run, &mut v);
         rules::order(settings, &run, &mut v);
         rules::budget(settings, &run, &mut v);
-        rules::limits(settings, &run, &mut v);
+        plans::limits(settings, &run.hosts, &run.plans, &mut v);
+        run.plans.judge_settled(settings, &mut v);
+        v.settled = run.plans.took();
         v.commands = commands::judge(settings, &self.traces, &run.marks);
         Ok(v)
     }
--- /dev/null
+++ b/crates/audit/src/plans.rs
@@ -0,0 +1,309 @@
+//! Plans as they were told: which limit was in force when, from the frames of the state service alone.
+//!
+//! What a version says is put together from the entries and states that hosts were sent; what was settled, from
+//! the first answer that says so. The limit in force is that of the settled version. Whether it was right to
+//! call it settled is judged as well: every host that may have followed an older version, by its last words and
+//! answers, must not thereby have held itself entitled to more than the settled version gives it.
+//!
+//! After a store was put back from a snapshot two histories are under way: until the one that counts is settled
+//! to its end, the larger of both limits is in force, and nothing is said of what was settled.
+
+use crate::run::Host;
+use crate::{Breach, Verdict};
+use grebecleat_settings::Settings;
+use grebecleat_wire::pb::{self, change, frame::Body, record::Kind, Record};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Terms of one volume over all hosts: units a second, units at once, and by how much it may be passed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    pub rate: f64,
+    pub burst: f64,
+    pub slack: f64,
+}
+
+impl Limit {
+    fn larger(a: Option<Limit>, b: Option<Limit>) -> Option<Limit> {
+        let (a, b) = (a?, b?);
+        Some(Limit { rate: a.rate.max(b.rate), burst: a.burst.max(b.burst), slack: a.slack + b.slack })
+    }
+}
+
+/// An answer to a host.
+#[derive(Debug)]
+struct Told {
+    at: Duration,
+    host: String,
+    era: u64,
+    version: u64,
+    settled: u64,
+}
+
+/// What a host said of itself.
+#[derive(Debug)]
+struct Said {
+    at: Duration,
+    host: String,
+    era: u64,
+    sure: u64,
+}
+
+/// A value that changes with the version.
+type ByVersion<T> = BTreeMap<u64, Option<T>>;
+
+/// What the entries of one history say.
+#[derive(Debug, Default)]
+struct History {
+    plans: BTreeMap<String, ByVersion<pb::PlanFigures>>,
+    volumes: BTreeMap<u64, ByVersion<pb::VolumeFacts>>,
+    /// Volumes that a version touches, itself or by their plan's figures.
+    versions: BTreeMap<u64, (BTreeSet<u64>, BTreeSet<String>)>,
+}
+
+impl History {
+    fn add(&mut self, version: u64, c: &pb::Change) {
+        use change::{Subject, To};
+        match (&c.subject, &c.to) {
+            (Some(Subject::Plan(name)), to) => {
+                let to = if let Some(To::PlanTo(p)) = to { Some(*p) } else { None };
+                self.plans.entry(name.clone()).or_default().insert(version, to);
+                self.versions.entry(version).or_default().1.insert(name.clone());
+            }
+            (Some(Subject::Volume(id)), to) => {
+                let to = if let Some(To::VolumeTo(v)) = to { Some(v.clone()) } else { None };
+                self.volumes.entry(*id).or_default().insert(version, to);
+                self.versions.entry(version).or_default().0.insert(*id);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// All that was told of plans in a run.
+#[derive(Debug, Default)]
+pub struct Plans {
+    histories: HashMap<u64, History>,
+    /// In the order in which they were first told.
+    eras: Vec<u64>,
+    told: Vec<Told>,
+    said: Vec<Said>,
+    gone: Vec<(Duration, String)>,
+}
+
+impl Plans {
+    /// Reads the trace of a state service's process.
+    pub fn read(&mut self, records: &[Record]) {
+        let mut peers: HashMap<u64, String> = HashMap::new();
+        for r in records {
+            let at = Duration::from_nanos(r.at_ns);
+            let host = || peers.get(&r.conn).cloned().unwrap_or_default();
+            match (r.kind(), r.frame.as_ref().and_then(|f| f.body.as_ref())) {
+                (Kind::Opened, _) => drop(peers.insert(r.conn, r.peer.clone())),
+                (Kind::In, Some(Body::Follow(f))) => {
+                    self.said.push(Said { at, host: host(), era: f.era, sure: f.sure });
+                }
+                (Kind::In, Some(Body::Confirm(c))) => {
+                    self.said.push(Said { at, host: host(), era: c.era, sure: c.has });
+                }
+                (Kind::In, Some(Body::HostGone(g))) => self.gone.push((at, g.host.clone())),
+                (Kind::Out, Some(Body::Feed(f))) => self.feed(at, host(), f),
+                _ => {}
+            }
+        }
+        self.told.sort_by_key(|t| t.at);
+        self.said.sort_by_key(|s| s.at);
+    }
+
+    fn feed(&mut self, at: Duration, host: String, f: &pb::Feed) {
+        if !self.eras.contains(&f.era) {
+            self.eras.push(f.era);
+        }
+        let history = self.histories.entry(f.era).or_default();
+        f.state.iter().for_each(|c| history.add(f.at, c));
+        for e in &f.entries {
+            e.changes.iter().for_each(|c| history.add(e.version, c));
+        }
+        let (era, version, settled) = (f.era, f.version, f.settled);
+        self.told.push(Told { at, host, era, version, settled });
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
+    /// What a version says of something: by the history it belongs to, or the one that it came out of.
+    fn look<T: Clone>(
+        &self, era: u64, version: u64, of: impl Fn(&History) -> Option<&ByVersion<T>>,
+    ) -> Option<T> {
+        let upto = self.eras.iter().position(|e| *e == era).unwrap_or(0);
+        let eras = self.eras[..(upto + 1).min(self.eras.len())].iter().rev();
+        let mut found = eras.filter_map(|e| of(self.histories.get(e)?)?.range(..=version).next_back());
+        found.next().and_then(|f| f.1.clone())
+    }
+
+    /// Plan's figures and hosts of a volume at a version.
+    fn terms(&self, era: u64, version: u64, volume: u64) -> Option<(pb::PlanFigures, pb::VolumeFacts)> {
+        let v = self.look(era, version, |h| h.volumes.get(&volume))?;
+        let p = self.look(era, version, |h| h.plans.get(&v.plan))?;
+        Some((p, v))
+    }
+
+    fn limit(&self, era: u64, version: u64, volume: u64) -> Option<Limit> {
+        let (p, _) = self.terms(era, version, volume)?;
+        (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.burst, slack: p.slack })
+    }
+
+    /// When which limit of a volume came into force; None: none.
+    pub fn in_force(&self, volume: u64, at_first: Option<Limit>) -> Vec<(Duration, Option<Limit>)> {
+        let mut all = vec![(Duration::ZERO, at_first)];
+        let (mut era, mut settled, mut old) = (None, 0, None);
+        for t in &self.told {
+            if era.is_some_and(|e| e != t.era) && t.era != era.unwrap_or(t.era) {
+                old = Some(all.last().expect("the first").1);
+                settled = 0;
+            }
+            if t.settled < settled {
+                continue;
+            }
+            (era, settled) = (Some(t.era), t.settled);
+            let now = self.limit(t.era, t.settled, volume);
+            old.take_if(|_| t.settled == t.version);
+            let now = old.map_or(now, |old| Limit::larger(old, now));
+            if all.last().is_none_or(|l| l.1 != now) {
+                all.push((t.at, now));
+            }
+        }
+        all
+    }
+
+    /// Volumes that were ever told of.
+    pub fn volumes(&self) -> BTreeSet<u64> {
+        self.histories.values().flat_map(|h| h.volumes.keys().copied()).collect()
+    }
+
+    /// Whether each version was settled when it was first called so.
+    pub fn judge_settled(&self, s: &Settings, v: &mut Verdict) {
+        let Some(spec) = &s.state else { return };
+        let first = self.eras.first().copied().unwrap_or_default();
+        let mut settled = 0;
+        // After a restore the histories of hosts cannot be told from the outside: see above.
+        for t in self.told.iter().take_while(|t| t.era == first) {
+            if t.settled <= settled {
+                continue;
+            }
+            for host in s.hosts.iter().map(|h| h.name.as_str()) {
+                if let Some(why) = self.unsettled(spec.lease + spec.margin, t, host) {
+                    let what = format!("entry {} was called settled while {host} {why}", t.settled);
+                    v.breaches.push(Breach { rule: 7, what, frames: vec![format!("{t:?}")] });
+                }
+            }
+            settled = t.settled;
+        }
+    }
+
+    fn unsettled(&self, lease: Duration, t: &Told, host: &str) -> Option<String> {
+        let before = self.told.iter().take_while(|o| o.at <= t.at).filter(|o| o.host == host && o.at < t.at);
+        let last = before.last()?;
+        let mut own = self.said.iter().filter(|s| s.host == host && s.at <= t.at);
+        let sure = own.clone().filter(|s| s.era == t.era).map(|s| s.sure).max().unwrap_or(0);
+        let heard = own.next_back().map(|s| s.at).unwrap_or_default();
+        if sure >= t.settled || self.gone.iter().any(|g| g.1 == host && g.0 <= t.at && g.0 > heard) {
+            return None;
+        }
+        if t.at < last.at + lease {
+            return Some(format!("had said no more than {sure} and may still follow that"));
+        }
+        // Cut off, it holds to its part of the reservation as it knows it.
+        let floor = |version: u64, volume: u64| -> f64 {
+            match self.terms(t.era, version, volume) {
+                Some((p, v)) if p.limit > 0.0 && v.hosts.iter().any(|h| h == host) => {
+                    p.reservation / v.hosts.len() as f64
+                }
+                Some((p, _)) if p.limit > 0.0 => 0.0,
+                _ => f64::INFINITY,
+            }
+        };
+        let part = |volume: u64| -> f64 {
+            match self.terms(t.era, t.settled, volume) {
+                Some((p, v)) if p.limit > 0.0 && v.hosts.iter().any(|h| h == host) => {
+                    p.limit / v.hosts.len() as f64
+                }
+                Some((p, _)) if p.limit > 0.0 => 0.0,
+                _ => f64::INFINITY,
+            }
+        };
+        let knows = |volume: &u64| {
+            let (_, v) = self.terms(t.era, sure, *volume)?;
+            v.hosts.iter().any(|h| h == host).then_some(())
+        };
+        let more = self.volumes().into_iter().filter(|v| knows(v).is_some());
+        let mut more = more.filter(|v| floor(sure, *v) > part(*v) + 1e-9);
+        more.next().map(|v| format!("is cut off with entry {sure}, and more of volume {v} than is its part"))
+    }
+
+    /// How long each entry took from when it was first told to when it was called settled.
+    pub fn took(&self) -> Vec<(u64, Duration)> {
+        let mut first: BTreeMap<(u64, u64), Duration> = BTreeMap::new();
+        let mut took = BTreeMap::new();
+        let mut newest = 0;
+        for t in &self.told {
+            if t.version > newest {
+                (newest + 1..=t.version).for_each(|v| _ = first.entry((t.era, v)).or_insert(t.at));
+                newest = t.version;
+            }
+            let open: Vec<(u64, u64)> = first.range((t.era, 0)..=(t.era, t.settled)).map(|f| *f.0).collect();
+            for key in open {
+                let at = first.remove(&key).expect("listed above");
+                took.entry(key.1).or_insert(t.at - at);
+            }
+        }
+        took.into_iter().collect()
+    }
+}
+
+/// Rule 7: all hosts' first legs of a volume against its one store.
+pub fn limits(s: &Settings, hosts: &[Host], plans: &Plans, v: &mut Verdict) {
+    let declared = |volume: u64| {
+        let spec = s.volumes.iter().find(|x| x.id == volume)?;
+        let p = &s.plans[spec.plan].facts;
+        (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.limit_burst, slack: p.limit_slack })
+    };
+    let mut firsts: BTreeMap<u64, Vec<(Duration, f64, String)>> = BTreeMap::new();
+    for h in hosts {
+        for leg in h.taken.iter().filter_map(|t| t.legs.first()).map(|l| &h.legs[*l]) {
+            let line = firsts.entry(leg.leg.volume).or_default();
+            line.push((leg.seen.at, leg.leg.units, leg.seen.show.clone()));
+        }
+    }
+    for (volume, mut legs) in firsts {
+        legs.sort_by_key(|l| l.0);
+        let in_force = plans.in_force(volume, declared(volume));
+        let mut next = in_force.iter().peekable();
+        let (mut limit, mut level, mut at) = (None::<Limit>, 0.0, Duration::ZERO);
+        for (moment, units, show) in legs {
+            while let Some((from, new)) = next.next_if(|n| n.0 <= moment) {
+                level = match (limit, new) {
+                    // A store of its own, which is full; or one that goes on, and holds no more than it may.
+                    (None, Some(new)) => new.burst,
+                    (Some(old), Some(new)) => {
+                        let filled = (*from).saturating_sub(at).as_secs_f64() * old.rate;
+                        (level + filled).min(old.burst).min(new.burst)
+                    }
+                    _ => 0.0,
+                };
+                (limit, at) = (*new, *from);
+            }
+            let Some(l) = limit else { continue };
+            let filled = moment.saturating_sub(at).as_secs_f64() * l.rate;
+            level = (level + filled).min(l.burst) - units;
+            at = moment;
+            if level < -l.slack {
+                let what = format!("volume {volume}: {:.1} units below its store", -level);
+                if v.breaches.iter().filter(|b| b.rule == 7).count() < 20 {
+                    v.breaches.push(Breach { rule: 7, what, frames: vec![show] });
+                }
+            }
+        }
+    }
+}
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -263,33 +263,6 @@
     }
 }
 
-/// Rule 7 of the list: all hosts' first legs of a volume against its one store.
-pub fn limits(s: &Settings, run: &Run, v: &mut Verdict) {
-    let plan_of: HashMap<u64, usize> = s.volumes.iter().map(|x| (x.id, x.plan)).collect();
-    let mut firsts: BTreeMap<u64, Vec<&Leg>> = BTreeMap::new();
-    for h in &run.hosts {
-        for leg in h.taken.iter().filter_map(|t| t.legs.first()).map(|l| &h.legs[*l]) {
-            firsts.entry(leg.leg.volume).or_default().push(leg);
-        }
-    }
-    for (volume, mut legs) in firsts {
-        let Some(plan) = plan_of.get(&volume).map(|p| &s.plans[*p].facts).filter(|p| p.limit > 0.0) else {
-            continue;
-        };
-        legs.sort_by_key(|l| l.seen.at);
-        let (mut level, mut at) = (plan.limit_burst, legs[0].seen.at);
-        for l in legs {
-            let filled = (l.seen.at - at).as_secs_f64() * plan.limit;
-            level = (level + filled).min(plan.limit_burst) - l.leg.units;
-            at = l.seen.at;
-            if level < -plan.limit_slack {
-                let what = format!("volume {volume}: {:.1} units below its store", -level);
-                breach(v, 7, what, &[&l.seen]);
-            }
-        }
-    }
-}
-
 impl Host {
     fn final_at(&self, id: &[u8]) -> Option<Duration> {
         self.by_id.get(id).and_then(|i| self.taken[*i].finals.first()).map(|f| f.0.at)
--- a/crates/audit/src/run.rs
+++ b/crates/audit/src/run.rs
@@ -1,5 +1,6 @@
 //! A run as its traces tell it: transfers, legs and what the list said, by host and moment.
 
+use crate::plans::Plans;
 use bytes::Bytes;
 use grebecleat_wire::pb::{self, frame::Body, marked::What, record::Kind, Record};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -87,6 +88,8 @@
     pub marks: Vec<(Duration, pb::Marked)>,
     /// Spans in which a host was stopped from outside.
     pub stopped: Vec<(String, Duration, Duration)>,
+    /// What a state service told, where there was one.
+    pub plans: Plans,
 }
 
 impl Run {
@@ -101,6 +104,7 @@
                 pb::Role::Client => run.clients(records),
                 pb::Role::Host => run.host(&who.name, records),
                 pb::Role::Node => run.nodes(records),
+                pb::Role::State => run.plans.read(records),
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/audit/tests/plans.rs
@@ -0,0 +1,245 @@
+//! Limits that change: traces as they should be, and doctored so that the limit in force is passed, or a change is
+//! called settled too early.
+
+use bytes::Bytes;
+use grebecleat_audit::{Case, Verdict};
+use grebecleat_settings::Settings;
+use grebecleat_wire::pb::{self, change, frame::Body, record::Kind, Record};
+
+const SETTINGS: &str = r#"
+zone(name = "a")
+stream_type(name = "read", slo = ms(200), expiry = s(2), repeat = "repeatable")
+plan(name = "p", rate = 10, reservation = 4, limit = 10, limit_burst = 20, limit_slack = 5)
+host(name = "h")
+host(name = "i")
+node(id = 1, zone = "a")
+volume(id = 5, plan = "p")
+state_service(lease = s(2), margin = ms(500))
+"#;
+
+fn process(role: pb::Role, name: &str) -> Vec<Record> {
+    let who = pb::Hello { role: role.into(), name: name.into(), ..Default::default() };
+    let opened = |conn, peer: &str| Record {
+        kind: Kind::Opened.into(),
+        conn,
+        peer: peer.into(),
+        ..Default::default()
+    };
+    let first = Record { kind: Kind::Process.into(), process: Some(who), ..Default::default() };
+    vec![first, opened(1, "h"), opened(2, "i")]
+}
+
+/// What hosts sent of volume 5 and what the state service told them; times are milliseconds.
+struct Traces {
+    state: Vec<Record>,
+    hosts: [Vec<Record>; 2],
+    legs: u64,
+}
+
+impl Traces {
+    fn new() -> Self {
+        let hosts = ["h", "i"].map(|name| process(pb::Role::Host, name));
+        let mut t = Traces { state: process(pb::Role::State, "state"), hosts, legs: 0 };
+        t.told(1, 0, 1, 1, &[plan(10.0, 4.0, 20.0), volume(&["h", "i"])]);
+        t.told(1, 1, 1, 1, &[plan(10.0, 4.0, 20.0), volume(&["h", "i"])]);
+        t
+    }
+
+    fn record(at: u64, kind: Kind, conn: u64, body: Body) -> Record {
+        let frame = Some(pb::Frame { sent_us: 0, body: Some(body) });
+        Record { at_ns: at * 1_000_000, kind: kind.into(), conn, frame, ..Default::default() }
+    }
+
+    /// A host is answered: what that version changed, and what is settled.
+    fn told(&mut self, at: u64, host: usize, version: u64, settled: u64, changes: &[pb::Change]) {
+        let entry =
+            pb::ChangeEntry { version, from: version - 1, changes: changes.to_vec(), ..Default::default() };
+        let entries = if changes.is_empty() { vec![] } else { vec![entry] };
+        let feed = pb::Feed { era: 1, version, settled, entries, ..Default::default() };
+        self.state.push(Self::record(at, Kind::Out, host as u64 + 1, Body::Feed(feed)));
+    }
+
+    fn sure(&mut self, at: u64, host: usize, has: u64) {
+        let confirm = Body::Confirm(pb::Confirm { era: 1, has });
+        self.state.push(Self::record(at, Kind::In, host as u64 + 1, confirm));
+    }
+
+    fn gone(&mut self, at: u64, host: &str) {
+        let gone = Body::HostGone(pb::HostGone { call: 1, who: "clerk".into(), host: host.into() });
+        self.state.push(Self::record(at, Kind::In, 9, gone));
+    }
+
+    /// A host's first leg of a transfer of that many units crosses.
+    fn leg(&mut self, at: u64, host: usize, units: f64) {
+        self.legs += 1;
+        let id = Bytes::from(format!("{:036}", self.legs));
+        let take = pb::Take { id: id.clone(), volume: 5, units, left_us: 2_000_000, ..Default::default() };
+        let leg = pb::Leg {
+            leg: self.legs,
+            id: id.clone(),
+            node: 1,
+            volume: 5,
+            units,
+            left_us: 1_000_000,
+            ..Default::default()
+        };
+        let done = pb::Final { id, outcome: pb::Outcome::Done.into(), ..Default::default() };
+        let records = &mut self.hosts[host];
+        records.push(Self::record(at, Kind::In, 1, Body::Take(take)));
+        records.push(Self::record(at, Kind::Out, 3, Body::Leg(leg)));
+        records.push(Self::record(at + 1, Kind::Out, 1, Body::Final(done)));
+    }
+
+    fn judge(self) -> Verdict {
+        let settings = Settings::read("x.star".as_ref(), SETTINGS.into()).expect("good settings");
+        let mut case = Case::default();
+        case.add(self.state);
+        self.hosts.into_iter().for_each(|h| case.add(h));
+        case.judge(&settings).unwrap()
+    }
+}
+
+fn plan(limit: f64, reservation: f64, burst: f64) -> pb::Change {
+    let figures = pb::PlanFigures { rate: 10.0, reservation, limit, burst, slack: 5.0, ..Default::default() };
+    let subject = Some(change::Subject::Plan("p".into()));
+    pb::Change { subject, to: (limit >= 0.0).then_some(change::To::PlanTo(figures)) }
+}
+
+fn volume(hosts: &[&str]) -> pb::Change {
+    let hosts = hosts.iter().map(|h| h.to_string()).collect();
+    let facts = pb::VolumeFacts { plan: "p".into(), hosts, ..Default::default() };
+    pb::Change { subject: Some(change::Subject::Volume(5)), to: Some(change::To::VolumeTo(facts)) }
+}
+
+fn broken(v: &Verdict) -> Vec<String> {
+    assert!(v.breaches.iter().all(|b| b.rule == 7), "{:?}", v.breaches);
+    v.breaches.iter().map(|b| b.what.clone()).collect()
+}
+
+/// Both hosts send at that rate each, second by second.
+fn stream(t: &mut Traces, from: u64, to: u64, each: f64) {
+    for at in (from..to).step_by(500) {
+        t.leg(at, 0, each / 2.0);
+        t.leg(at + 10, 1, each / 2.0);
+    }
+}
+
+#[test]
+fn the_limit_of_the_settled_version_is_in_force() {
+    // Raised from 10 to 30 at 2 s, settled at 4 s; what each sends from 2 s and from 5 s on.
+    for (each, later, fine) in [(5.0, 15.0, true), (15.0, 15.0, false), (5.0, 20.0, false)] {
+        let mut t = Traces::new();
+        stream(&mut t, 100, 2000, 5.0);
+        let raised = [plan(30.0, 4.0, 20.0)];
+        (0..2).for_each(|h| t.told(2000, h, 2, 1, &raised));
+        stream(&mut t, 2100, 4000, each);
+        (0..2).for_each(|h| t.sure(3900, h, 2));
+        (0..2).for_each(|h| t.told(4000, h, 2, 2, &[]));
+        stream(&mut t, 5000, 12_000, later);
+        let v = t.judge();
+        assert_eq!(broken(&v).is_empty(), fine, "{each}, {later}: {:?}", v.breaches);
+    }
+    // Lowered from 10 to 4: the old one is in force until it is settled, the new one from then on.
+    for (until, later, fine) in [(4000, 2.0, true), (7000, 2.0, false), (4000, 4.0, false)] {
+        let mut t = Traces::new();
+        let lowered = [plan(4.0, 4.0, 8.0)];
+        (0..2).for_each(|h| t.told(2000, h, 2, 1, &lowered));
+        (0..2).for_each(|h| t.sure(3900, h, 2));
+        (0..2).for_each(|h| t.told(4000, h, 2, 2, &[]));
+        stream(&mut t, 100, until, 5.0);
+        stream(&mut t, until, 14_000, later);
+        let v = t.judge();
+        assert_eq!(broken(&v).is_empty(), fine, "{until}, {later}: {:?}", v.breaches);
+    }
+    // None at first, then one: its store is full when it comes into force.
+    let mut t = Traces::new();
+    (0..2).for_each(|h| t.told(2000, h, 2, 2, &[plan(0.0, 4.0, 20.0)]));
+    stream(&mut t, 2100, 6000, 50.0);
+    (0..2).for_each(|h| t.told(6000, h, 3, 2, &[plan(10.0, 4.0, 20.0)]));
+    (0..2).for_each(|h| t.sure(6400, h, 3));
+    (0..2).for_each(|h| t.told(6500, h, 3, 3, &[]));
+    stream(&mut t, 6600, 9000, 5.0);
+    let mut bad = Traces { state: t.state.clone(), hosts: t.hosts.clone(), legs: t.legs };
+    let v = t.judge();
+    // The hosts had not said that they have entry 2 when it was called settled.
+    assert_eq!(
+        broken(&v),
+        [
+            "entry 2 was called settled while h had said no more than 0 and may still follow that",
+            "entry 2 was called settled while i had said no more than 0 and may still follow that"
+        ]
+    );
+    stream(&mut bad, 9000, 12_000, 20.0);
+    assert!(broken(&bad.judge()).iter().any(|b| b.contains("below its store")));
+}
+
+#[test]
+fn what_is_called_settled_must_be() {
+    type Doctor = fn(&mut Traces);
+    let cases: [(&str, Doctor, Option<&str>); 7] = [
+        ("both said that they have it", |t| (0..2).for_each(|h| t.sure(2500, h, 2)), None),
+        (
+            "one did not",
+            |t| t.sure(2500, 0, 2),
+            Some("entry 2 was called settled while i had said no more than 1 and may still follow that"),
+        ),
+        (
+            "one was cut off, and its lease is over",
+            |t| {
+                t.sure(2500, 0, 2);
+                t.state.retain(|r| r.at_ns < 1_500_000_000 || r.conn == 1);
+                t.told(4600, 0, 2, 2, &[]);
+            },
+            None,
+        ),
+        (
+            "the same, and it holds more than its part",
+            |t| {
+                t.sure(2500, 0, 2);
+                t.state.retain(|r| r.at_ns < 1_500_000_000 || r.conn == 1);
+                t.told(4600, 0, 2, 2, &[]);
+                for r in &mut t.state {
+                    if let Some(Body::Feed(f)) = r.frame.as_mut().and_then(|f| f.body.as_mut()) {
+                        f.entries.iter_mut().filter(|e| e.version == 2).for_each(|e| e.changes = vec![plan(3.0, 1.0, 20.0)]);
+                    }
+                }
+            },
+            Some("entry 2 was called settled while i is cut off with entry 1, and more of volume 5 than is its part"),
+        ),
+        (
+            "the same, and an operator answers for it",
+            |t| {
+                t.sure(2500, 0, 2);
+                t.state.retain(|r| r.at_ns < 1_500_000_000 || r.conn == 1);
+                t.gone(3000, "i");
+                t.told(4600, 0, 2, 2, &[]);
+            },
+            None,
+        ),
+        (
+            "it asked again after that",
+            |t| {
+                t.sure(2500, 0, 2);
+                t.gone(2600, "i");
+                t.sure(2700, 1, 1);
+            },
+            Some("entry 2 was called settled while i had said no more than 1 and may still follow that"),
+        ),
+        ("nothing is called settled", |t| t.state.retain(|r| r.at_ns < 2_900_000_000), None),
+    ];
+    for (what, doctor, expected) in cases {
+        let mut t = Traces::new();
+        (0..2).for_each(|h| t.sure(1000, h, 1));
+        (0..2).for_each(|h| t.told(2000, h, 2, 1, &[plan(8.0, 4.0, 20.0)]));
+        t.told(3000, 0, 2, 2, &[]);
+        doctor(&mut t);
+        if what.contains("lease is over") || what.starts_with("the same") {
+            t.state.retain(|r| {
+                r.at_ns != 3_000_000_000
+                    || r.conn != 1
+                    || matches!(r.frame.as_ref().and_then(|f| f.body.as_ref()), Some(Body::HostGone(_)))
+            });
+        }
+        assert_eq!(broken(&t.judge()).first().map(String::as_str), expected, "{what}");
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -301,9 +301,10 @@
             bar.set_message(format!("{} done, {} deferred", tally.done, tally.deferred));
         }),
     };
-    let (tally, disks) = rehearse::rehearse(options)?;
+    let rehearse::Seen { tally, disks, changes } = rehearse::rehearse(options)?;
     bar.finish_and_clear();
     report(&settings, &tally);
+    report_changes(&settings, &tally, &changes);
     let judged = Case::open(&dir)?.judge(&settings).map_err(Stop::Failed)?;
     show(&judged, &dir);
     let fine = judged.breaches.is_empty()
@@ -375,6 +376,29 @@
     }
 }
 
+/// What came of the script's changes, and how the volumes they name were served before and after.
+fn report_changes(s: &Settings, t: &Tally, changes: &[rehearse::Played]) {
+    const SPAN: u64 = 4;
+    for c in changes {
+        println!("at {:?}: {} -> {}", c.at, c.words.join(", "), c.said);
+        let named =
+            c.words.iter().filter_map(|w| w.strip_prefix("volume ")?.split(' ').next()?.parse::<u64>().ok());
+        for (place, id) in named.filter_map(|id| Some((s.volumes.iter().position(|v| v.id == id)?, id))) {
+            let at = c.at.as_secs();
+            // Whoever is placed anew has a second for it.
+            let spans = [at.saturating_sub(SPAN)..at, at + 1..at + 1 + SPAN];
+            let part = |span: std::ops::Range<u64>| match t.timely(place, span) {
+                Some(part) => format!("{:.0}%", 100.0 * part),
+                None => "nothing asked".into(),
+            };
+            let [before, after] = spans.map(part);
+            println!(
+                "    volume {id}: in its SLO time in the {SPAN} s before {before}, from 1 s after {after}"
+            );
+        }
+    }
+}
+
 fn show(v: &Verdict, dir: &Path) {
     for b in &v.breaches {
         println!("rule {} ({}): {}", b.rule, RULES[usize::from(b.rule) - 1], b.what);
@@ -386,6 +410,16 @@
          was told",
         v.legs, v.effects, v.lost, v.drain_ms
     );
+    if !v.settled.is_empty() {
+        let mut took: Vec<Duration> = v.settled.iter().map(|s| s.1).collect();
+        took.sort_unstable();
+        println!(
+            "plans: {} entries over everywhere, half of them within {:.1} s of being told, all within {:.1} s",
+            took.len(),
+            took[took.len() / 2].as_secs_f64(),
+            took[took.len() - 1].as_secs_f64()
+        );
+    }
     if v.commands.taken > 0 {
         v.commands.wrong.iter().for_each(|w| println!("{w}"));
         println!("{}", v.commands.line());
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -314,6 +314,15 @@
         self.next
     }
 
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// What it follows of a state service. Panics where there is none.
+    pub fn plans(&self) -> &grebecleat_plans::follow::Follow {
+        self.plans.follow().expect("it follows a state service")
+    }
+
     pub fn counts(&self) -> Counts {
         self.counts
     }
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -4,7 +4,12 @@
 use bytes::Bytes;
 use grebecleat_host::desk::{ConnId, Desk, Input, Output};
 use grebecleat_host::outbox::Outbox;
+use grebecleat_plans::follow::{Follow, Start};
 use grebecleat_settings::Settings;
+use grebecleat_state::codec::change_pb;
+use grebecleat_state::declared::facts;
+use grebecleat_state::store::Keep;
+use grebecleat_state::words::change;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -35,6 +40,9 @@
     pub dialled: Vec<(ConnId, u32)>,
     pub notes: Vec<String>,
     pub ended: bool,
+    /// The connection to the state service, and what is to be kept.
+    pub state: Option<ConnId>,
+    pub keeps: Vec<(u64, Vec<Keep>)>,
 }
 
 pub const CLIENT: ConnId = ConnId(1 << 50);
@@ -43,13 +51,32 @@
     pub fn with(more: &str) -> Self {
         let settings =
             Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}")).expect("good settings");
+        Rig::of(Desk::new(Arc::new(settings), 7))
+    }
+
+    /// A desk that follows a state service, and has kept nothing of it.
+    pub fn following(more: &str) -> Self {
+        let settings =
+            Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}")).expect("good settings");
+        let start = Start { ledger: Follow::ledger_of(facts(&settings)), ..Start::default() };
+        let mut rig = Rig::of(Desk::new(Arc::new(settings), 7).following("h", start));
+        rig.wait(ms(10));
+        let conn = rig.state.expect("it dials");
+        let outbox = rig.outbox(conn);
+        rig.feed(vec![Input::StateUp { conn, outbox }]);
+        rig
+    }
+
+    fn of(desk: Desk) -> Self {
         let mut rig = Rig {
-            desk: Desk::new(Arc::new(settings), 7),
+            desk,
             now: ms(100_000),
             boxes: BTreeMap::new(),
             dialled: Vec::new(),
             notes: Vec::new(),
             ended: false,
+            state: None,
+            keeps: Vec::new(),
         };
         rig.feed(vec![Input::Remembered {
             list: list(&[(1, pb::NodeState::Ready), (2, pb::NodeState::Ready)]),
@@ -71,6 +98,8 @@
                 Output::Dial { conn, node, .. } => self.dialled.push((conn, node.0)),
                 Output::Note { text } => self.notes.push(text),
                 Output::Ended => self.ended = true,
+                Output::DialState { conn } => self.state = Some(conn),
+                Output::Keep { number, keeps } => self.keeps.push((number, keeps)),
                 _ => {}
             }
         }
@@ -110,6 +139,32 @@
         self.feed(vec![input]);
     }
 
+    /// What the host now asks of the state service.
+    pub fn asks(&mut self) -> pb::Follow {
+        let asked = self.cross(self.state.expect("dialled"));
+        let follow = |b| if let Body::Follow(f) = b { Some(f) } else { None };
+        asked.into_iter().filter_map(follow).last().expect("it asks")
+    }
+
+    /// The state service answers: these lines are one entry, and all is settled up to that one.
+    pub fn told(&mut self, words: &[&str], settled: u64) {
+        let ask = self.asks();
+        let (conn, mut l) = (self.state.expect("dialled"), Follow::ledger_of(facts(self.desk.settings())));
+        l = l.restored(self.desk.plans().ledger().version(), self.desk.plans().ledger().state(), Vec::new());
+        let changes: Vec<_> = words.iter().map(|w| change(&l, w).expect("good words")).collect();
+        let (from, version) = (ask.has, ask.has + 1);
+        let changes = changes.iter().map(change_pb).collect();
+        let entry = pb::ChangeEntry { version, from, changes, ..Default::default() };
+        let (era, call, lease_us) = (1, ask.call, 3_000_000);
+        let feed =
+            pb::Feed { call, era, version, settled, lease_us, entries: vec![entry], ..Default::default() };
+        let frames = vec![pb::Frame { sent_us: 0, body: Some(Body::Feed(feed)) }];
+        self.feed(vec![Input::StateFrames { conn, frames }]);
+        for (number, _) in std::mem::take(&mut self.keeps) {
+            self.feed(vec![Input::Kept { number, done: Ok(()) }]);
+        }
+    }
+
     /// Brings up the connection dialled last.
     pub fn connect(&mut self) -> ConnId {
         let (conn, _) = *self.dialled.last().expect("a dial");
--- /dev/null
+++ b/crates/host/tests/following.rs
@@ -0,0 +1,150 @@
+//! A host that follows a state service: what it serves before it was told, and as it is told more.
+
+mod common;
+
+use common::{ms, Rig};
+use grebecleat_host::desk::Input;
+use grebecleat_wire::pb::{self, frame::Body, Outcome};
+
+const VOLUME: &str = "volume 5 plan=p hosts=h cells=1 blocks=64";
+
+#[test]
+fn nothing_is_served_before_it_was_told_and_what_is_retired_no_more() {
+    let mut r = Rig::following("");
+    r.take(1, 0);
+    assert_eq!(r.finals(), [(1, Outcome::Deferred)], "it may be told of it in a moment");
+    r.told(&["plan p rate=1000 reservation=1000", VOLUME], 1);
+    r.take(2, 0);
+    let conn = r.connect();
+    let out = r.legs(conn);
+    assert_eq!((out.len(), out[0].plan_rate), (1, 1000.0));
+    // Retired with one leg out and one held: what is out has its answer when it comes.
+    (3..60).for_each(|n| r.take(n, 1));
+    r.cross(conn);
+    r.told(&["volume 5 retire"], 2);
+    let told = r.finals();
+    assert!(!told.is_empty() && told.iter().all(|(n, o)| *n > 2 && *o == Outcome::Deferred), "{told:?}");
+    r.node_answers(conn, out[0].leg, pb::Result::Ok);
+    assert_eq!(r.finals(), [(2, Outcome::Done)]);
+    r.take(99, 0);
+    assert_eq!(r.finals(), [(99, Outcome::Abandoned)], "there is nothing to come back for");
+}
+
+#[test]
+fn a_volume_that_works_through_others_is_sent_elsewhere() {
+    let mut r = Rig::following("host(name = \"i\")");
+    r.told(&["plan p rate=10", "volume 5 plan=p hosts=h,i cells=1 blocks=64"], 1);
+    r.told(&["volume 5 hosts=i"], 1);
+    r.take(1, 0);
+    assert_eq!(r.finals(), [(1, Outcome::Deferred)]);
+    r.told(&["volume 5 hosts=h"], 3);
+    r.take(2, 0);
+    let conn = r.connect();
+    assert_eq!(r.legs(conn).len(), 1);
+}
+
+/// A limit that is lowered holds for what is already held; raised, it waits until that is settled.
+#[test]
+fn a_limit_follows_what_it_is_told() {
+    let mut r = Rig::following("host(name = \"i\")");
+    let limited = |limit: u32| format!("plan p rate=100 reservation=4 limit={limit} burst={limit} slack=100");
+    r.told(&[&limited(40), "volume 5 plan=p hosts=h,i cells=1 blocks=64"], 1);
+    r.take(1, 0);
+    // Its part fills from nothing: 20 a second.
+    r.wait(ms(100));
+    let conn = r.connect();
+    assert_eq!(r.legs(conn).len(), 1);
+    let legs = |r: &mut Rig, from: u8, span: u64| {
+        (from..from + 40).for_each(|n| r.take(n, 0));
+        let mut sent = 0;
+        for _ in 0..span / 20 {
+            r.wait(ms(20));
+            let out = r.legs(conn);
+            sent += out.len();
+            out.iter().for_each(|l| r.node_answers(conn, l.leg, pb::Result::Ok));
+        }
+        r.finals();
+        sent
+    };
+    let at_forty = legs(&mut r, 10, 1000);
+    assert!((15..=22).contains(&at_forty), "{at_forty}");
+    r.told(&[&limited(8)], 1);
+    let at_eight = legs(&mut r, 60, 1000);
+    assert!((3..=8).contains(&at_eight), "{at_eight}");
+    r.told(&[&limited(60)], 2);
+    let unsettled = legs(&mut r, 110, 1000);
+    assert!(unsettled <= 5, "{unsettled}");
+    r.told(&["plan other rate=1"], 4);
+    let at_sixty = legs(&mut r, 160, 1000);
+    assert!(at_sixty >= 25, "{at_sixty}");
+    // Cut off until its lease is over: the part of the reservation, 2 a second.
+    r.feed(vec![Input::StateGone { conn: r.state.unwrap() }]);
+    r.wait(ms(3000));
+    r.finals();
+    legs(&mut r, 10, 1000); // what its part of the burst still held
+    let alone = legs(&mut r, 60, 1000);
+    assert!(alone <= 4, "{alone}");
+    assert!(r.notes.iter().any(|n| n.contains("lease")), "{:?}", r.notes);
+}
+
+/// An answer that makes no sense ends the connection, and the host goes on as it was.
+#[test]
+fn a_service_that_makes_no_sense_is_hung_up_on() {
+    let mut r = Rig::following("");
+    r.told(&["plan p rate=1000 reservation=1000", VOLUME], 1);
+    let (ask, conn) = (r.asks(), r.state.unwrap());
+    let entry = pb::ChangeEntry { version: 2, from: 9, ..Default::default() };
+    let feed = pb::Feed { call: ask.call, era: 1, version: 2, entries: vec![entry], ..Default::default() };
+    let frames = vec![pb::Frame { sent_us: 0, body: Some(Body::Feed(feed)) }];
+    r.feed(vec![Input::StateFrames { conn, frames }]);
+    assert!(r.boxes[&conn].is_closed() && r.notes.iter().any(|n| n.contains("no change")), "{:?}", r.notes);
+    r.take(1, 0);
+    let node = r.connect();
+    assert_eq!(r.legs(node).len(), 1);
+    // It dials again after a while, and by itself no sooner.
+    let first = r.state;
+    r.wait(ms(2000));
+    assert_ne!(r.state, first);
+}
+
+/// Answers come in parts: half of one is nothing.
+#[test]
+fn an_answer_in_parts_counts_when_it_is_whole() {
+    let mut r = Rig::following("");
+    let (ask, conn) = (r.asks(), r.state.unwrap());
+    let subject = |id| Some(pb::change::Subject::Volume(id));
+    let facts = pb::VolumeFacts { plan: "p".into(), hosts: vec!["h".into()], cells: vec![1], blocks: 64 };
+    let volume = |id| pb::Change { subject: subject(id), to: Some(pb::change::To::VolumeTo(facts.clone())) };
+    let plan = pb::Change {
+        subject: Some(pb::change::Subject::Plan("p".into())),
+        to: Some(pb::change::To::PlanTo(pb::PlanFigures {
+            rate: 9.0,
+            reservation: 9.0,
+            ..Default::default()
+        })),
+    };
+    let part = |state: Vec<pb::Change>, more| {
+        let (call, era, version, settled, lease_us) = (ask.call, 3, 7, 7, 1_000_000);
+        let feed = pb::Feed {
+            call,
+            era,
+            version,
+            settled,
+            lease_us,
+            whole: true,
+            at: 7,
+            state,
+            more,
+            ..Default::default()
+        };
+        vec![pb::Frame { sent_us: 0, body: Some(Body::Feed(feed)) }]
+    };
+    r.feed(vec![Input::StateFrames { conn, frames: part(vec![plan, volume(5)], true) }]);
+    r.take(1, 0);
+    assert_eq!(r.finals(), [(1, Outcome::Deferred)]);
+    r.feed(vec![Input::StateFrames { conn, frames: part(vec![volume(6)], false) }]);
+    assert_eq!(r.desk.plans().ledger().volumes().count(), 2);
+    r.take(2, 0);
+    let node = r.connect();
+    assert_eq!(r.legs(node).len(), 1);
+}
--- a/crates/settings/src/kinds.rs
+++ b/crates/settings/src/kinds.rs
@@ -1,4 +1,5 @@
-//! Kinds of trouble, by the names that the bench's journal writes.
+//! Kinds of trouble, by the names that the bench's journal writes, and those of the state service, which the
+//! bench does not know.
 
 /// What goes wrong in a rehearsal. Each struck node or host, and the strength, come from the script's seed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,10 +19,16 @@
     HostStall,
     Ageing,
     Drain,
+    /// Hosts are cut off from the state service, or hear of it late.
+    FeedCut,
+    FeedLate,
+    /// The state service is killed, and started again; or put back from a snapshot.
+    StateCrash,
+    StateRestored,
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 15] = [
+    pub const ALL: [(&'static str, Kind); 19] = [
         ("fast_errors", Kind::FastErrors),
         ("answer_lost", Kind::AnswerLost),
         ("mass_restart", Kind::MassRestart),
@@ -37,6 +44,10 @@
         ("balancer_stall", Kind::HostStall),
         ("ageing", Kind::Ageing),
         ("drain", Kind::Drain),
+        ("feed_cut", Kind::FeedCut),
+        ("feed_late", Kind::FeedLate),
+        ("state_crash", Kind::StateCrash),
+        ("state_restored", Kind::StateRestored),
     ];
 
     pub fn name(self) -> &'static str {
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -42,6 +42,17 @@
     pub unreached: u64,
     /// By plan: pieces, done in their SLO time, done late.
     pub plans: BTreeMap<usize, (u64, u64, u64)>,
+    /// By place of a volume and second: pieces, and of these done in their SLO time.
+    pub seconds: BTreeMap<(usize, u64), (u64, u64)>,
+}
+
+impl Tally {
+    /// The part of a volume's pieces that were done in their SLO time, of those that began in a span of seconds.
+    pub fn timely(&self, volume: usize, seconds: std::ops::Range<u64>) -> Option<f64> {
+        let all = self.seconds.range((volume, seconds.start)..(volume, seconds.end.max(seconds.start)));
+        let (all, timely) = all.fold((0, 0), |sum, (_, s)| (sum.0 + s.0, sum.1 + s.1));
+        (all > 0).then(|| timely as f64 / all as f64)
+    }
 }
 
 /// Hears the time and the tally so far.
@@ -283,6 +294,7 @@
             let (born, tries) = (at, 0);
             self.pieces.push(Piece { id, volume, host, stream, extent, cell, key, units, born, tries });
             self.tally.plans.entry(spec.plan).or_default().0 += 1;
+            self.tally.seconds.entry((volume, at.as_secs())).or_default().0 += 1;
             self.attempt(self.pieces.len() - 1);
         }
         self.plan(at + Duration::from_secs_f64(gap), What::Arrive { volume, surge });
@@ -385,6 +397,7 @@
             let line = self.tally.plans.entry(plan).or_default();
             if now <= p.born + stream.facts.slo {
                 line.1 += 1;
+                self.tally.seconds.entry((p.volume, p.born.as_secs())).or_default().1 += 1;
             } else {
                 line.2 += 1;
             }
--- a/crates/standin/src/draw.rs
+++ b/crates/standin/src/draw.rs
@@ -54,7 +54,7 @@
         let size = match kind {
             Kind::Slow => rng.random_range(3.0..8.0),
             Kind::HeavyTail => rng.random_range(8.0..24.0),
-            Kind::DiscoveryStale => rng.random_range(2.0..6.0),
+            Kind::DiscoveryStale | Kind::FeedLate => rng.random_range(2.0..6.0),
             Kind::Ageing => 6.0,
             Kind::HotKey | Kind::Scan => rng.random_range(3.0..8.0),
             _ => rng.random_range(0.6..1.0),
@@ -62,7 +62,9 @@
         let part = if *kind == Kind::MassRestart { 0.4 } else { rng.random_range(0.15..0.35) };
         let at = length.mul_f64(rng.random_range(0.3..0.4));
         let len = match kind {
-            Kind::HostStall | Kind::HostCrash => Duration::from_secs_f64(rng.random_range(1.0..3.0)),
+            Kind::HostStall | Kind::HostCrash | Kind::StateCrash | Kind::StateRestored => {
+                Duration::from_secs_f64(rng.random_range(1.0..3.0))
+            }
             _ => length.mul_f64(rng.random_range(0.25..0.4)),
         };
         let (nodes, hosts, zone) = (Vec::new(), Vec::new(), None);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`draw`] turns a script's troubles and load into who is struck when, the same each time; [`net`] and
 //! [`serve`] put the models on sockets; [`clients`] are the clients; [`initiator`] is an
 //! iSCSI initiator; [`rehearse`] runs it all as processes.
+//! [`relay`] lies between hosts and the state service;
 //! [`versions`] is how a node keeps late writes from overwriting newer ones.
 //! They share only the wire and the settings with the host, and must never look into it.
 
@@ -15,5 +16,6 @@
 pub mod net;
 pub mod node;
 pub mod rehearse;
+pub mod relay;
 pub mod serve;
 pub mod versions;
--- a/crates/standin/src/rehearse.rs
+++ b/crates/standin/src/rehearse.rs
@@ -8,6 +8,7 @@
 use crate::disks::{self, Disks};
 use crate::draw::{of_kinds, strikes, Strike};
 use crate::net::hello;
+use crate::relay::Relay;
 use grebecleat_settings::{Kind, Settings};
 use grebecleat_wire::pb::{self, marked::What, Marked};
 use grebecleat_wire::{clock, trace::Tracer};
@@ -84,6 +85,9 @@
     hosts: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     /// Where each host's portal listens, over its restarts.
     portals: Vec<Option<SocketAddr>>,
+    /// Where the state service listens, over its restarts, and what lies between it and each host.
+    state: Option<SocketAddr>,
+    relays: Vec<Relay>,
     tracer: Tracer,
 }
 
@@ -131,9 +135,14 @@
         let remember = self.o.dir.join(format!("{name}.list")).display().to_string();
         args.extend(["--host".into(), name.clone(), "--list".into(), self.list.to_string()]);
         args.extend(["--listen".into(), listen.into(), "--remember".into(), remember]);
+        if self.portals[place].is_some() || self.state.is_some() {
+            args.extend(["--store".into(), self.o.dir.join(format!("{name}.store")).display().to_string()]);
+        }
         if let Some(portal) = self.portals[place] {
-            let store = self.o.dir.join(format!("{name}.store")).display().to_string();
-            args.extend(["--portal".into(), portal.to_string(), "--store".into(), store]);
+            args.extend(["--portal".into(), portal.to_string()]);
+        }
+        if let Some(relay) = self.relays.get(place) {
+            args.extend(["--state".into(), relay.address.to_string()]);
         }
         let (child, said) = self.start(name, &args)?;
         let address = said.parse().map_err(io::Error::other)?;
@@ -141,6 +150,94 @@
         Ok(child)
     }
 
+    fn store(&self) -> PathBuf {
+        self.o.dir.join("state.store")
+    }
+
+    fn state_service(&self, start: u32) -> io::Result<Option<Running>> {
+        let Some(listen) = self.state else { return Ok(None) };
+        let mut args = self.args("state-service", &format!("state-{start}"));
+        args.extend(["--listen".into(), listen.to_string()]);
+        args.extend(["--store".into(), self.store().display().to_string()]);
+        Ok(Some(self.start("state", &args)?.0))
+    }
+
+    /// An operator at the command line; what was said, and whether it was done.
+    fn plans(&self, args: &[&str]) -> io::Result<(bool, String)> {
+        let at = self.state.map(|a| a.to_string()).unwrap_or_default();
+        let out = Command::new(self.o.program).args(["plans", "--at", &at]).args(args).output()?;
+        let said = [out.stdout, out.stderr].concat();
+        Ok((out.status.success(), String::from_utf8_lossy(&said).trim().replace('\n', "; ")))
+    }
+
+    /// Kills the state service, and puts it back, as the script says; answers its last process.
+    fn play_state(&self, mut child: Option<Running>, strikes: &[Strike]) -> io::Result<Option<Running>> {
+        let kinds = [Kind::StateCrash, Kind::StateRestored];
+        let mut own: Vec<&Strike> = strikes.iter().filter(|s| kinds.contains(&s.kind)).collect();
+        own.sort_by_key(|s| s.at);
+        let snapshot = self.o.dir.join("state.kept").display().to_string();
+        for (n, s) in own.into_iter().enumerate() {
+            self.sleep_to(s.at);
+            if s.kind == Kind::StateCrash {
+                drop(child.take());
+                self.sleep_to(s.at + s.len);
+                child = self.state_service(n as u32 + 1)?;
+                continue;
+            }
+            // What lands between the snapshot and the end of the span is lost with it.
+            self.plans(&["snapshot", &snapshot])?;
+            self.sleep_to(s.at + s.len);
+            drop(child.take());
+            let store = self.store().display().to_string();
+            let restored =
+                Command::new(self.o.program).args(["plans", "restore", &snapshot, &store]).output()?;
+            if !restored.status.success() {
+                return Err(io::Error::other(String::from_utf8_lossy(&restored.stderr).to_string()));
+            }
+            child = self.state_service(n as u32 + 1)?;
+            // An operator sees that hosts know more, and says what counts; perhaps one shows only later.
+            for _ in 0..20 {
+                std::thread::sleep(Duration::from_millis(250));
+                self.plans(&["prevail", "--why", "restored"])?;
+            }
+        }
+        Ok(child)
+    }
+
+    /// Cuts hosts off from the state service, or lets them hear of it late.
+    fn play_relays(&self, strikes: &[Strike]) {
+        let kinds = [Kind::FeedCut, Kind::FeedLate];
+        let mut steps: Vec<(Duration, &Strike, bool)> = Vec::new();
+        for s in strikes.iter().filter(|s| kinds.contains(&s.kind)) {
+            steps.extend([(s.at, s, true), (s.at + s.len, s, false)]);
+        }
+        steps.sort_by_key(|s| s.0);
+        for (at, s, on) in steps {
+            self.sleep_to(at);
+            for relay in s.hosts.iter().filter_map(|h| self.relays.get(*h)) {
+                match s.kind {
+                    Kind::FeedCut => relay.cut(on),
+                    _ => relay.late(Duration::from_secs_f64(if on { s.size } else { 0.0 })),
+                }
+            }
+        }
+    }
+
+    /// Changes plans as the script says; when, what, and what came of it.
+    fn play_changes(&self) -> Vec<Played> {
+        let mut all: Vec<_> = self.o.settings.rehearsal.iter().flat_map(|r| &r.changes).collect();
+        all.sort_by_key(|c| c.at);
+        let each = all.into_iter().map(|c| {
+            self.sleep_to(c.at);
+            let mut args = vec!["--who", &c.who, "set"];
+            args.extend(c.words.iter().map(String::as_str));
+            args.extend(c.force.then_some("--force"));
+            let (landed, said) = self.plans(&args).unwrap_or_else(|e| (false, e.to_string()));
+            Played { at: c.at, words: c.words.clone(), landed, said }
+        });
+        each.collect()
+    }
+
     fn mark(&self, what: What, place: usize) {
         let name = self.o.settings.hosts[place].name.clone();
         self.tracer.mark(Marked { what: what.into(), name, ..Marked::default() });
@@ -182,6 +279,27 @@
     }
 }
 
+/// A change of plans that was asked for, and what came of it.
+#[derive(Debug, Clone)]
+pub struct Played {
+    pub at: Duration,
+    pub words: Vec<String>,
+    pub landed: bool,
+    pub said: String,
+}
+
+/// What a rehearsal amounted to for those who asked.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub tally: Tally,
+    pub disks: Disks,
+    pub changes: Vec<Played>,
+}
+
+fn panicked<T>() -> io::Result<T> {
+    Err(io::Error::other("a player panicked"))
+}
+
 /// A port for each host that has a portal: free now, and asked for again at every start of the host.
 fn portals(settings: &Settings) -> io::Result<Vec<Option<SocketAddr>>> {
     let has = |place: usize| settings.portals.iter().any(|p| p.host == place);
@@ -190,7 +308,7 @@
 }
 
 /// Plays the script; what the clients and the initiators saw. The folder then holds every trace.
-pub fn rehearse(o: Options) -> io::Result<(Tally, Disks)> {
+pub fn rehearse(o: Options) -> io::Result<Seen> {
     std::fs::create_dir_all(o.dir)?;
     let me = hello(pb::Role::Client, "clients", 1);
     let tracer = Tracer::create(&o.dir.join("clients.trace"), MOST_TRACE, me)?;
@@ -200,8 +318,17 @@
     let hosts = Arc::new(Mutex::new(vec![None; o.settings.hosts.len()]));
     let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
     let portals = portals(o.settings)?;
-    let mut stage =
-        Stage { o: &o, t0: clock::now() + LEAD, list: nowhere, hosts: hosts.clone(), portals, tracer };
+    let state = match &o.settings.state {
+        Some(_) => Some(TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr())?),
+        None => None,
+    };
+    let relays = match state {
+        Some(at) => o.settings.hosts.iter().map(|_| Relay::to(at)).collect::<io::Result<_>>()?,
+        None => Vec::new(),
+    };
+    let t0 = clock::now() + LEAD;
+    let mut stage = Stage { o: &o, t0, list: nowhere, hosts: hosts.clone(), portals, state, relays, tracer };
+    let service = stage.state_service(0)?;
     let mut args = stage.script_args("list-service", "list");
     args.extend(["--listen".into(), "127.0.0.1:0".into()]);
     let (_list, said) = stage.start("list", &args)?;
@@ -217,7 +344,10 @@
     let progress = &o.progress;
     clients.progress = Box::new(move |now, tally| progress(now, tally));
     let (stage, strikes) = (&stage, &strikes);
-    let (tally, ended) = std::thread::scope(|scope| {
+    let (seen, ended) = std::thread::scope(|scope| {
+        let service = scope.spawn(move || stage.play_state(service, strikes));
+        let changes = scope.spawn(move || stage.play_changes());
+        scope.spawn(move || stage.play_relays(strikes));
         let players: Vec<_> = children
             .into_iter()
             .enumerate()
@@ -240,14 +370,15 @@
             .map(|session| scope.spawn(move || session.run(script.seed)))
             .collect();
         let tally = clients.run();
-        let mut seen = Disks::default();
-        sessions.into_iter().filter_map(|s| s.join().ok()).for_each(|d| seen.add(&d));
-        let ended: Vec<io::Result<Running>> = players
-            .into_iter()
-            .map(|p| p.join().unwrap_or_else(|_| Err(io::Error::other("a player panicked"))))
-            .collect();
-        ((tally, seen), ended)
+        let mut disks = Disks::default();
+        sessions.into_iter().filter_map(|s| s.join().ok()).for_each(|d| disks.add(&d));
+        let changes = changes.join().unwrap_or_default();
+        let service = service.join().unwrap_or_else(|_| panicked());
+        let ended: Vec<io::Result<Running>> =
+            players.into_iter().map(|p| p.join().unwrap_or_else(|_| panicked())).collect();
+        (service.map(|s| (Seen { tally, disks, changes }, s)), ended)
     });
+    let (seen, service) = seen?;
     let longest = o.settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
     for (place, child) in ended.into_iter().enumerate() {
         let (mut child, name) = (child?, &o.settings.hosts[place].name);
@@ -258,7 +389,13 @@
             None => return Err(io::Error::other(format!("{name} did not end when drained"))),
         }
     }
-    Ok(tally)
+    if let Some(mut service) = service {
+        service.signal("TERM")?;
+        if service.ends_within(END)? != Some(0) {
+            return Err(io::Error::other("the state service did not end well"));
+        }
+    }
+    Ok(seen)
 }
 
 /// A new folder for a rehearsal's traces and logs.
--- a/crates/wire/build.rs
+++ b/crates/wire/build.rs
@@ -3,5 +3,9 @@
 fn main() {
     println!("cargo:rerun-if-changed=proto");
     let files = protox::compile(["proto/grebecleat.proto"], ["proto"]).expect("the messages compile");
-    prost_build::Config::new().bytes(["."]).compile_fds(files).expect("the messages become Rust");
+    prost_build::Config::new()
+        .bytes(["."])
+        .btree_map(["."])
+        .compile_fds(files)
+        .expect("the messages become Rust");
 }
