A feed that stands still for a minute and then brings forty versions

The hard case had no test. The host keeps to its part of the reservation while the feed stands, to the least of all forty versions until they are settled, and to the newest after that.

--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -4,9 +4,10 @@
 use bytes::Bytes;
 use grebecleat_host::desk::{ConnId, Desk, Input, Output};
 use grebecleat_host::outbox::Outbox;
+use grebecleat_plans::changes::Asks;
 use grebecleat_plans::follow::{Follow, Start};
 use grebecleat_settings::Settings;
-use grebecleat_state::codec::change_pb;
+use grebecleat_state::codec::entry_pb;
 use grebecleat_state::declared::facts;
 use grebecleat_state::store::Keep;
 use grebecleat_state::words::change;
@@ -129,6 +130,10 @@
         self.frames(CLIENT, Body::Take(take));
     }
 
+    pub fn withdraw(&mut self, n: u8) {
+        self.frames(CLIENT, Body::Withdraw(pb::Withdraw { id: Bytes::from(vec![n; 36]) }));
+    }
+
     pub fn frames(&mut self, conn: ConnId, body: Body) {
         let sent_us = self.now.as_micros() as u64;
         let (at, frames) = (self.now, vec![pb::Frame { sent_us, body: Some(body) }]);
@@ -148,16 +153,23 @@
 
     /// The state service answers: these lines are one entry, and all is settled up to that one.
     pub fn told(&mut self, words: &[&str], settled: u64) {
+        self.told_all(&[words], settled);
+    }
+
+    /// The same with several entries at once, each of its own lines.
+    pub fn told_all(&mut self, all: &[&[&str]], settled: u64) {
         let ask = self.asks();
         let (conn, mut l) = (self.state.expect("dialled"), Follow::ledger_of(facts(self.desk.settings())));
         l = l.restored(self.desk.plans().ledger().version(), self.desk.plans().ledger().state(), Vec::new());
-        let changes: Vec<_> = words.iter().map(|w| change(&l, w).expect("good words")).collect();
-        let (from, version) = (ask.has, ask.has + 1);
-        let changes = changes.iter().map(change_pb).collect();
-        let entry = pb::ChangeEntry { version, from, changes, ..Default::default() };
-        let (era, call, lease_us) = (1, ask.call, 3_000_000);
-        let feed =
-            pb::Feed { call, era, version, settled, lease_us, entries: vec![entry], ..Default::default() };
+        let mut entries = Vec::new();
+        for words in all {
+            let changes: Vec<_> = words.iter().map(|w| change(&l, w).expect("good words")).collect();
+            let entry = l.propose(l.version(), Asks::default(), changes).expect("in order");
+            l.take(entry.clone()).expect("the next");
+            entries.push(entry_pb(&entry));
+        }
+        let (era, call, lease_us, version) = (1, ask.call, 3_000_000, l.version().0);
+        let feed = pb::Feed { call, era, version, settled, lease_us, entries, ..Default::default() };
         let frames = vec![pb::Frame { sent_us: 0, body: Some(Body::Feed(feed)) }];
         self.feed(vec![Input::StateFrames { conn, frames }]);
         for (number, _) in std::mem::take(&mut self.keeps) {
--- a/crates/host/tests/following.rs
+++ b/crates/host/tests/following.rs
@@ -87,6 +87,48 @@
     assert!(r.notes.iter().any(|n| n.contains("lease")), "{:?}", r.notes);
 }
 
+/// The feed stands still for a minute, on a connection that stays up, and then forty versions come in one answer:
+/// while it stands the host keeps to its part of the reservation, and then to the least that any of them says.
+#[test]
+fn a_feed_that_stands_still_for_a_minute_and_then_brings_forty_versions() {
+    let mut r = Rig::following("host(name = \"i\")");
+    let limited = |limit: u32| format!("plan p rate=100 reservation=4 limit={limit} burst={limit} slack=100");
+    r.told(&[&limited(40), "volume 5 plan=p hosts=h,i cells=1 blocks=64"], 1);
+    r.take(1, 0);
+    r.wait(ms(100));
+    let conn = r.connect();
+    let legs = |r: &mut Rig, span: u64| {
+        let mut sent = 0;
+        for n in 0..span / 20 {
+            (n % 25 == 0).then(|| (10..50).for_each(|n| r.take(n, 0)));
+            r.wait(ms(20));
+            let out = r.legs(conn);
+            sent += out.len();
+            out.iter().for_each(|l| r.node_answers(conn, l.leg, pb::Result::Ok));
+            // What is held gives its number free for the next ones.
+            if n % 25 == 24 {
+                (10..50).for_each(|n| r.withdraw(n));
+            }
+        }
+        r.finals();
+        sent
+    };
+    legs(&mut r, 4000);
+    let standing = legs(&mut r, 56_000);
+    assert!((90..=130).contains(&standing), "{standing}: its part of the reservation is 2 a second");
+    let versions: Vec<String> = (0..40).map(|n| limited(if n == 20 { 12 } else { 41 + n })).collect();
+    let versions: Vec<[&str; 1]> = versions.iter().map(|v| [v.as_str()]).collect();
+    r.told_all(&versions.iter().map(|v| &v[..]).collect::<Vec<_>>(), 1);
+    let terms = r.desk.plans().ledger().plan("p").map(|p| p.limit);
+    assert_eq!(terms, Some(80.0));
+    let unsettled = legs(&mut r, 2000);
+    assert!((8..=18).contains(&unsettled), "{unsettled}: one of them said 12, and somebody may follow it");
+    // The same connection, now with an answer that says that all of them are over.
+    r.told(&["plan other rate=1"], 41);
+    let settled = legs(&mut r, 2000);
+    assert!(settled >= 30, "{settled}");
+}
+
 /// An answer that makes no sense ends the connection, and the host goes on as it was.
 #[test]
 fn a_service_that_makes_no_sense_is_hung_up_on() {
