--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -73,6 +73,9 @@
         volumes: u64,
         #[arg(long, default_value_t = 10_000_000)]
         extents: u64,
+        /// Only changes at 10,000 volumes, through so many connections.
+        #[arg(long)]
+        connections: Option<u64>,
     },
     /// One row of `state`.
     #[command(hide = true)]
@@ -110,10 +113,13 @@
         What::Extents { count } => extents::measure(count),
         What::StateOpen { volumes, extents, run } => state::open(volumes, extents, run)?,
         What::Planner => planner::measure(),
-        What::State { seconds, program, volumes, extents } => {
+        What::State { seconds, program, volumes, extents, connections } => {
             let beside = std::env::current_exe()?.with_file_name("grebecleat");
-            let span = Duration::from_secs_f64(seconds);
-            state::measure(&program.unwrap_or(beside), span, volumes, extents)?;
+            let (program, span) = (program.unwrap_or(beside), Duration::from_secs_f64(seconds));
+            match connections {
+                Some(n) => state::changes(&program, span, 10_000, 200, n)?,
+                None => state::measure(&program, span, volumes, extents)?,
+            }
         }
         What::Commands => commands::measure(),
         What::Sockets { seconds, program, only, nodes } => {
