Drains have stages, nodes have names, and admission says what a drain coincides with

Need: a console drains a box by its name, in its turn, and never two of a zone at once, however many clerks there are; and how far a drain is must outlive a crash.

Change: a drain in the ledger is queued, going, empty or out, goes one way, and tells who asked and since when; nodes have names, each once. Admission speaks against a drain beside another one of its zone, or beside a node there that is cold, suspect or gone, against one that leaves reserves unmet while another zone is short, and against taking out what is not empty; one that waits is judged as if its turn had come.

--- a/crates/bench/src/planner.rs
+++ b/crates/bench/src/planner.rs
@@ -31,7 +31,12 @@
 /// The same site as a ledger.
 fn ledger(s: &Site) -> Ledger {
     let plan = |v: &Volume| changes::Plan { reservation: v.reserve, weight: v.weight, ..Default::default() };
-    let node = |n: &Node| changes::Node { zone: n.zone.to_string().into(), cell: n.id, capacity: n.capacity };
+    let node = |n: &Node| changes::Node {
+        name: "".into(),
+        zone: n.zone.to_string().into(),
+        cell: n.id,
+        capacity: n.capacity,
+    };
     let volume = |v: &Volume| changes::Volume {
         plan: v.id.to_string().into(),
         hosts: ["h".into()].into(),
--- a/crates/cli/src/plans.rs
+++ b/crates/cli/src/plans.rs
@@ -100,9 +100,10 @@
             "plan": &*v.plan, "hosts": v.hosts.iter().map(|h| &**h).collect::<Vec<_>>(),
             "cells": &*v.cells, "blocks": v.blocks })) }),
         Change::Node { id, to } => json!({ "node": id, "to": to.as_ref().map(|n| json!({
-            "zone": &*n.zone, "cell": n.cell, "capacity": n.capacity })) }),
+            "name": &*n.name, "zone": &*n.zone, "cell": n.cell, "capacity": n.capacity })) }),
         Change::Drain { node, to } => json!({ "drain": node, "to": to.as_ref().map(|d| json!({
-            "within_s": d.within.as_secs_f64() })) }),
+            "stage": d.stage.name(), "within_s": d.within.as_secs_f64(), "who": &*d.who,
+            "asked": date(d.asked), "since": date(d.since) })) }),
         Change::Target { name, to } => json!({ "target": &**name, "to": to.as_ref().map(|t| json!({
             "volumes": &**t })) }),
         Change::Timed { id, to } => json!({ "timed": id, "to": to.as_ref().map(|t| json!({
--- a/crates/plans/src/admission.rs
+++ b/crates/plans/src/admission.rs
@@ -8,11 +8,16 @@
 //! reason against a change that does not make it worse: or nobody could mend a site step by step. Where no
 //! node's capacity has been said, nothing can be judged, and the answer says so.
 //!
+//! Against a drain speaks, beside that, whatever else its zone is without: another drain, a node that is cold,
+//! does not answer as it should or is gone (`unfit` says so). A zone is what fails as one, and data is laid out so
+//! that it may lose one node and not two; and two clerks who each see one drain must not together make it two. A
+//! drain that only waits for its turn is judged by reserves alone, as if its turn had come.
+//!
 //! Losses are looked at one by one, those first that share nodes with what is changed; a look is cut off
 //! after a number of steps, and the answer says how many losses were not looked at. Without input or output.
 //! Memory: the flow, and one figure for each node and zone.
 
-use crate::changes::{self, Change, Ledger, Name};
+use crate::changes::{self, Change, Drain, Ledger, Name, Stage};
 use crate::planner::{check, Node, Out, Site, Volume, PARTS};
 use crate::standing::{Missing, Standing};
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +35,47 @@
     OutOfReach { by: f64 },
     /// Reserves that could not be met with something out.
     Without { out: Out, zone: Option<Name>, by: f64 },
+    /// What else the zone of a drained node is without.
+    Coincides { node: u32, zone: Name, with: Vec<(u32, Beside)> },
+    /// Reserves that cannot be met while these nodes, of other zones, are gone as well.
+    Meanwhile { gone: Vec<u32>, by: f64 },
+    /// It is to be taken out, and what was sent to it may still be under way.
+    NotEmpty { node: u32 },
+}
+
+/// How a node beside a drained one is not what it should be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Beside {
+    Drains,
+    Cold,
+    Suspect,
+    Gone,
+}
+
+impl fmt::Display for Beside {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Beside::Drains => "drains",
+            Beside::Cold => "has just started and is cold",
+            Beside::Suspect => "does not answer as it should",
+            Beside::Gone => "is gone",
+        })
+    }
+}
+
+/// What a node's zone is without beside it.
+///
+/// ```
+/// use grebecleat_plans::admission::{beside, Beside::*};
+/// let zone = |n: u32| if n < 10 { 'a' } else { 'b' };
+/// let others = [(1, Drains), (2, Cold), (11, Gone), (3, Drains)];
+/// assert_eq!(beside(3, zone, others), [(1, Drains), (2, Cold)]);
+/// ```
+pub fn beside<Z: PartialEq>(
+    node: u32, zone: impl Fn(u32) -> Z, others: impl IntoIterator<Item = (u32, Beside)>,
+) -> Vec<(u32, Beside)> {
+    let own = zone(node);
+    others.into_iter().filter(|o| o.0 != node && zone(o.0) == own).collect()
 }
 
 impl fmt::Display for Reason {
@@ -54,6 +100,23 @@
                 };
                 write!(f, "with {what} out, {by:.1} units a second of reserves could not be met")
             }
+            Reason::Coincides { node, zone, with } => {
+                write!(f, "node {node} must not drain while in zone {zone}")?;
+                let each: Vec<String> = with.iter().map(|(n, how)| format!("node {n} {how}")).collect();
+                write!(f, " {}", each.join(" and "))
+            }
+            Reason::Meanwhile { gone, by } => {
+                let gone: Vec<String> = gone.iter().map(u32::to_string).collect();
+                let (s, are) = if gone.len() == 1 { ("", "is") } else { ("s", "are") };
+                let gone = gone.join(", ");
+                write!(f, "while node{s} {gone} {are} gone, {by:.1} units a second of reserves cannot be met")
+            }
+            Reason::NotEmpty { node } => {
+                write!(
+                    f,
+                    "what was sent to node {node} may still be under way; it is empty when its drain says so"
+                )
+            }
         }
     }
 }
@@ -86,7 +149,10 @@
     holders: BTreeMap<u32, BTreeSet<u32>>,
     reservations: BTreeMap<Name, f64>,
     known: bool,
+    /// Nodes that get nothing new.
     drains: BTreeSet<u32>,
+    stages: BTreeMap<u32, Stage>,
+    unfit: BTreeMap<u32, Beside>,
     losses: BTreeMap<Out, Loss>,
     /// Figures of losses before the last changes.
     was: BTreeMap<Out, Loss>,
@@ -109,7 +175,15 @@
         Site { nodes, volumes, spread: self.standing.spread() }
     }
 
-    /// Nodes that somebody wants empty.
+    /// What hosts see of a node that keeps a drain beside it from going; None: it is as it should be.
+    pub fn set_unfit(&mut self, node: u32, how: Option<Beside>) {
+        match how {
+            Some(how) => _ = self.unfit.insert(node, how),
+            None => _ = self.unfit.remove(&node),
+        }
+    }
+
+    /// Nodes that somebody wants empty and whose turn has come.
     pub fn drains(&self) -> &BTreeSet<u32> {
         &self.drains
     }
@@ -128,20 +202,49 @@
         let before = self.standing.missing();
         self.was = self.losses.clone();
         let mut touched = self.homes_of(after, changes);
+        let drained = self.newly(changes, Drain::holds);
+        let queued = self.newly(changes, |d| !d.holds());
+        let gone: BTreeSet<u32> = self.elsewhere_gone(after, &drained);
+        let with_gone = if gone.is_empty() { before } else { self.standing.without(&gone) };
+        let taken_out = self.taken_out(changes);
         self.apply(after, changes);
         touched.extend(self.homes_of(after, changes));
+        let mut o = Opinion::default();
+        for node in &drained {
+            let others = self.drains.iter().map(|n| (*n, Beside::Drains));
+            let unfit = self.unfit.iter().filter(|u| !self.drains.contains(u.0)).map(|(n, how)| (*n, *how));
+            let zone = |n: u32| after.node(n).map(|n| n.zone.clone());
+            let with = beside(*node, zone, others.chain(unfit));
+            if !with.is_empty() {
+                let zone = zone(*node).unwrap_or_default();
+                o.against.push(Reason::Coincides { node: *node, zone, with });
+            }
+        }
+        o.against.extend(taken_out.into_iter().map(|node| Reason::NotEmpty { node }));
         if !self.known {
-            return Opinion { blind: true, ..Opinion::default() };
+            o.blind = true;
+            return o;
         }
-        let (now, slack) = (self.standing.missing(), self.standing.slack());
-        let mut o = Opinion::default();
+        let slack = self.standing.slack();
+        // A drain that waits for its turn is judged as if it had come.
+        let (now, out) = match queued.is_empty() {
+            true => (self.standing.missing(), self.drains.clone()),
+            false => (self.standing.without(&queued), self.drains.union(&queued).copied().collect()),
+        };
         if now.short > before.short + slack {
-            let volumes = check(&self.site(after), &self.drains).short;
+            let volumes = check(&self.site(after), &out).short;
             o.against.push(Reason::Short { by: now.short, volumes });
         }
         if now.out_of_reach > before.out_of_reach + slack {
             o.against.push(Reason::OutOfReach { by: now.out_of_reach });
         }
+        if !gone.is_empty() && o.against.is_empty() {
+            let now = self.standing.without(&gone);
+            if now.exceeds(&with_gone, slack) {
+                let (gone, by) = (gone.into_iter().collect(), now.short + now.out_of_reach);
+                o.against.push(Reason::Meanwhile { gone, by });
+            }
+        }
         if !o.against.is_empty() {
             return o;
         }
@@ -160,6 +263,38 @@
         o
     }
 
+    /// Nodes that these changes drain, as it says, and that nobody drained before.
+    fn newly(&self, changes: &[Change], how: impl Fn(&Drain) -> bool) -> BTreeSet<u32> {
+        let drained = |c: &Change| match c {
+            Change::Drain { node, to: Some(d) } if how(d) => Some(*node),
+            _ => None,
+        };
+        let known = |n: &u32| self.stages.get(n).is_some_and(|s| *s != Stage::Queued);
+        changes.iter().filter_map(drained).filter(|n| !known(n)).collect()
+    }
+
+    /// Nodes that are to be out and were never empty.
+    fn taken_out(&self, changes: &[Change]) -> Vec<u32> {
+        let out = |c: &Change| match c {
+            Change::Drain { node, to: Some(d) } if d.stage == Stage::Out => Some(*node),
+            _ => None,
+        };
+        let going = |n: &u32| self.stages.get(n).is_none_or(|s| *s < Stage::Empty);
+        changes.iter().filter_map(out).filter(going).collect()
+    }
+
+    /// Nodes that are gone in zones where nothing is drained now.
+    fn elsewhere_gone(&self, ledger: &Ledger, drained: &BTreeSet<u32>) -> BTreeSet<u32> {
+        let zone = |n: &u32| ledger.node(*n).map(|n| n.zone.clone());
+        let zones: BTreeSet<Option<Name>> = drained.iter().map(zone).collect();
+        let gone = self.unfit.iter().filter(|(n, how)| **how == Beside::Gone && !zones.contains(&zone(n)));
+        let gone = gone.map(|(n, _)| *n).filter(|n| !self.drains.contains(n));
+        if drained.is_empty() {
+            return BTreeSet::new();
+        }
+        gone.collect()
+    }
+
     /// The changes of the last [`Admission::land`] were taken back: the ledger is as it was before.
     pub fn undo(&mut self, ledger: &Ledger, changes: &[Change]) {
         self.apply(ledger, changes);
@@ -252,13 +387,17 @@
                     self.standing.set_node(node);
                 }
                 Change::Drain { node, .. } => {
-                    let wanted = ledger.drains().any(|(n, _)| n == *node);
-                    if wanted {
-                        self.drains.insert(*node)
-                    } else {
-                        self.drains.remove(node)
-                    };
-                    self.standing.set_up(*node, !wanted);
+                    let drain = ledger.drain(*node);
+                    match drain {
+                        Some(d) => _ = self.stages.insert(*node, d.stage),
+                        None => _ = self.stages.remove(node),
+                    }
+                    let holds = drain.is_some_and(Drain::holds);
+                    match holds {
+                        true => _ = self.drains.insert(*node),
+                        false => _ = self.drains.remove(node),
+                    }
+                    self.standing.set_up(*node, !holds);
                 }
                 Change::Volume { id, .. } => _ = volumes.insert(*id),
                 Change::Plan { name, .. } => {
--- a/crates/plans/src/changes.rs
+++ b/crates/plans/src/changes.rs
@@ -53,19 +53,75 @@
     pub blocks: u64,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Node {
+    /// What operators call it; each once. Empty: it goes by its number.
+    pub name: Name,
     pub zone: Name,
     pub cell: u32,
     /// Units a second; 0: nobody has said.
     pub capacity: f64,
 }
 
+/// How far a drain has come, as it must outlive a crash. What lies between these is told by hosts as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Stage {
+    /// It waits until nothing speaks against it; the node serves as before.
+    Queued,
+    /// Hosts send the node nothing new.
+    #[default]
+    Going,
+    /// Nothing that any host sent it is under way.
+    Empty,
+    /// It is taken out: what comes back under its number is not trusted with work before it is returned.
+    Out,
+}
+
 /// Somebody wants the node empty.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Drain {
-    /// After which it is given up; zero: never.
+    pub stage: Stage,
+    /// Counted from when it goes, after which it is given up; zero: never.
     pub within: Duration,
+    /// Who asked first and when; when the stage last changed. Times are since 1970. The ledger's keeper fills
+    /// these in.
+    pub who: Name,
+    pub asked: Duration,
+    pub since: Duration,
+}
+
+impl Drain {
+    /// Whether the node is to get nothing new.
+    pub fn holds(&self) -> bool {
+        self.stage != Stage::Queued
+    }
+}
+
+impl Stage {
+    pub const NAMES: [(Stage, &'static str); 4] =
+        [(Stage::Queued, "queued"), (Stage::Going, "going"), (Stage::Empty, "empty"), (Stage::Out, "out")];
+
+    pub fn name(self) -> &'static str {
+        Stage::NAMES.iter().find(|(stage, _)| *stage == self).map_or("", |(_, name)| name)
+    }
+
+    /// Whether a drain may go from one stage to the other; None: there is none. Nothing goes back but to none
+    /// at all: what an empty node was told cannot be untold, and a node that is out is returned, and perhaps
+    /// drained anew.
+    ///
+    /// ```
+    /// use grebecleat_plans::changes::Stage::{self, *};
+    /// assert!(Stage::may_follow(None, Some(Queued)) && Stage::may_follow(Some(Queued), Some(Going)));
+    /// assert!(!Stage::may_follow(Some(Empty), Some(Going)) && !Stage::may_follow(None, Some(Empty)));
+    /// assert!(Stage::may_follow(Some(Out), None));
+    /// ```
+    pub fn may_follow(was: Option<Stage>, is: Option<Stage>) -> bool {
+        match (was, is) {
+            (_, None) => true,
+            (None, Some(is)) => is <= Stage::Going,
+            (Some(was), Some(is)) => was <= is,
+        }
+    }
 }
 
 /// Changes that are to land at a stated time, by the wall clock since 1970.
@@ -259,6 +315,8 @@
     drains: BTreeMap<u32, Drain>,
     targets: BTreeMap<Name, Arc<[u64]>>,
     timed: BTreeMap<u64, Timed>,
+    /// Nodes by name.
+    called: BTreeMap<Name, u32>,
     /// Volumes by plan: a plan that thousands stand on is taken away, or not, without looking at all volumes.
     standing: BTreeMap<Name, BTreeSet<u64>>,
     /// Each name, and each set of hosts or cells, is held once however many volumes have it.
@@ -313,6 +371,16 @@
         self.nodes.get(&id)
     }
 
+    /// The node of that name, or of that number.
+    pub fn node_called(&self, name: &str) -> Option<u32> {
+        let number = || name.parse().ok().filter(|id| self.nodes.contains_key(id));
+        self.called.get(name).copied().or_else(number)
+    }
+
+    pub fn drain(&self, node: u32) -> Option<&Drain> {
+        self.drains.get(&node)
+    }
+
     pub fn plans(&self) -> impl Iterator<Item = (&Name, &Plan)> {
         self.plans.iter()
     }
@@ -563,7 +631,16 @@
         }
         match change.clone() {
             Change::Plan { name, to } => set(&mut self.plans, name, to),
-            Change::Node { id, to } => set(&mut self.nodes, id, to),
+            Change::Node { id, to } => {
+                let old = self.nodes.get(&id).map(|n| n.name.clone());
+                if let Some(old) = old.filter(|old| self.called.get(old) == Some(&id)) {
+                    self.called.remove(&old);
+                }
+                if let Some(name) = to.as_ref().map(|n| &n.name).filter(|n| !n.is_empty()) {
+                    self.called.insert(name.clone(), id);
+                }
+                set(&mut self.nodes, id, to);
+            }
             Change::Drain { node, to } => set(&mut self.drains, node, to),
             Change::Target { name, to } => set(&mut self.targets, name, to),
             Change::Timed { id, to } => set(&mut self.timed, id, to),
@@ -644,6 +721,9 @@
             Change::Node { to: Some(n), .. } if !(n.capacity.is_finite() && n.capacity >= 0.0) => {
                 bad("its capacity is negative or no number".into())
             }
+            Change::Node { to: Some(n), .. } if n.name.parse::<u64>().is_ok() => {
+                bad(format!("its name, {}, is a number and might be another's", n.name))
+            }
             Change::Timed { to: Some(t), .. } => {
                 if t.changes.iter().any(|c| matches!(c, Change::Timed { .. })) {
                     return bad("a timed change within a timed change".into());
@@ -744,6 +824,27 @@
                 Change::Drain { node, to: Some(_) } if self.node(*node).is_none() => {
                     return Err(Refused::Unknown(Subject::Node(*node)));
                 }
+                Change::Drain { node, to: Some(to) } => {
+                    let was = self.below.drain(*node).map(|d| d.stage);
+                    if !Stage::may_follow(was, Some(to.stage)) {
+                        let was = was.map_or("none", Stage::name);
+                        let what = format!("cannot go from {was} to {}", to.stage.name());
+                        return Err(Refused::Figure { subject: subject.clone(), what });
+                    }
+                }
+                Change::Node { id, to: Some(n) } if !n.name.is_empty() => {
+                    let own =
+                        |other: &u32| *other != *id && self.node(*other).is_some_and(|o| o.name == n.name);
+                    let below = self.below.called.get(&n.name).copied().filter(own);
+                    let beside = self.over.keys().find_map(|s| match s {
+                        Subject::Node(other) if own(other) => Some(*other),
+                        _ => None,
+                    });
+                    if let Some(other) = below.or(beside) {
+                        let what = format!("node {other} is called {} as well", n.name);
+                        return Err(Refused::Figure { subject: subject.clone(), what });
+                    }
+                }
                 Change::Node { id, to: None } if self.drains(*id) => {
                     return Err(Refused::InUse { what: subject.clone(), by: Subject::Drain(*id) });
                 }
--- a/crates/plans/src/source.rs
+++ b/crates/plans/src/source.rs
@@ -19,7 +19,7 @@
 //! Without input or output. Memory: the ledger, the flow, one call for each host, and at most [`MOST_WAITING`]
 //! changes on their way to the disk.
 
-use crate::admission::{Admission, Opinion, Reason};
+use crate::admission::{Admission, Beside, Opinion, Reason};
 use crate::changes::{Asks, Change, Entry, Ledger, Name, Refused, Subject, Timed, Version};
 use crate::feed::{Answer, HostNo, Leases, Lowerings};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -102,6 +102,11 @@
     Hung {
         call: Call,
     },
+    /// What hosts see of a node: see [`Admission::set_unfit`].
+    Unfit {
+        node: u32,
+        how: Option<Beside>,
+    },
     /// Everything up to that number is on the disk.
     Kept {
         upto: u64,
@@ -360,6 +365,7 @@
                 self.out.push(Action::Landed { call, version, opinion });
             }
             Event::Prevail { call, who, why } => self.prevail(call, &who, &why),
+            Event::Unfit { node, how } => self.admission.set_unfit(node, how),
             Event::Hung { call } => self.waiting.retain(|_, w| w.call != call),
             // Of what was taken back with an earlier one the disk may still speak.
             Event::Kept { upto } if upto > self.void => self.is_kept(upto),
@@ -380,6 +386,7 @@
         if self.landing.len() >= MOST_WAITING {
             return self.refuse(call, format!("{MOST_WAITING} changes wait to be kept; try again"));
         }
+        changes.iter_mut().for_each(|c| self.stamp(c, &who));
         if let Some(at) = at.filter(|at| *at > self.wall) {
             // What is wrong with it by itself is told now and not at night.
             if let Err(why) = self.ledger.propose(looked_at, asks(&who, &why, self.wall), changes.clone()) {
@@ -395,6 +402,15 @@
         self.land(Some(call), entry, force);
     }
 
+    /// A drain tells by itself who asked for it, when, and since when it is as far as it is; whoever asks for
+    /// what is so already changes nothing of that.
+    fn stamp(&self, change: &mut Change, who: &str) {
+        let Change::Drain { node, to: Some(d) } = change else { return };
+        let was = self.ledger.drain(*node);
+        (d.who, d.asked) = was.map_or((who.into(), self.wall), |w| (w.who.clone(), w.asked));
+        d.since = was.filter(|w| w.stage == d.stage).map_or(self.wall, |w| w.since);
+    }
+
     /// The one place where a change lands: judged, laid over the ledger and sent to the disk.
     fn land(&mut self, call: Option<Call>, entry: Result<Entry, Refused>, force: bool) {
         let entry = match entry {
@@ -478,7 +494,8 @@
     }
 
     fn timed(&mut self, t: &Timed, over: &Change) -> Result<(), String> {
-        let changes: Vec<Change> = t.changes.iter().chain([over]).cloned().collect();
+        let mut changes: Vec<Change> = t.changes.iter().chain([over]).cloned().collect();
+        changes.iter_mut().for_each(|c| self.stamp(c, &t.who));
         let asks = asks(&t.who, &t.why, self.wall);
         let entry = self.ledger.propose(self.ledger.version(), asks, changes).map_err(|e| e.to_string())?;
         let before = self.landing.len();
--- a/crates/plans/tests/admission.rs
+++ b/crates/plans/tests/admission.rs
@@ -1,6 +1,6 @@
 //! What speaks against a change, case by case, and that nothing of an opinion depends on how it came about.
 
-use grebecleat_plans::admission::{Admission, Opinion, Reason};
+use grebecleat_plans::admission::{Admission, Beside, Opinion, Reason};
 use grebecleat_plans::changes::*;
 use grebecleat_plans::planner::{check, Out};
 use rand::{Rng, SeedableRng};
@@ -21,13 +21,17 @@
 }
 
 fn node(id: u32, zone: &str, capacity: f64) -> Change {
-    Change::Node { id, to: Some(Node { zone: zone.into(), cell: id, capacity }) }
+    Change::Node { id, to: Some(Node { zone: zone.into(), cell: id, capacity, ..Node::default() }) }
 }
 
 fn drain(node: u32, on: bool) -> Change {
     Change::Drain { node, to: on.then(Drain::default) }
 }
 
+fn stage(node: u32, stage: Stage) -> Change {
+    Change::Drain { node, to: Some(Drain { stage, ..Drain::default() }) }
+}
+
 fn ledger() -> Ledger {
     Ledger::new(Facts { hosts: ["h".into()].into(), linger: Duration::ZERO }, 10)
 }
@@ -116,6 +120,99 @@
     }
 }
 
+/// Drains beside what else a zone is without; each case with what is so before it.
+#[test]
+fn what_speaks_against_a_drain() {
+    use Stage::*;
+    let free = || vec![plan("basic", 0.0)];
+    type Case = (&'static str, Vec<Change>, &'static [(u32, Beside)], Vec<Change>, &'static [&'static str]);
+    let cases: [Case; 11] = [
+        ("alone", free(), &[], vec![stage(1, Going)], &[]),
+        (
+            "a second one of its zone",
+            [free(), vec![stage(2, Going)]].concat(),
+            &[],
+            vec![stage(1, Going)],
+            &["node 1 must not drain while in zone a node 2 drains"],
+        ),
+        ("beside one that waits", [free(), vec![stage(2, Queued)]].concat(), &[], vec![stage(1, Going)], &[]),
+        ("of another zone", [free(), vec![stage(3, Going)]].concat(), &[], vec![stage(1, Going)], &[]),
+        ("waiting beside one", [free(), vec![stage(2, Going)]].concat(), &[], vec![stage(1, Queued)], &[]),
+        (
+            "two at once",
+            free(),
+            &[],
+            vec![stage(1, Going), stage(2, Going)],
+            &[
+                "node 1 must not drain while in zone a node 2 drains",
+                "node 2 must not drain while in zone a node 1 drains",
+            ],
+        ),
+        (
+            "beside a cold one",
+            free(),
+            &[(2, Beside::Cold), (3, Beside::Gone)],
+            vec![stage(1, Going)],
+            &["node 1 must not drain while in zone a node 2 has just started and is cold"],
+        ),
+        ("cold itself", free(), &[(1, Beside::Cold)], vec![stage(1, Going)], &[]),
+        (
+            "reserved data there, and it would only wait",
+            vec![],
+            &[],
+            vec![stage(1, Queued)],
+            &["20.0 units a second of reserves lie out of reach"],
+        ),
+        (
+            "out before it is empty",
+            [free(), vec![stage(1, Going)]].concat(),
+            &[],
+            vec![stage(1, Out)],
+            &["what was sent to node 1 may still be under way; it is empty when its drain says so"],
+        ),
+        (
+            "out once it is",
+            [free(), vec![stage(1, Going)], vec![stage(1, Empty)]].concat(),
+            &[(2, Beside::Cold)],
+            vec![stage(1, Out)],
+            &[],
+        ),
+    ];
+    for (what, before, unfit, changes, expected) in cases {
+        let mut l = begun();
+        for c in before {
+            land(&mut l, vec![c]);
+        }
+        let mut a = Admission::open(&l, 2.0);
+        unfit.iter().for_each(|(n, how)| a.set_unfit(*n, Some(*how)));
+        let o = opinion(&mut l, &mut a, changes);
+        let told: Vec<String> = o.against.iter().map(|r| r.to_string()).collect();
+        assert_eq!(told, expected, "{what}");
+    }
+}
+
+/// While a node of another zone is gone, what a drain leaves must carry its part as well.
+#[test]
+fn a_drain_while_another_zone_is_short() {
+    let mut l = ledger();
+    let nodes = [("a", 1), ("a", 2), ("b", 3), ("b", 4)].map(|(zone, id)| node(id, zone, 100.0));
+    land(&mut l, nodes.into());
+    land(&mut l, vec![plan("all", 240.0)]);
+    // Spread so wide that any of its nodes may carry up to all of it.
+    land(&mut l, vec![volume(1, "all", &[2, 3, 4]), plan("none", 0.0), volume(2, "none", &[1])]);
+    let mut a = Admission::open(&l, 5.0);
+    assert_eq!(opinion(&mut l, &mut a, vec![stage(1, Stage::Going)]).against, []);
+    a.set_unfit(3, Some(Beside::Gone));
+    assert_eq!(opinion(&mut l, &mut a, vec![stage(1, Stage::Going)]).against, [], "it carried nothing");
+    land(&mut l, vec![volume(1, "all", &[1, 2, 3, 4])]);
+    let mut a = Admission::open(&l, 5.0);
+    a.set_unfit(3, Some(Beside::Gone));
+    let o = opinion(&mut l, &mut a, vec![stage(1, Stage::Going)]);
+    assert!(!o.against.is_empty(), "{o:?}");
+    let told = Reason::Meanwhile { gone: vec![3], by: 40.0 }.to_string();
+    assert_eq!(told, "while node 3 is gone, 40.0 units a second of reserves cannot be met");
+}
+
 /// What is broken already does not keep anybody from mending it, or from what has nothing to do with it.
 #[test]
 fn a_broken_site_is_mended_step_by_step() {
@@ -172,7 +269,10 @@
                     ["a", "b", "c"][rng.random_range(0..3)],
                     f64::from(rng.random_range(1..200)),
                 ),
-                2 => drain(rng.random_range(1..5), rng.random_range(0..2) == 0),
+                2 => match rng.random_range(0..6) {
+                    0 | 1 => drain(rng.random_range(1..5), false),
+                    n => stage(rng.random_range(1..5), Stage::NAMES[n - 2].0),
+                },
                 3 => Change::Volume { id: rng.random_range(1..9), to: None },
                 _ => volume(rng.random_range(1..9), name, &cells),
             };
@@ -183,7 +283,7 @@
                 l.take_back();
                 a.undo(&l, &[change]);
             }
-            let out = l.drains().map(|(n, _)| n).collect();
+            let out = l.drains().filter(|(_, d)| d.holds()).map(|(n, _)| n).collect();
             let v = check(&a.site(&l), &out);
             let seen = a.missing();
             assert!((seen.short - (v.asked - v.carried)).abs() < 0.05, "seed {seed}: {seen:?} {v:?}");
--- a/crates/plans/tests/changes.rs
+++ b/crates/plans/tests/changes.rs
@@ -31,7 +31,7 @@
 }
 
 fn node(id: u32, cell: u32) -> Change {
-    Change::Node { id, to: Some(Node { zone: "a".into(), cell, capacity: 100.0 }) }
+    Change::Node { id, to: Some(Node { zone: "a".into(), cell, capacity: 100.0, ..Node::default() }) }
 }
 
 fn drain(node: u32) -> Change {
@@ -153,6 +153,41 @@
     assert!(land(&mut l, vec![retired(2), target("t", &[1])]).is_ok());
 }
 
+/// Drains go one way, and nodes have names of their own.
+#[test]
+fn drains_and_names_of_nodes() {
+    use Stage::*;
+    let stage = |stage| Change::Drain { node: 4, to: Some(Drain { stage, ..Drain::default() }) };
+    let named = |id, name: &str| {
+        let to = Node { name: name.into(), zone: "a".into(), cell: id, ..Node::default() };
+        Change::Node { id, to: Some(to) }
+    };
+    let mut l = begun();
+    land(&mut l, vec![named(4, "box4"), named(5, "box5")]).unwrap();
+    assert_eq!(["box4", "5", "box6", "6"].map(|n| l.node_called(n)), [Some(4), Some(5), None, None]);
+    let refused = [
+        (vec![stage(Empty)], "drain of node 4: cannot go from none to empty"),
+        (vec![named(6, "box5")], "node 6: node 5 is called box5 as well"),
+        (vec![named(6, "x"), named(7, "x")], "node 6: node 7 is called x as well"),
+        (vec![named(6, "77")], "node 6: its name, 77, is a number and might be another's"),
+    ];
+    for (changes, why) in refused {
+        assert_eq!(land(&mut l, changes).unwrap_err().to_string(), why);
+    }
+    land(&mut l, vec![named(4, "box5"), named(5, "box4")]).expect("they change places");
+    assert_eq!(["box4", "box5"].map(|n| l.node_called(n)), [Some(5), Some(4)]);
+    for (next, fine) in
+        [(Queued, true), (Going, true), (Queued, false), (Empty, true), (Going, false), (Out, true)]
+    {
+        assert_eq!(land(&mut l, vec![stage(next)]).is_ok(), fine, "{next:?}");
+    }
+    land(&mut l, vec![Change::Drain { node: 4, to: None }]).unwrap();
+    land(&mut l, vec![Change::Node { id: 4, to: None }]).unwrap();
+    assert_eq!(l.node_called("box5"), None);
+    l.take_back();
+    assert_eq!(l.node_called("box5"), Some(4));
+}
+
 /// Which entries must be heard of by every host before they are over.
 #[test]
 fn what_takes_from_hosts_that_do_not_hear_of_it() {
--- a/crates/plans/tests/source.rs
+++ b/crates/plans/tests/source.rs
@@ -21,7 +21,7 @@
 }
 
 fn node(id: u32, capacity: f64) -> Change {
-    Change::Node { id, to: Some(Node { zone: "a".into(), cell: id, capacity }) }
+    Change::Node { id, to: Some(Node { zone: "a".into(), cell: id, capacity, ..Node::default() }) }
 }
 
 /// A service with a disk that keeps when it is told to.
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Clone)]
 pub struct NodeSpec {
     pub id: u32,
+    /// What operators call it.
+    pub name: String,
     pub zone: usize,
     pub cell: u32,
     /// Units a second that it can do, for the planner; 0: nobody has said.
@@ -302,6 +304,14 @@
         let plan_names: Vec<&str> = plans.iter().map(|p| p.name.as_str()).collect();
         let nodes = self.each("node", |f| node(f, &zone_names));
         self.unique("node", "id", nodes.iter().map(|n| n.id).collect());
+        let mut called: Vec<&str> = nodes.iter().map(|n| n.name.as_str()).filter(|n| !n.is_empty()).collect();
+        called.sort_unstable();
+        if let Some(twice) = called.windows(2).find(|w| w[0] == w[1]) {
+            self.whole_file(format!(
+                "node: field 'name': {} stands a second time; expected each once",
+                twice[0]
+            ));
+        }
         let hosts = self.each("host", |f| host(f, &zone_names));
         self.unique("host", "name", hosts.iter().map(|h| h.name.clone()).collect());
         let host_names: Vec<&str> = hosts.iter().map(|h| h.name.as_str()).collect();
@@ -477,8 +487,13 @@
 
 fn node(f: &mut Fields, zones: &[&str]) -> NodeSpec {
     let id = f.whole("id", None, (0, u64::from(u32::MAX))) as u32;
+    let name = f.maybe_text("name").unwrap_or_default();
+    if name.parse::<u64>().is_ok() {
+        f.fault("name", format!("expected a name that is no number, found {name}"));
+    }
     NodeSpec {
         id,
+        name,
         zone: f.one_of("zone", None, zones),
         cell: f.whole("cell", Some(u64::from(id)), (0, u64::from(u32::MAX))) as u32,
         capacity: f.number("capacity", Some(0.0), (0.0, 1e9)),
--- a/crates/state/src/codec.rs
+++ b/crates/state/src/codec.rs
@@ -3,7 +3,7 @@
 //! What comes from either may be damaged or a lie: everything that makes no sense is a fault with its place,
 //! and nothing of it is taken.
 
-use grebecleat_plans::changes::{Change, Drain, Entry, Name, Node, Plan, Timed, Version, Volume};
+use grebecleat_plans::changes::{Change, Drain, Entry, Name, Node, Plan, Stage, Timed, Version, Volume};
 use grebecleat_wire::pb::{self, change};
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +33,24 @@
     }
 }
 
+fn stage_pb(stage: Stage) -> pb::DrainStage {
+    match stage {
+        Stage::Queued => pb::DrainStage::Queued,
+        Stage::Going => pb::DrainStage::Going,
+        Stage::Empty => pb::DrainStage::Empty,
+        Stage::Out => pb::DrainStage::Out,
+    }
+}
+
+fn stage_of(stage: pb::DrainStage) -> Stage {
+    match stage {
+        pb::DrainStage::Queued => Stage::Queued,
+        pb::DrainStage::Going => Stage::Going,
+        pb::DrainStage::Empty => Stage::Empty,
+        pb::DrainStage::Out => Stage::Out,
+    }
+}
+
 pub fn change_pb(c: &Change) -> pb::Change {
     use change::{Subject, To};
     let (subject, to) = match c {
@@ -58,12 +76,22 @@
             (Subject::Volume(*id), to.as_ref().map(|v| To::VolumeTo(facts(v))))
         }
         Change::Node { id, to } => {
-            let facts =
-                |n: &Node| pb::NodeFacts { zone: n.zone.to_string(), cell: n.cell, capacity: n.capacity };
+            let facts = |n: &Node| pb::NodeFacts {
+                name: n.name.to_string(),
+                zone: n.zone.to_string(),
+                cell: n.cell,
+                capacity: n.capacity,
+            };
             (Subject::Node(*id), to.as_ref().map(|n| To::NodeTo(facts(n))))
         }
         Change::Drain { node, to } => {
-            let facts = |d: &Drain| pb::DrainFacts { within_us: micros(d.within) };
+            let facts = |d: &Drain| pb::DrainFacts {
+                within_us: micros(d.within),
+                stage: stage_pb(d.stage).into(),
+                who: d.who.to_string(),
+                asked_us: micros(d.asked),
+                since_us: micros(d.since),
+            };
             (Subject::Drain(*node), to.as_ref().map(|d| To::DrainTo(facts(d))))
         }
         Change::Target { name, to } => {
@@ -105,14 +133,25 @@
             }
         }
         (Some(Subject::Node(id)), to @ (None | Some(To::NodeTo(_)))) => {
-            let facts = |n: pb::NodeFacts| Node { zone: n.zone.into(), cell: n.cell, capacity: n.capacity };
+            let facts = |n: pb::NodeFacts| Node {
+                name: n.name.into(),
+                zone: n.zone.into(),
+                cell: n.cell,
+                capacity: n.capacity,
+            };
             Change::Node {
                 id,
                 to: to.and_then(|t| if let To::NodeTo(n) = t { Some(facts(n)) } else { None }),
             }
         }
         (Some(Subject::Drain(node)), to @ (None | Some(To::DrainTo(_)))) => {
-            let facts = |d: pb::DrainFacts| Drain { within: Duration::from_micros(d.within_us) };
+            let facts = |d: pb::DrainFacts| Drain {
+                stage: stage_of(d.stage()),
+                within: Duration::from_micros(d.within_us),
+                who: d.who.as_str().into(),
+                asked: Duration::from_micros(d.asked_us),
+                since: Duration::from_micros(d.since_us),
+            };
             Change::Drain {
                 node,
                 to: to.and_then(|t| if let To::DrainTo(d) = t { Some(facts(d)) } else { None }),
--- a/crates/state/src/declared.rs
+++ b/crates/state/src/declared.rs
@@ -25,7 +25,8 @@
         Change::Plan { name: p.name.as_str().into(), to: Some(to) }
     });
     let nodes = s.nodes.iter().map(|n| {
-        let to = Node { zone: s.zones[n.zone].as_str().into(), cell: n.cell, capacity: n.capacity };
+        let (name, zone) = (n.name.as_str().into(), s.zones[n.zone].as_str().into());
+        let to = Node { name, zone, cell: n.cell, capacity: n.capacity };
         Change::Node { id: n.id, to: Some(to) }
     });
     let volumes = s.volumes.iter().map(|v| {
--- a/crates/state/src/words.rs
+++ b/crates/state/src/words.rs
@@ -7,16 +7,18 @@
 //! plan basic drop
 //! volume 103 plan=priority hosts=h1,h2      a volume that is not there needs plan, hosts, cells and blocks
 //! volume 103 retire
-//! node 5 zone=room-a cell=5 capacity=120
+//! node 5 name=box5.example.org zone=room-a cell=5 capacity=120
 //! node 5 drop
-//! drain 5 within=10m                        nothing new there, and empty it
-//! undrain 5
+//! drain box5.example.org within=10m         nothing new there, until it is empty
+//! drain 5 queued                            the same, as soon as nothing speaks against it
+//! drain 5 out                               it is taken out
+//! undrain 5                                 it is returned, or its drain called off
 //! target iqn.2026-12.org.example:x volumes=1,2
 //! target iqn.2026-12.org.example:x drop
 //! timed 4 off                               calls off what was to land later
 //! ```
 
-use grebecleat_plans::changes::{Change, Drain, Ledger, Name, Node, Plan, Subject, Volume};
+use grebecleat_plans::changes::{Change, Drain, Ledger, Name, Node, Plan, Stage, Subject, Volume};
 use std::fmt::Display;
 use std::str::FromStr;
 use std::time::{Duration, SystemTime};
@@ -87,6 +89,12 @@
     }
 }
 
+/// A node by its name or number; one that is not there by its number alone, for whoever refuses that.
+fn node(ledger: &Ledger, name: &str) -> Result<u32, String> {
+    let known = ledger.node_called(name).or_else(|| name.parse().ok());
+    known.ok_or_else(|| format!("there is no node called {name}"))
+}
+
 /// The change that a line means, beside what the ledger says now.
 ///
 /// ```
@@ -147,26 +155,35 @@
         ("node", rest) => {
             let id = read("node", name)?;
             let mut f = Fields::of(rest)?;
-            let mut n = ledger.node(id).cloned().unwrap_or(Node { zone: "".into(), cell: id, capacity: 0.0 });
+            let new = || Node { cell: id, ..Node::default() };
+            let mut n = ledger.node(id).cloned().unwrap_or_else(new);
+            n.name = f.text("name").map_or(n.name, Name::from);
             n.zone = f.text("zone").map_or(n.zone, Name::from);
             f.set("cell", &mut n.cell)?;
             f.set("capacity", &mut n.capacity)?;
-            f.end("zone, cell, capacity")?;
+            f.end("name, zone, cell, capacity")?;
             if n.zone.is_empty() {
                 return Err("a new node needs its zone".into());
             }
             Ok(Change::Node { id, to: Some(n) })
         }
         ("drain", rest) => {
-            let (mut f, mut d) = (Fields::of(rest)?, Drain::default());
+            let node = node(ledger, name)?;
+            let named = |w: &&str| Stage::NAMES.iter().find(|(_, n)| n == w).map(|(stage, _)| *stage);
+            let (stage, rest) = match rest.split_first().and_then(|(w, rest)| Some((named(w)?, rest))) {
+                Some(named) => named,
+                None => (ledger.drain(node).map_or(Stage::Going, |d| d.stage.max(Stage::Going)), rest),
+            };
+            let mut d = Drain { stage, ..ledger.drain(node).cloned().unwrap_or_default() };
+            let mut f = Fields::of(rest)?;
             if let Some(text) = f.text("within") {
                 let within = humantime::parse_duration(text);
                 d.within = within.map_err(|_| format!("within: {text} is no time such as 90s, 5m or 2h"))?;
             }
             f.end("within")?;
-            Ok(Change::Drain { node: read("drain", name)?, to: Some(d) })
+            Ok(Change::Drain { node, to: Some(d) })
         }
-        ("undrain", []) => Ok(Change::Drain { node: read("undrain", name)?, to: None }),
+        ("undrain", []) => Ok(Change::Drain { node: node(ledger, name)?, to: None }),
         ("target", ["drop"]) => Ok(Change::Target { name: Name::from(*name), to: None }),
         ("target", rest) => {
             let (mut f, mut volumes) = (Fields::of(rest)?, std::sync::Arc::from([]));
@@ -205,15 +222,16 @@
         ),
         Change::Node { id, to: None } => format!("node {id} drop"),
         Change::Node { id, to: Some(n) } => {
-            format!("node {id} zone={} cell={} capacity={}", n.zone, n.cell, n.capacity)
+            let name = if n.name.is_empty() { String::new() } else { format!("name={} ", n.name) };
+            format!("node {id} {name}zone={} cell={} capacity={}", n.zone, n.cell, n.capacity)
         }
         Change::Drain { node, to: None } => format!("undrain {node}"),
-        Change::Drain { node, to: Some(d) } if d.within.is_zero() => format!("drain {node}"),
         Change::Drain { node, to: Some(d) } => {
-            format!(
-                "drain {node} within={}",
-                humantime::format_duration(d.within).to_string().replace(' ', "")
-            )
+            let stage = if d.stage == Stage::Going { "" } else { d.stage.name() };
+            let within = humantime::format_duration(d.within).to_string().replace(' ', "");
+            let within = if d.within.is_zero() { String::new() } else { format!("within={within}") };
+            let words = ["drain", &node.to_string(), stage, &within];
+            words.into_iter().filter(|w| !w.is_empty()).collect::<Vec<_>>().join(" ")
         }
         Change::Target { name, to: None } => format!("target {name} drop"),
         Change::Target { name, to: Some(t) } => {
--- a/crates/state/tests/snapshots.rs
+++ b/crates/state/tests/snapshots.rs
@@ -30,13 +30,15 @@
         |id| Volume { plan: "p".into(), hosts: ["h1".into()].into(), cells: [1, 2].into(), blocks: id };
     let volumes = (1..40).map(|id| Change::Volume { id, to: Some(volume(id)) });
     batch.push(Keep::Entry(entry(&mut l, [plan("p", 3.0)].into_iter().chain(volumes).collect())));
-    let node = Node { zone: "a".into(), cell: 1, capacity: 5.5 };
+    let node = Node { name: "box1.example.org".into(), zone: "a".into(), cell: 1, capacity: 5.5 };
     let node = Change::Node { id: 1, to: Some(node) };
     batch.push(Keep::Entry(entry(
         &mut l,
-        vec![node, Change::Node { id: 2, to: Some(Node { zone: "b".into(), cell: 2, capacity: 0.0 }) }],
+        vec![node, Change::Node { id: 2, to: Some(Node { zone: "b".into(), cell: 2, ..Node::default() }) }],
     )));
-    let drain = Change::Drain { node: 1, to: Some(Drain { within: Duration::from_secs(9) }) };
+    let s = Duration::from_secs;
+    let drain = |stage| Drain { stage, within: s(9), who: "ann".into(), asked: s(5), since: s(7) };
+    let drain = |stage| Change::Drain { node: 1, to: Some(drain(stage)) };
     let target = Change::Target { name: "iqn.x".into(), to: Some([1, 2].into()) };
     let (changes, expects) = (vec![plan("p", 4.0)], vec![plan("p", 3.0)]);
     let timed = Timed {
@@ -48,7 +50,8 @@
         expects,
     };
     let timed = Change::Timed { id: 1, to: Some(timed) };
-    batch.push(Keep::Entry(entry(&mut l, vec![drain, target, timed])));
+    batch.push(Keep::Entry(entry(&mut l, vec![drain(Stage::Going), target, timed])));
+    batch.push(Keep::Entry(entry(&mut l, vec![drain(Stage::Empty)])));
     batch.extend((0..500).map(|x| Keep::Place {
         volume: 1 + x % 3,
         extent: x * 7 % 300,
@@ -79,7 +82,7 @@
     let aside = snapshot::restore(&snap, &path, Era(6)).unwrap().expect("there was one");
     let (_, kept, places) = Store::open(&path, 100).unwrap();
     assert_eq!((kept.era, kept.ceiling, kept.restored), (Era(6), 99, true));
-    assert_eq!(kept.eras, [(Era(4), Version(1)), (Era(5), Version(3))]);
+    assert_eq!(kept.eras, [(Era(4), Version(1)), (Era(5), Version(4))]);
     assert_eq!((&kept.state, &kept.trail, &kept.hosts), (&all.0.state, &all.0.trail, &all.0.hosts));
     assert_eq!(runs(&places), runs(&all.1));
     assert_eq!(Store::open(&aside, 100).unwrap().1.ceiling, 1000);
