--- /dev/null
+++ b/crates/membership/src/life.rs
@@ -0,0 +1,200 @@
+//! What a node is, by all who speak of it.
+//!
+//! Operators, the list of nodes and the answers of the node itself often disagree: the list is seconds late and
+//! knows only whether a process runs, answers tell nothing of a node that is sent nothing, and operators may
+//! drain what is long gone. [`TABLE`] says whom to believe: its rows are read from the top, and the first that
+//! fits counts. Operators' wishes stand above the list, since only they know what a box is meant for; the list
+//! stands above answers, since a node that is told to drain answers as well as ever; and answers stand above
+//! the age that the list tells, since one that fails everything is no better for being warm.
+
+use grebecleat_plans::changes::Stage;
+use std::fmt;
+use std::time::Duration;
+
+/// What the list last said of a node, as hosts heard it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Word {
+    /// No host's list has ever named it.
+    #[default]
+    Never,
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a node answers what hosts send it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Answers {
+    /// Nothing is known: nobody has asked lately.
+    #[default]
+    None,
+    Good,
+    /// It refuses, fails or says nothing.
+    Bad,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Life {
+    #[default]
+    Unknown,
+    Warming,
+    Ready,
+    Draining,
+    Empty,
+    Out,
+    Suspect,
+    /// It was taken out and runs again; it gets nothing until it is returned.
+    Back,
+}
+
+/// Who was believed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Wins {
+    #[default]
+    Nobody,
+    Operators,
+    List,
+    Answers,
+}
+
+/// All that is said of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub struct Said {
+    /// None: nobody wants it empty. One that waits for its turn counts as none here.
+    pub wish: Option<Stage>,
+    pub word: Word,
+    pub answers: Answers,
+    /// It started so lately that it cannot do all its work.
+    pub cold: bool,
+    /// Its process started after it was taken out.
+    pub anew: bool,
+}
+
+/// A row of the table: what must be so (None: anything), and what then counts.
+pub struct Row {
+    pub wish: Option<Option<Stage>>,
+    pub word: Option<Word>,
+    pub answers: Option<Answers>,
+    pub cold: Option<bool>,
+    pub anew: Option<bool>,
+    pub life: Life,
+    pub wins: Wins,
+}
+
+const fn row(wish: Option<Stage>, life: Life) -> Row {
+    let (wish, wins) = (Some(wish), Wins::Operators);
+    Row { wish, word: None, answers: None, cold: None, anew: None, life, wins }
+}
+
+const fn word(word: Word, life: Life) -> Row {
+    Row { word: Some(word), wins: Wins::List, ..row(None, life) }
+}
+
+/// Who is believed, from the top.
+pub const TABLE: [Row; 11] = [
+    // A process that started after the box was taken out is a box that somebody put back.
+    Row { word: Some(Word::Ready), anew: Some(true), wins: Wins::List, ..row(Some(Stage::Out), Life::Back) },
+    row(Some(Stage::Out), Life::Out),
+    row(Some(Stage::Empty), Life::Empty),
+    // Whatever starts under its number while it drains: the wish is for the box, not for one process.
+    row(Some(Stage::Going), Life::Draining),
+    word(Word::Never, Life::Unknown),
+    word(Word::Gone, Life::Out),
+    word(Word::Draining, Life::Draining),
+    Row { answers: Some(Answers::Bad), wins: Wins::Answers, ..word(Word::Ready, Life::Suspect) },
+    Row { cold: Some(true), ..word(Word::Ready, Life::Warming) },
+    Row { answers: Some(Answers::Good), wins: Wins::Answers, ..word(Word::Ready, Life::Ready) },
+    word(Word::Ready, Life::Ready),
+];
+
+impl Row {
+    fn fits(&self, s: &Said) -> bool {
+        let wish = s.wish.filter(|w| *w != Stage::Queued);
+        self.wish.is_none_or(|w| w == wish)
+            && self.word.is_none_or(|w| w == s.word)
+            && self.answers.is_none_or(|a| a == s.answers)
+            && self.cold.is_none_or(|c| c == s.cold)
+            && self.anew.is_none_or(|a| a == s.anew)
+    }
+}
+
+/// What the node is, and who says so.
+///
+/// ```
+/// use grebecleat_membership::life::{life, Answers, Life, Said, Wins, Word};
+/// use grebecleat_plans::changes::Stage;
+/// let s = Said { word: Word::Ready, answers: Answers::Bad, cold: true, ..Said::default() };
+/// assert_eq!(life(&s), (Life::Suspect, Wins::Answers));
+/// // It came back by itself while it drains: it still drains.
+/// assert_eq!(life(&Said { wish: Some(Stage::Going), anew: true, ..s }), (Life::Draining, Wins::Operators));
+/// ```
+pub fn life(s: &Said) -> (Life, Wins) {
+    let row = TABLE.iter().find(|r| r.fits(s));
+    row.map_or((Life::Unknown, Wins::Nobody), |r| (r.life, r.wins))
+}
+
+impl Life {
+    pub const NAMES: [(Life, &'static str); 8] = [
+        (Life::Unknown, "unknown"),
+        (Life::Warming, "warming"),
+        (Life::Ready, "ready"),
+        (Life::Draining, "draining"),
+        (Life::Empty, "empty"),
+        (Life::Out, "out"),
+        (Life::Suspect, "suspect"),
+        (Life::Back, "back"),
+    ];
+
+    pub fn name(self) -> &'static str {
+        Life::NAMES.iter().find(|(life, _)| *life == self).map_or("", |(_, name)| name)
+    }
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl fmt::Display for Wins {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Wins::Nobody => "nobody",
+            Wins::Operators => "operators",
+            Wins::List => "the list",
+            Wins::Answers => "its answers",
+        })
+    }
+}
+
+/// One host's reading of the list: which start of the node's process it is about, when that began by our clock
+/// (None: long ago), and the list's revision that told it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub struct Reading {
+    pub word: Word,
+    pub start: u64,
+    pub started: Option<Duration>,
+    pub revision: u64,
+}
+
+impl Reading {
+    /// Whether this one is to be believed rather than another host's: of two starts the younger, since the older
+    /// one is over; of words about one start what the list told later. What a host only remembers (revision 0) is
+    /// older than what any has heard. A list that itself began anew counts from the start again: until its
+    /// hosts have asked it anew they may believe an old word, for as long as the list is late anyway.
+    ///
+    /// ```
+    /// use grebecleat_membership::life::{Reading, Word};
+    /// use std::time::Duration;
+    /// let old = Reading { word: Word::Gone, start: 1, started: None, revision: 9 };
+    /// let new = Reading { word: Word::Ready, start: 2, started: Some(Duration::from_secs(5)), revision: 8 };
+    /// assert!(new.beats(&old) && !old.beats(&new));
+    /// assert!(old.beats(&Reading { word: Word::Ready, revision: 7, ..old }));
+    /// ```
+    pub fn beats(&self, other: &Reading) -> bool {
+        if self.start != other.start && self.started != other.started {
+            return self.started > other.started;
+        }
+        self.revision > other.revision
+    }
+}
