--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,9 +4,11 @@
 //! broken, with the frames that show it. It never asks a host for its own counts, and shares nothing with it
 //! but the wire. All processes of a machine record one clock. Begin with [`Case::judge`]; each rule is a
 //! function of [`rules`]; [`run`] is the run as read from the traces. [`commands`] counts iSCSI commands and
-//! puts every block's reads and writes in order, by [`history`]. [`plans`] says which limits were in force when.
+//! puts every block's reads and writes in order, by [`history`]. [`plans`] says which limits were in force when, [`drains`] how a drain went
+//! that somebody asked for.
 
 pub mod commands;
+pub mod drains;
 pub mod history;
 pub mod plans;
 pub mod rules;
@@ -56,6 +58,8 @@
     pub commands: commands::Commands,
     /// How long each change of plans took from when it was first told to when it was over everywhere.
     pub settled: Vec<(u64, std::time::Duration)>,
+    /// Drains that were asked for while it ran.
+    pub drained: Vec<drains::Drained>,
 }
 
 impl Verdict {
@@ -109,6 +113,7 @@
         plans::limits(settings, &run.hosts, &run.plans, &mut v);
         run.plans.judge_settled(settings, &mut v);
         v.settled = run.plans.took();
+        v.drained = drains::drains(&run, &drains::asked(&self.traces));
         v.commands = commands::judge(settings, &self.traces, &run.marks);
         Ok(v)
     }
--- a/crates/audit/src/run.rs
+++ b/crates/audit/src/run.rs
@@ -3,7 +3,7 @@
 use crate::plans::Plans;
 use bytes::Bytes;
 use grebecleat_wire::pb::{self, frame::Body, marked::What, record::Kind, Record};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 pub type Id = Bytes;
@@ -63,6 +63,10 @@
     pub end: Duration,
     /// What the list said of each node: when, its state, which start.
     pub told: BTreeMap<u32, Vec<(Duration, pb::NodeState, u64)>>,
+    /// When it was told that somebody wants a node empty, or no longer.
+    pub wished: BTreeMap<u32, Vec<(Duration, bool)>>,
+    /// An answer of the state service that comes in parts: drains of its state, and what its entries say of them.
+    part: (bool, BTreeSet<u32>, Vec<(u32, bool)>),
 }
 
 /// What clients sent and got.
@@ -201,6 +205,7 @@
                     }
                 }
                 (Kind::In, Some(Body::List(l))) => h.listed(at, l),
+                (Kind::In, Some(Body::Feed(f))) => h.fed(at, f),
                 _ => {}
             }
         }
@@ -255,15 +260,55 @@
         }
     }
 
-    /// Since when this host has been told that the node takes nothing new, at that moment.
+    /// What the state service told of drains; an answer counts when its last part is there.
+    fn fed(&mut self, at: Duration, f: &pb::Feed) {
+        let (whole, state, entries) = &mut self.part;
+        *whole |= f.whole;
+        state.extend(f.state.iter().filter_map(drain_of).filter(|d| d.1).map(|d| d.0));
+        entries.extend(f.entries.iter().flat_map(|e| e.changes.iter().filter_map(drain_of)));
+        if f.more {
+            return;
+        }
+        let (whole, state, entries) = std::mem::take(&mut self.part);
+        let is = |node: u32, wished: &BTreeMap<u32, Vec<(Duration, bool)>>| {
+            wished.get(&node).and_then(|w| w.last()).is_some_and(|w| w.1)
+        };
+        let mut now: BTreeMap<u32, bool> = BTreeMap::new();
+        if whole {
+            now.extend(self.wished.keys().map(|n| (*n, false)));
+            now.extend(state.into_iter().map(|n| (n, true)));
+        }
+        now.extend(entries);
+        for (node, on) in now {
+            if is(node, &self.wished) != on {
+                self.wished.entry(node).or_default().push((at, on));
+            }
+        }
+    }
+
+    /// Since when this host has been told, by the list or as somebody's wish, that the node takes nothing new.
     pub fn told_off(&self, node: u32, at: Duration) -> Option<Duration> {
-        let told = self.told.get(&node)?;
-        let before = &told[..told.partition_point(|t| t.0 <= at)];
-        let off = |t: &&(Duration, pb::NodeState, u64)| t.1 != pb::NodeState::Ready;
-        before.iter().rev().take_while(off).last().map(|t| t.0)
+        let listed = self.told.get(&node).into_iter().flatten();
+        let listed = listed.map(|t| (t.0, Some(t.1 != pb::NodeState::Ready), None));
+        let wished = self.wished.get(&node).into_iter().flatten().map(|w| (w.0, None, Some(w.1)));
+        let mut all: Vec<(Duration, Option<bool>, Option<bool>)> = listed.chain(wished).collect();
+        all.sort_by_key(|t| t.0);
+        let (mut by_list, mut by_wish, mut since) = (false, false, None);
+        for (when, list, wish) in all.into_iter().take_while(|t| t.0 <= at) {
+            (by_list, by_wish) = (list.unwrap_or(by_list), wish.unwrap_or(by_wish));
+            since = if by_list || by_wish { since.or(Some(when)) } else { None };
+        }
+        since
     }
 }
 
+/// Which node a change drains, and whether that one is to get nothing new.
+pub fn drain_of(c: &pb::Change) -> Option<(u32, bool)> {
+    let Some(pb::change::Subject::Drain(node)) = c.subject else { return None };
+    let Some(pb::change::To::DrainTo(d)) = &c.to else { return Some((node, false)) };
+    Some((node, d.stage() != pb::DrainStage::Queued))
+}
+
 /// A record as people read it.
 pub fn show(who: &str, r: &Record) -> String {
     let body = r.frame.as_ref().and_then(|f| f.body.as_ref()).map(|b| format!("{b:?}"));
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -8,21 +8,26 @@
 //!   client is gone); what comes later is counted as stray and dropped;
 //! - a leg ends once, by the first of: its node's answer, its time, a reset, a cancel, or being taken back
 //!   from an outbox, which alone is told as "never ran";
-//! - what the list says of a node takes back every leg to it that has not crossed.
+//! - what the list says of a node, or an operator's wish to have it empty, takes back every leg to it that has not
+//!   crossed. The decisions are told of a node that somebody wants empty as the list would tell of one that drains.
 //!
 //! Which volumes are served, and on what terms, [`crate::following`] says: the settings, or a state service.
 
 use crate::admission::{admit, Held, Turned};
+use crate::figures::{self, Service};
 use crate::following::{Following, Out, Standing};
 use crate::listing::Listing;
 use crate::outbox::{LegNo, Outbox};
 use crate::pool::{Pool, Present, Step};
+use crate::sights::Sights;
 use crate::stall::Stalls;
 use grebecleat::control::Control;
 use grebecleat::interface::*;
+use grebecleat_membership::life::{Answers, Heard};
 use grebecleat_plans::follow::Start;
 use grebecleat_settings::{Bounds, Settings};
 use grebecleat_state::store::Keep;
+use grebecleat_wire::clock;
 use grebecleat_wire::delay::Delay;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -37,6 +42,8 @@
 const IDLE_BEAT: Duration = Duration::from_secs(1);
 /// Lines of the log that name one bad peer; after them it is only counted.
 const LINES_A_PEER: u32 = 3;
+/// Bytes of figures that a watcher may leave unread.
+const MOST_UNREAD: usize = 4 << 20;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
@@ -103,6 +110,15 @@
         from: PeerId,
         bytes: Vec<u8>,
     },
+    /// Extents that the portal of this process knows to lie in each cell.
+    Holds {
+        cells: BTreeMap<u32, u64>,
+    },
+    /// Somebody who watches.
+    WatcherUp {
+        conn: ConnId,
+        outbox: Arc<Outbox>,
+    },
     /// Take no more, answer what is held, then end.
     Drain,
 }
@@ -165,6 +181,7 @@
     take: pb::Take,
     /// The volume's plan when it was taken.
     plan: PlanId,
+    taken: Duration,
     expiry: Duration,
     /// It has had its final answer, or nobody waits for one.
     over: bool,
@@ -219,6 +236,8 @@
 pub struct Desk {
     control: Control,
     settings: Arc<Settings>,
+    /// Its place among the settings' hosts.
+    me: usize,
     plans: Following,
     seed: u64,
     now: Duration,
@@ -235,6 +254,19 @@
     /// Nodes whose pool may want something.
     touched: BTreeSet<NodeId>,
     listing: Listing,
+    /// Nodes that somebody wants empty, whatever the list says.
+    drained: BTreeSet<NodeId>,
+    /// Legs to each node that have no end yet; and until when what ended without a word may still run there.
+    out_at: HashMap<NodeId, u32>,
+    unsure: HashMap<NodeId, Duration>,
+    /// Extents by cell, where a portal has told.
+    holds: Option<BTreeMap<u32, u64>>,
+    sights: Sights,
+    watchers: BTreeMap<ConnId, Arc<Outbox>>,
+    service: Service,
+    figures_at: Duration,
+    /// The longest that a transfer may take.
+    longest: Duration,
     list_changed: bool,
     list: ListLink,
     probes: HashMap<u64, (NodeId, ConnId)>,
@@ -267,8 +299,19 @@
             rules.key_rest,
         );
         let plans = Following::declared(s);
+        let longest = s.streams.iter().map(|x| x.expiry).max().unwrap_or_default();
         Desk {
+            drained: BTreeSet::new(),
+            out_at: HashMap::new(),
+            unsure: HashMap::new(),
+            holds: None,
+            sights: Sights::default(),
+            watchers: BTreeMap::new(),
+            service: Service::default(),
+            figures_at: Duration::ZERO,
+            longest,
             control,
+            me: 0,
             plans,
             seed,
             now: Duration::ZERO,
@@ -299,9 +342,17 @@
         }
     }
 
+    /// Its place among the settings' hosts.
+    pub fn at(mut self, me: usize) -> Self {
+        self.me = me;
+        self
+    }
+
     /// Follows a state service, from what was last kept of it.
     pub fn following(mut self, host: &str, start: Start) -> Self {
         self.plans = Following::of(&self.settings, host, start, self.seed);
+        // What it kept of drains counts from the first list on.
+        self.drained = self.plans.drained().into_iter().map(NodeId).collect();
         self
     }
 
@@ -348,7 +399,9 @@
         let timer = self.timers.first().map(|t| t.0);
         let leg = self.times.first().map(|t| t.0);
         let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
-        let wake = [timer, leg, self.plans.wake_at()].into_iter().flatten().fold(beat, Duration::min);
+        let figures = (!self.watchers.is_empty()).then_some(self.figures_at);
+        let wake =
+            [timer, leg, self.plans.wake_at(), figures].into_iter().flatten().fold(beat, Duration::min);
         self.wanted_wake = wake.max(self.now);
         self.wanted_wake
     }
@@ -431,7 +484,10 @@
             }
             Input::ListGone { conn } if self.list.conn == Some(conn) => self.list_lost("connection lost"),
             Input::ListGone { .. } => {}
-            Input::StateUp { conn, outbox } => self.plans.up(conn, outbox),
+            Input::StateUp { conn, outbox } => {
+                self.sights.forget();
+                self.plans.up(conn, outbox);
+            }
             Input::StateFrames { conn, frames } => {
                 for body in frames.into_iter().filter_map(|f| f.body) {
                     if let Err(why) = self.plans.frame(conn, body) {
@@ -442,8 +498,13 @@
             }
             Input::StateGone { conn } => self.plans.gone(conn, self.now),
             Input::Kept { number, done } => self.plans.kept(number, done),
-            Input::Remembered { list } => self.entries(ListKind::Remembered, &list.entries),
+            Input::Remembered { list } => self.entries(ListKind::Remembered, &list.entries, 0),
             Input::Word { from, bytes } => self.events.push(Event::Told { from, bytes }),
+            Input::Holds { cells } => self.holds = Some(cells),
+            Input::WatcherUp { conn, outbox } => {
+                self.service.anew();
+                self.watchers.insert(conn, outbox);
+            }
             Input::Drain => self.drain(),
         }
     }
@@ -497,11 +558,15 @@
         if let Err(turned) = admit(held, t.data.len(), self.bounds()) {
             self.counts.turned_away += 1;
             let come_back = self.settings.caps.come_back.map(|most| turned.come_back().min(most));
-            let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+            let come_back_us = come_back.map(clock::micros);
             let outcome = pb::Outcome::Deferred.into();
             return self.answer(conn, pb::Final { id: t.id, outcome, come_back_us, ..pb::Final::default() });
         }
         self.counts.taken += 1;
+        let taken = at.saturating_sub(waited);
+        if !self.watchers.is_empty() {
+            self.service.took(taken, &t);
+        }
         self.held_bytes += t.data.len();
         self.clients.get_mut(&conn).expect("heard from it").open.insert(id);
         let (cell, key) = (t.cell.map(CellId), t.key.map(KeyId));
@@ -521,6 +586,7 @@
             client: conn,
             take: t,
             plan,
+            taken,
             expiry,
             over: false,
             unsure: false,
@@ -540,7 +606,7 @@
         };
         let come_back = Turned::Draining.come_back().min(self.settings.caps.come_back.unwrap_or_default());
         let come_back = (outcome == pb::Outcome::Deferred && !come_back.is_zero()).then_some(come_back);
-        let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+        let come_back_us = come_back.map(clock::micros);
         self.answer(
             conn,
             pb::Final { id: t.id, outcome: outcome.into(), come_back_us, ..pb::Final::default() },
@@ -563,6 +629,55 @@
                 Out::Note { text } => Output::Note { text },
             });
         }
+        if self.plans.drains_changed() {
+            let wanted: BTreeSet<NodeId> = self.plans.drained().into_iter().map(NodeId).collect();
+            let changed: Vec<NodeId> = wanted.symmetric_difference(&self.drained).copied().collect();
+            self.drained = wanted;
+            self.wished(&changed);
+        }
+    }
+
+    /// What a node counts as: what the list says, unless somebody wants it empty.
+    fn state_of(&self, node: NodeId, listed: NodeState) -> NodeState {
+        match listed {
+            NodeState::Ready if self.drained.contains(&node) => NodeState::Draining,
+            listed => listed,
+        }
+    }
+
+    /// Somebody wants these nodes empty, or no longer: the decisions hear of it as if the list had told.
+    fn wished(&mut self, nodes: &[NodeId]) {
+        let entry = |node: &NodeId| {
+            let k = self.listing.nodes.get(node)?;
+            let (zone, cell, started) = (k.zone, k.cell, k.started);
+            Some(ListEntry { node: *node, zone, cell, state: self.state_of(*node, k.state), started })
+        };
+        let entries: Vec<ListEntry> = nodes.iter().filter_map(entry).collect();
+        for e in &entries {
+            let what =
+                if self.drained.contains(&e.node) { "is wanted empty" } else { "is no longer wanted empty" };
+            self.note(format!("node {} {what}", e.node.0));
+        }
+        let left: Vec<NodeId> =
+            entries.iter().filter(|e| e.state != NodeState::Ready).map(|e| e.node).collect();
+        if !entries.is_empty() {
+            self.events.push(Event::List { kind: ListKind::Changes, entries });
+        }
+        left.into_iter().for_each(|node| self.take_back(node));
+        // Whoever asked waits to hear what is still under way.
+        self.sweep_at = self.now;
+    }
+
+    /// What was decided before we were told must not cross after.
+    fn take_back(&mut self, node: NodeId) {
+        let Some(pool) = self.pools.get(&node) else { return };
+        let on_conns = pool.conns.iter().filter_map(|c| self.conns.get(c)).flat_map(|c| c.legs.iter());
+        let legs: Vec<LegNo> = pool.waiting.iter().chain(on_conns).copied().collect();
+        for leg in legs {
+            if self.unsend(leg) {
+                self.end_leg(leg, LegEnd::Moot, self.now, None);
+            }
+        }
     }
 
     fn answer(&mut self, conn: ConnId, told: pb::Final) {
@@ -579,6 +694,10 @@
         let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.over) else { return };
         x.over = true;
         let (client, wire_id, mut unsure) = (x.client, x.take.id.clone(), x.unsure);
+        if outcome == pb::Outcome::Done && !self.watchers.is_empty() {
+            let slo = self.settings.streams[x.take.stream_type as usize].facts.slo;
+            self.service.done(x.taken, &x.take, self.now <= x.taken + slo);
+        }
         match outcome {
             pb::Outcome::Done => self.counts.done += 1,
             pb::Outcome::Deferred => self.counts.deferred += 1,
@@ -619,6 +738,7 @@
     }
 
     fn client_gone(&mut self, conn: ConnId) {
+        self.watchers.remove(&conn).into_iter().for_each(|o| o.close());
         let Some(client) = self.clients.remove(&conn) else { return };
         client.outbox.close();
         self.complained.remove(&conn);
@@ -655,11 +775,12 @@
         x.legs += 1;
         x.out.push(leg);
         self.legs.insert(leg, LegOut { id, number, node, conn: None, sent: now, until });
+        *self.out_at.entry(node).or_default() += 1;
         if x.over {
             return self.end_leg(leg, LegEnd::Moot, now, None);
         }
-        let ready = self.listing.nodes.get(&node).is_some_and(|k| k.state == NodeState::Ready);
-        if !ready {
+        let listed = self.listing.nodes.get(&node).map(|k| k.state);
+        if listed.is_none_or(|listed| self.state_of(node, listed) != NodeState::Ready) {
             return self.end_leg(leg, LegEnd::Moot, now, None);
         }
         self.times.insert((until, leg));
@@ -729,6 +850,11 @@
     fn end_leg(&mut self, leg: LegNo, end: LegEnd, at: Duration, answer: Option<pb::LegAnswer>) {
         let Some(l) = self.legs.remove(&leg) else { return };
         self.times.remove(&(l.until, leg));
+        self.out_at.entry(l.node).and_modify(|n| *n -= 1);
+        if matches!(end, LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Reset) {
+            let until = self.now + self.longest;
+            self.unsure.entry(l.node).and_modify(|u| *u = until.max(*u)).or_insert(until);
+        }
         match l.conn.and_then(|c| self.conns.get_mut(&c)) {
             Some(c) => {
                 c.legs.remove(&leg);
@@ -747,6 +873,10 @@
             x.unsure |= matches!(end, LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Reset);
         }
         let told = answer.unwrap_or_default();
+        if end == LegEnd::Done && !self.watchers.is_empty() {
+            let units = self.xfers.get(&id).map_or(0.0, |x| x.take.units);
+            self.service.done_at(node, units);
+        }
         if end == LegEnd::Done {
             let cell = self.listing.nodes.get(&node).map(|k| k.cell.0);
             let done = pb::Final { cell, data: told.data, superseded: told.superseded, ..Default::default() };
@@ -947,23 +1077,30 @@
     fn listed(&mut self, l: pb::List) {
         self.list.answer_by = None;
         match l.kind() {
-            pb::ListKind::Changes => self.entries(ListKind::Changes, &l.entries),
-            pb::ListKind::Whole => self.entries(ListKind::Whole, &l.entries),
+            pb::ListKind::Changes => self.entries(ListKind::Changes, &l.entries, l.revision),
+            pb::ListKind::Whole => self.entries(ListKind::Whole, &l.entries, l.revision),
             _ => self.events.push(Event::List { kind: ListKind::NotHad, entries: Vec::new() }),
         }
     }
 
-    fn entries(&mut self, kind: ListKind, entries: &[pb::Entry]) {
+    fn entries(&mut self, kind: ListKind, entries: &[pb::Entry], revision: u64) {
         let before: BTreeMap<NodeId, (u64, Option<SocketAddr>)> =
             self.listing.nodes.iter().map(|(id, k)| (*id, (k.start, k.address))).collect();
-        let read: Vec<ListEntry> = entries.iter().filter_map(|e| self.listing.read(e, self.now)).collect();
+        let read: Vec<ListEntry> =
+            entries.iter().filter_map(|e| self.listing.read(e, self.now, revision)).collect();
         if read.len() < entries.len() {
             self.note(format!("list of nodes: {} entries without a state", entries.len() - read.len()));
         }
-        let mut left = if kind == ListKind::Changes { Vec::new() } else { self.listing.only(&read) };
+        let mut left =
+            if kind == ListKind::Changes { Vec::new() } else { self.listing.only(&read, revision) };
+        let read: Vec<ListEntry> =
+            read.into_iter().map(|e| ListEntry { state: self.state_of(e.node, e.state), ..e }).collect();
         for e in &read {
             let known = &self.listing.nodes[&e.node];
             let renewed = before.get(&e.node).is_some_and(|b| *b != (known.start, known.address));
+            if renewed {
+                self.unsure.remove(&e.node); // another process knows nothing of what the last one ran
+            }
             if e.state != NodeState::Ready || renewed {
                 left.push(e.node);
             }
@@ -972,17 +1109,7 @@
             }
         }
         self.events.push(Event::List { kind, entries: read });
-        // What was decided before we were told must not cross after.
-        for node in left {
-            let Some(pool) = self.pools.get(&node) else { continue };
-            let on_conns = pool.conns.iter().filter_map(|c| self.conns.get(c)).flat_map(|c| c.legs.iter());
-            let legs: Vec<LegNo> = pool.waiting.iter().chain(on_conns).copied().collect();
-            for leg in legs {
-                if self.unsend(leg) {
-                    self.end_leg(leg, LegEnd::Moot, self.now, None);
-                }
-            }
-        }
+        left.into_iter().for_each(|node| self.take_back(node));
         self.list_changed = kind != ListKind::Remembered;
     }
 
@@ -1021,16 +1148,97 @@
         let old = |c: &&NodeConn| c.outbox.is_some() && c.legs.is_empty() && c.idle_since < idle;
         let nodes: BTreeSet<NodeId> = self.conns.values().filter(old).map(|c| c.node).collect();
         nodes.into_iter().for_each(|n| self.close_idle(n, idle));
+        self.tell_sights();
+        self.tell_figures();
         if std::mem::take(&mut self.list_changed) {
             self.out.push(Output::Remember { bytes: self.listing.to_bytes(self.now) });
         }
     }
 
+    /// Tells the state service what has changed of how this host sees nodes.
+    fn tell_sights(&mut self) {
+        let Some(follows) = self.plans.follow().map(|f| f.ledger().version().0) else { return };
+        if !self.plans.is_up() {
+            return;
+        }
+        let (now, since) = (self.now, |at: Duration| self.now.saturating_sub(at));
+        let mut heard = BTreeMap::new();
+        for f in self.control.nodes() {
+            let lately = (!f.heard.is_zero()).then(|| since(f.heard));
+            heard.insert(f.node, Heard { ease: f.ease, bad_row: f.bad_row, since: lately });
+        }
+        let rows = self.listing.nodes.iter().map(|(node, k)| {
+            let before = self.sights.answers(node.0);
+            let answers = heard.get(node).map_or(Answers::None, |h| Answers::of(*h, before));
+            // What is out at a node that serves changes all the time, and nobody waits for it to end.
+            let drained = self.drained.contains(node);
+            let unsure = self.unsure.get(node).map_or(Duration::ZERO, |u| u.saturating_sub(now));
+            pb::NodeSight {
+                node: node.0,
+                listed: match k.state {
+                    NodeState::Ready => pb::NodeState::Ready,
+                    NodeState::Draining => pb::NodeState::Draining,
+                    NodeState::Gone => pb::NodeState::Gone,
+                }
+                .into(),
+                start: k.start,
+                up_us: k.started.map(|s| clock::micros(since(s))),
+                revision: k.revision,
+                answers: match answers {
+                    Answers::None => pb::Answering::NotAsked,
+                    Answers::Good => pb::Answering::Well,
+                    Answers::Bad => pb::Answering::Badly,
+                }
+                .into(),
+                follows: if drained { follows } else { 0 },
+                legs: if drained { self.out_at.get(node).copied().unwrap_or(0) } else { 0 },
+                unsure_us: if drained { clock::micros(unsure) } else { 0 },
+                extents: self.holds.as_ref().map(|h| h.get(&k.cell.0).copied().unwrap_or(0)),
+            }
+        });
+        let nodes = self.sights.news(rows.collect::<Vec<_>>());
+        if !nodes.is_empty() {
+            self.plans.put(Body::Sighted(pb::Sighted { nodes }));
+        }
+    }
+
+    /// Tells whoever watches, every second; who leaves it unread is hung up on.
+    fn tell_figures(&mut self) {
+        if self.watchers.is_empty() || self.now < self.figures_at {
+            return;
+        }
+        self.figures_at = self.now + figures::EVERY;
+        let c = self.counts;
+        let head = pb::Figures {
+            host: self.settings.hosts.get(self.me).map(|h| h.name.clone()).unwrap_or_default(),
+            open: self.xfers.len() as u64,
+            held_bytes: self.held_bytes as u64,
+            taken: c.taken + c.turned_away,
+            done: c.done,
+            deferred: c.deferred + c.turned_away,
+            abandoned: c.abandoned,
+            stalls: c.stalls,
+            draining: self.draining.is_some(),
+            leased: self.plans.follow().is_some_and(|f| f.leased()),
+            follows: self.plans.follow().map_or(0, |f| f.ledger().version().0),
+            longest_us: clock::micros(self.longest),
+            ..pb::Figures::default()
+        };
+        let starts = |node: NodeId| self.listing.nodes.get(&node).map_or(0, |k| k.start);
+        let figures = self.service.tell(self.now, &self.control, starts, head);
+        let unread: Vec<ConnId> =
+            self.watchers.iter().filter(|(_, o)| o.bytes() > MOST_UNREAD).map(|w| *w.0).collect();
+        unread.into_iter().for_each(|conn| self.throw_out(conn, "a watcher leaves its figures unread"));
+        for outbox in self.watchers.values() {
+            outbox.put(frame(Body::Figures(figures.clone())));
+        }
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { id, node, until } => self.send(id, node, until),
             Action::Defer { id, come_back } => {
-                let come_back_us = come_back.map(grebecleat_wire::clock::micros);
+                let come_back_us = come_back.map(clock::micros);
                 self.finish(id, pb::Outcome::Deferred, pb::Final { come_back_us, ..Default::default() });
             }
             Action::Abandon { id } => self.finish(id, pb::Outcome::Abandoned, pb::Final::default()),
--- /dev/null
+++ b/crates/host/src/figures.rs
@@ -0,0 +1,157 @@
+//! What this host tells whoever watches it, every second: nodes, what is held and why, and what each volume asked for
+//! and got.
+//!
+//! Called by the desk with every transfer that is taken and done, and `tell` makes a second's figures. Nothing is
+//! counted while nobody watches. What a volume asked for is told under the second in which it came, and what has come
+//! of it under the same second, whenever that is; whoever watches adds it up. SLO times count from when a transfer
+//! was taken here: a client's later try is one of its own to us, since nobody tells us of its first.
+//!
+//! Memory: a record for each volume, cell and second of which something changed since the last figures, and of the
+//! nodes what was last told.
+
+use grebecleat::control::Control;
+use grebecleat::figures::{HeldFigures, NodeFigures};
+use grebecleat::interface::{Bar, NodeId, NodeState};
+use grebecleat_wire::clock::micros;
+use grebecleat_wire::pb;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+pub const EVERY: Duration = Duration::from_secs(1);
+/// Lines of held transfers that are looked at.
+const LINES: usize = 512;
+
+/// The second in which it came, its volume, and where its data lies.
+type Key = (u64, u64, Option<u32>);
+
+#[derive(Debug, Default)]
+pub struct Service {
+    counts: HashMap<Key, (f64, f64, f64)>,
+    done: HashMap<NodeId, f64>,
+    told: BTreeMap<NodeId, pb::NodeFigure>,
+}
+
+impl Service {
+    /// Somebody new watches, and is told of all nodes.
+    pub fn anew(&mut self) {
+        self.told.clear();
+    }
+
+    fn key(taken: Duration, t: &pb::Take) -> Key {
+        (taken.as_secs(), t.volume, t.cell)
+    }
+
+    pub fn took(&mut self, taken: Duration, t: &pb::Take) {
+        self.counts.entry(Service::key(taken, t)).or_default().0 += t.units;
+    }
+
+    pub fn done(&mut self, taken: Duration, t: &pb::Take, timely: bool) {
+        let counts = self.counts.entry(Service::key(taken, t)).or_default();
+        match timely {
+            true => counts.1 += t.units,
+            false => counts.2 += t.units,
+        }
+    }
+
+    pub fn done_at(&mut self, node: NodeId, units: f64) {
+        *self.done.entry(node).or_default() += units;
+    }
+
+    /// `starts`: which start of a node's process the list told.
+    pub fn tell(
+        &mut self, now: Duration, control: &Control, starts: impl Fn(NodeId) -> u64, head: pb::Figures,
+    ) -> pb::Figures {
+        let mut done = std::mem::take(&mut self.done);
+        let mut nodes = Vec::new();
+        for f in control.nodes() {
+            let units = done.remove(&f.node).unwrap_or_default();
+            let row = node_pb(&f, now, starts(f.node), units);
+            let still = |r: &pb::NodeFigure| pb::NodeFigure { heard_us: None, up_us: None, ..*r };
+            if self.told.get(&f.node).is_none_or(|t| still(t) != still(&row)) {
+                self.told.insert(f.node, row);
+                nodes.push(row);
+            }
+        }
+        let held = control.held(LINES).iter().map(|h| held_pb(h, now)).collect();
+        let service = std::mem::take(&mut self.counts).into_iter();
+        let service = service.map(|((second, volume, cell), (asked, timely, late))| pb::ServiceFigure {
+            second,
+            volume,
+            cell,
+            asked,
+            timely,
+            late,
+        });
+        let service = service.collect();
+        pb::Figures { nodes, held, service, at_us: micros(now), ..head }
+    }
+}
+
+/// To three digits, so that what hardly changes is not told again and again.
+fn round(x: f64) -> f64 {
+    if x == 0.0 || !x.is_finite() {
+        return 0.0;
+    }
+    let scale = 10f64.powf(2.0 - x.abs().log10().floor());
+    (x * scale).round() / scale
+}
+
+fn node_pb(f: &NodeFigures, now: Duration, start: u64, done: f64) -> pb::NodeFigure {
+    let state = match f.state {
+        NodeState::Ready => pb::NodeState::Ready,
+        NodeState::Draining => pb::NodeState::Draining,
+        NodeState::Gone => pb::NodeState::Gone,
+    };
+    let since = |at: Duration| micros(now.saturating_sub(at));
+    pb::NodeFigure {
+        node: f.node.0,
+        state: state.into(),
+        start,
+        up_us: f.started.map(since),
+        legs: f.legs as u32,
+        out: round(f.out),
+        held: f.held as u32,
+        estimate: round(f.estimate),
+        rate: round(f.rate),
+        brake: round(f.brake),
+        ease: round(f.ease),
+        late: round(f.late),
+        cold: f.cold,
+        heard_us: (!f.heard.is_zero()).then(|| since(f.heard)),
+        done: round(done),
+    }
+}
+
+fn held_pb(h: &HeldFigures, now: Duration) -> pb::HeldFigure {
+    let bar = match h.bar {
+        Bar::Spacing => pb::BarKind::Spacing,
+        Bar::Turn => pb::BarKind::Turn,
+        Bar::Budget => pb::BarKind::Budget,
+        Bar::Limit => pb::BarKind::Limit,
+        Bar::Cold => pb::BarKind::Cold,
+        Bar::Repeat => pb::BarKind::Repeat,
+        Bar::Share => pb::BarKind::Share,
+        Bar::Ease => pb::BarKind::Ease,
+        Bar::Room => pb::BarKind::Room,
+        Bar::Nowhere => pb::BarKind::Nowhere,
+    };
+    pb::HeldFigure {
+        volume: h.volume.0,
+        node: h.node.map(|n| n.0),
+        bar: bar.into(),
+        transfers: h.transfers as u32,
+        since_us: micros(now.saturating_sub(h.since)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn three_digits() {
+        for (x, is) in [(0.0, 0.0), (1234.5, 1230.0), (0.012344, 0.0123), (-7.0, -7.0), (f64::NAN, 0.0)] {
+            assert!((round(x) - is).abs() < 1e-9, "{x}");
+        }
+    }
+}
--- a/crates/host/src/following.rs
+++ b/crates/host/src/following.rs
@@ -69,6 +69,8 @@
     plans: HashMap<Name, PlanId>,
     /// By plan, units a second.
     rates: Vec<f64>,
+    /// Of the ledger when drains were last looked at.
+    drains_of: Version,
     volumes: HashMap<VolumeId, (PlanId, usize, bool)>,
 }
 
@@ -89,6 +91,7 @@
             rng: Pcg64Mcg::seed_from_u64(0),
             plans: plans.collect(),
             rates: s.plans.iter().map(|p| p.facts.base_rate).collect(),
+            drains_of: Version(0),
             volumes: volumes.collect(),
         }
     }
@@ -122,6 +125,27 @@
         self.follow.as_ref()
     }
 
+    /// Nodes that somebody wants empty, by all that was followed.
+    pub fn drained(&self) -> Vec<u32> {
+        let follow = self.follow.iter();
+        follow.flat_map(|f| f.ledger().drains()).filter(|(_, d)| d.holds()).map(|(node, _)| node).collect()
+    }
+
+    /// Whether they may be others since this was last asked.
+    pub fn drains_changed(&mut self) -> bool {
+        let version = self.follow.as_ref().map_or(Version(0), |f| f.ledger().version());
+        std::mem::replace(&mut self.drains_of, version) != version
+    }
+
+    /// Whether there is a way to the service.
+    pub fn is_up(&self) -> bool {
+        self.outbox.is_some()
+    }
+
+    pub fn put(&self, body: Body) {
+        self.outbox.iter().for_each(|o| o.put(pb::Frame { sent_us: 0, body: Some(body.clone()) }));
+    }
+
     pub fn up(&mut self, conn: ConnId, outbox: Arc<Outbox>) {
         if self.conn != Some(conn) {
             return outbox.close();
@@ -243,15 +267,11 @@
                 Action::Ask { call, era, has, settled, sure } => {
                     let (has, settled, sure) = (has.0, settled.0, sure.0);
                     let body = Body::Follow(pb::Follow { call: call.0, era: era.0, has, settled, sure });
-                    self.outbox
-                        .iter()
-                        .for_each(|o| o.put(pb::Frame { sent_us: 0, body: Some(body.clone()) }));
+                    self.put(body);
                 }
                 Action::Confirm { era, has } => {
                     let body = Body::Confirm(pb::Confirm { era: era.0, has: has.0 });
-                    self.outbox
-                        .iter()
-                        .for_each(|o| o.put(pb::Frame { sent_us: 0, body: Some(body.clone()) }));
+                    self.put(body);
                 }
                 Action::Keep(k) => {
                     let ledger = self.follow.as_ref().expect("looked at above").ledger();
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,7 +3,7 @@
 //! For: feeding the decisions with what really happens and carrying out what they answer. All that can be
 //! stepped by a test or an emulator is free of sockets and clocks: [`desk`] (transfers, legs, connections as
 //! seen from the decisions), and beside it what this package must itself decide: [`admission`], [`pool`],
-//! [`stall`]. [`outbox`] is the seam to the sockets; [`run`] holds the sockets, on `may` coroutines. Nothing
+//! [`stall`], [`sights`]; [`figures`] is what is shown. [`outbox`] is the seam to the sockets; [`run`] holds the sockets, on `may` coroutines. Nothing
 //! here may choose which transfer goes where: that is `grebecleat::control` alone. Begin with [`desk`].
 
 // The tests' network serves the tests inside `desk` too, under the name it knows.
@@ -16,9 +16,11 @@
 
 pub mod admission;
 pub mod desk;
+pub mod figures;
 pub mod following;
 pub mod listing;
 pub mod outbox;
 pub mod pool;
 pub mod run;
+pub mod sights;
 pub mod stall;
--- a/crates/host/src/listing.rs
+++ b/crates/host/src/listing.rs
@@ -18,6 +18,8 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub started: Option<Duration>,
+    /// Of the list that told it; 0: it is remembered.
+    pub revision: u64,
 }
 
 /// All nodes the list has named. Nodes stay known after they are gone; the bound is the list's own length.
@@ -28,7 +30,7 @@
 
 impl Listing {
     /// Reads one entry; None where it makes no sense.
-    pub fn read(&mut self, e: &pb::Entry, now: Duration) -> Option<ListEntry> {
+    pub fn read(&mut self, e: &pb::Entry, now: Duration, revision: u64) -> Option<ListEntry> {
         let state = match e.state() {
             pb::NodeState::Ready => NodeState::Ready,
             pb::NodeState::Draining => NodeState::Draining,
@@ -40,17 +42,18 @@
         let before = self.nodes.get(&node).filter(|k| k.start == e.start && k.started.is_some());
         let started = before.map_or(reckoned, |k| k.started);
         let (zone, cell) = (ZoneId(e.zone), CellId(e.cell));
-        let known = Known { address: e.address.parse().ok(), state, start: e.start, zone, cell, started };
+        let address = e.address.parse().ok();
+        let known = Known { address, state, start: e.start, zone, cell, started, revision };
         self.nodes.insert(node, known);
         Some(ListEntry { node, zone, cell, state, started })
     }
 
     /// Nodes that a whole list no longer names are gone; answers which.
-    pub fn only(&mut self, named: &[ListEntry]) -> Vec<NodeId> {
+    pub fn only(&mut self, named: &[ListEntry], revision: u64) -> Vec<NodeId> {
         let there = |id: &NodeId| named.iter().any(|e| e.node == *id);
         let gone = self.nodes.iter_mut().filter(|(id, k)| k.state != NodeState::Gone && !there(id));
         gone.map(|(id, k)| {
-            k.state = NodeState::Gone;
+            (k.state, k.revision) = (NodeState::Gone, revision);
             *id
         })
         .collect()
@@ -99,13 +102,17 @@
             ..Default::default()
         };
         let mut l = Listing::default();
-        assert_eq!(l.read(&entry(1, 4), s(10)).unwrap().started, Some(s(6)));
-        assert_eq!(l.read(&entry(1, 4), s(11)).unwrap().started, Some(s(6)), "the message waited a second");
-        assert_eq!(l.read(&entry(2, 0), s(12)).unwrap().started, Some(s(12)));
+        assert_eq!(l.read(&entry(1, 4), s(10), 1).unwrap().started, Some(s(6)));
+        assert_eq!(
+            l.read(&entry(1, 4), s(11), 1).unwrap().started,
+            Some(s(6)),
+            "the message waited a second"
+        );
+        assert_eq!(l.read(&entry(2, 0), s(12), 2).unwrap().started, Some(s(12)));
         let bytes = l.to_bytes(s(13));
         assert_eq!(Listing::from_bytes(&bytes).unwrap().entries[0].up_us, Some(1_000_000));
         assert!(Listing::from_bytes(&bytes[..bytes.len() - 1]).is_err());
-        assert_eq!(l.only(&[]), [NodeId(3)]);
-        assert!(l.only(&[]).is_empty());
+        assert_eq!(l.only(&[], 3), [NodeId(3)]);
+        assert!(l.only(&[], 3).is_empty());
     }
 }
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -20,6 +20,7 @@
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
 use may::{coroutine, go};
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -146,6 +147,11 @@
     pub fn drain(&self) {
         let _ = self.to_owner.send(Input::Drain);
     }
+
+    /// How many extents lie in each cell, as far as this process knows.
+    pub fn holds(&self, cells: BTreeMap<u32, u64>) {
+        let _ = self.to_owner.send(Input::Holds { cells });
+    }
 }
 
 /// Runs a host until it has drained. `started` gets the address it listens on and a handle.
@@ -208,7 +214,8 @@
         version: VERSION,
         role: pb::Role::Host.into(),
         name: options.settings.hosts[options.host].name.clone(),
-        incarnation: options.seed,
+        // Another one at each start, also where the seed is given.
+        incarnation: clock::now().as_nanos() as u64 ^ u64::from(std::process::id()) << 40,
         most_frame: options.settings.bounds.most_frame as u32,
     }
 }
@@ -226,7 +233,7 @@
 
 /// The loop of the one owner of the decisions.
 fn own(shared: &Shared, inputs: &Receiver<Input>) -> Counts {
-    let mut desk = Desk::new(shared.options.settings.clone(), shared.options.seed);
+    let mut desk = Desk::new(shared.options.settings.clone(), shared.options.seed).at(shared.options.host);
     if let Some(link) = &shared.options.state {
         desk = desk.following(&shared.me.name, link.start.clone());
     }
@@ -406,6 +413,11 @@
                 Ok(())
             })
         }
+        pb::Role::Operator => {
+            let up = |outbox| Input::WatcherUp { conn, outbox };
+            let frames = |at, frames| Input::ClientFrames { conn, at, frames };
+            converse(shared, conn, stream, reader, &them, up, frames)
+        }
         role => Err(format!("{} is no client", role.as_str_name())),
     }
 }
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -43,6 +43,8 @@
     pub ended: bool,
     /// The connection to the state service, and what is to be kept.
     pub state: Option<ConnId>,
+    /// What it last asked there.
+    pub asked: Option<pb::Follow>,
     pub keeps: Vec<(u64, Vec<Keep>)>,
 }
 
@@ -57,9 +59,15 @@
 
     /// A desk that follows a state service, and has kept nothing of it.
     pub fn following(more: &str) -> Self {
+        let settings = Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}"));
+        let facts = facts(&settings.expect("good settings"));
+        Rig::started(more, Start { ledger: Follow::ledger_of(facts), ..Start::default() })
+    }
+
+    /// The same with what it kept of an earlier start.
+    pub fn started(more: &str, start: Start) -> Self {
         let settings =
             Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}")).expect("good settings");
-        let start = Start { ledger: Follow::ledger_of(facts(&settings)), ..Start::default() };
         let mut rig = Rig::of(Desk::new(Arc::new(settings), 7).following("h", start));
         rig.wait(ms(10));
         let conn = rig.state.expect("it dials");
@@ -77,6 +85,7 @@
             notes: Vec::new(),
             ended: false,
             state: None,
+            asked: None,
             keeps: Vec::new(),
         };
         rig.feed(vec![Input::Remembered {
@@ -146,9 +155,8 @@
 
     /// What the host now asks of the state service.
     pub fn asks(&mut self) -> pb::Follow {
-        let asked = self.cross(self.state.expect("dialled"));
-        let follow = |b| if let Body::Follow(f) = b { Some(f) } else { None };
-        asked.into_iter().filter_map(follow).last().expect("it asks")
+        self.cross(self.state.expect("dialled"));
+        self.asked.take().expect("it asks")
     }
 
     /// The state service answers: these lines are one entry, and all is settled up to that one.
@@ -189,7 +197,10 @@
     pub fn cross(&mut self, conn: ConnId) -> Vec<Body> {
         let pulled = self.boxes[&conn].pull(|| self.now, usize::MAX);
         self.boxes[&conn].wrote();
-        pulled.frames.into_iter().filter_map(|f| f.body).collect()
+        let told: Vec<Body> = pulled.frames.into_iter().filter_map(|f| f.body).collect();
+        let follow = |b: &Body| if let Body::Follow(f) = b { Some(*f) } else { None };
+        self.asked = told.iter().filter_map(follow).last().or(self.asked);
+        told
     }
 
     pub fn legs(&mut self, conn: ConnId) -> Vec<pb::Leg> {
--- a/crates/host/tests/following.rs
+++ b/crates/host/tests/following.rs
@@ -4,6 +4,10 @@
 
 use common::{ms, Rig};
 use grebecleat_host::desk::Input;
+use grebecleat_plans::changes::Version;
+use grebecleat_plans::follow::{Follow, Start};
+use grebecleat_plans::source::Era;
+use grebecleat_state::declared::facts;
 use grebecleat_wire::pb::{self, frame::Body, Outcome};
 
 const VOLUME: &str = "volume 5 plan=p hosts=h cells=1 blocks=64";
@@ -129,6 +133,59 @@
     assert!(settled >= 30, "{settled}");
 }
 
+/// A drain that somebody asks for: nothing new crosses, what lies in a send buffer does not, and the service hears what
+/// is still under way. What the list says of it meanwhile changes nothing, nor does a restart with what was kept.
+#[test]
+fn a_node_that_somebody_wants_empty() {
+    let mut r = Rig::following("");
+    r.told(&["node 1 zone=a", "plan p rate=1000 reservation=1000", VOLUME], 1);
+    r.take(1, 0);
+    let conn = r.connect();
+    let out = r.legs(conn);
+    r.take(2, 0); // decided, and not yet written
+    r.told(&["drain 1 queued"], 2);
+    r.take(3, 0);
+    r.told(&["drain 1"], 3);
+    assert!(r.legs(conn).is_empty(), "what was decided before it was told does not cross");
+    r.take(4, 0);
+    assert_eq!(r.finals(), [(2, Outcome::Deferred), (3, Outcome::Deferred), (4, Outcome::Deferred)]);
+    // The list tells of it anew, and of a restart: it stays as it is.
+    r.listed(&[(1, pb::NodeState::Gone)]);
+    r.listed(&[(1, pb::NodeState::Ready), (2, pb::NodeState::Ready)]);
+    r.take(5, 0);
+    assert_eq!(r.finals(), [(5, Outcome::Deferred)]);
+    let sights = |r: &mut Rig| {
+        r.wait(ms(60));
+        let told = r.cross(r.state.unwrap()).into_iter();
+        let told = told.filter_map(|b| if let Body::Sighted(s) = b { Some(s.nodes) } else { None });
+        let told = told.flatten().filter(|n| n.node == 1);
+        told.map(|n| (n.follows, n.legs, n.unsure_us > 0)).collect::<Vec<_>>()
+    };
+    assert_eq!(sights(&mut r).last(), Some(&(3, 1, false)));
+    // It never answers: for as long as a transfer may take, nobody knows whether it runs.
+    r.wait(ms(2000));
+    assert_eq!(sights(&mut r).last(), Some(&(3, 0, true)));
+    assert!(r.legs(conn).iter().all(|l| l.leg == out[0].leg));
+    r.wait(ms(2000));
+    assert_eq!(sights(&mut r).last(), Some(&(3, 0, false)));
+    r.told(&["undrain 1"], 4);
+    r.wait(ms(500)); // all hosts hear of it at one moment, and each waits for a moment of its own
+    r.take(6, 0);
+    assert_eq!(r.legs(conn).len(), 1);
+}
+
+#[test]
+fn a_host_that_starts_with_what_it_kept_of_a_drain_sends_nothing() {
+    let mut r = Rig::following("");
+    r.told(&["node 1 zone=a", "plan p rate=1000 reservation=1000", VOLUME, "drain 1"], 1);
+    let ledger = r.desk.plans().ledger();
+    let kept = Follow::ledger_of(facts(r.desk.settings())).restored(ledger.version(), ledger.state(), vec![]);
+    let start = Start { ledger: kept, settled: Version(1), era: Era(1) };
+    let mut r = Rig::started("", start);
+    r.take(1, 0);
+    assert_eq!((r.finals(), r.dialled.len()), (vec![(1, Outcome::Deferred)], 0));
+}
+
 /// An answer that makes no sense ends the connection, and the host goes on as it was.
 #[test]
 fn a_service_that_makes_no_sense_is_hung_up_on() {
--- a/crates/membership/src/drains.rs
+++ b/crates/membership/src/drains.rs
@@ -14,7 +14,8 @@
 //!   back or an operator answers for it, since it might send again on what it knew;
 //! - a node is *quiet* at a host that counted its legs after it followed the drain and found none, once those that
 //!   ended without a word have had the longest time that any may take. What a host had out when the way to it was
-//!   lost, or before this process knew of it, is given twice that: to end, and to be over at the node;
+//!   lost, or an earlier process of it up to when the next one came, is given twice that: to end, and to be over
+//!   at the node;
 //! - a node is *empty* when every host is told and quiet. It does not go back: nobody sends to it any more.
 //!
 //! One that waits is proposed when nothing in its zone is known to speak against it, the one that asked first
@@ -86,9 +87,10 @@
     Gone {
         host: HostNo,
     },
-    /// There is a way to that host, or none any more.
+    /// There is a way to that host, and which start of its process that is; or none any more.
     Up {
         host: HostNo,
+        process: u64,
     },
     Lost {
         host: HostNo,
@@ -142,6 +144,7 @@
     sure: Option<Version>,
     gone: bool,
     up: bool,
+    process: Option<u64>,
     /// When the last that an earlier process of it may have had out is over: to end there, and at the node.
     over: Duration,
 }
@@ -208,6 +211,8 @@
     pub life: Life,
     pub wins: Wins,
     pub reading: Reading,
+    /// Since its process started; None: long, or not known.
+    pub up: Option<Duration>,
     pub drain: Option<ShownDrain<'a>>,
 }
 
@@ -323,9 +328,14 @@
                 h.sure = version;
             }
             Event::Gone { host } => self.hosts.entry(host).or_default().gone = true,
-            Event::Up { host } => {
+            Event::Up { host, process } => {
+                let over = self.now + self.longest * 2;
                 let h = self.hosts.entry(host).or_default();
                 (h.up, h.gone) = (true, false);
+                // The one before may have sent up to now; the same one counts what it has out by itself.
+                if h.process.replace(process) != Some(process) {
+                    h.over = over;
+                }
             }
             Event::Lost { host } => {
                 let over = self.now + self.longest * 2;
@@ -623,7 +633,8 @@
             ShownDrain { who: &w.who, asked: w.asked, since: w.since, left, phase, extents }
         });
         let reading = self.reading(n).unwrap_or_default();
-        Shown { node, facts: &n.facts, life: n.life, wins: n.wins, reading, drain }
+        let up = reading.started.map(|s| self.now.saturating_sub(s));
+        Shown { node, facts: &n.facts, life: n.life, wins: n.wins, reading, up, drain }
     }
 
     /// Extents that lie on that node and on no other that is ready.
--- a/crates/membership/src/life.rs
+++ b/crates/membership/src/life.rs
@@ -33,6 +33,47 @@
     Bad,
 }
 
+/// What a host's decisions hold of a node's answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Heard {
+    /// In one: what it takes by benefit; none while it is shut.
+    pub ease: f64,
+    /// Bad answers in a row.
+    pub bad_row: u32,
+    /// Since it last answered well; None: never.
+    pub since: Option<Duration>,
+}
+
+/// Below the first it is shut or nearly so; it must be above the second before it is trusted again, since ease comes
+/// back by itself while nothing is sent.
+const SHUT: (f64, f64) = (0.1, 0.5);
+/// One or two bad answers can be chance.
+const BAD_ROW: u32 = 3;
+/// After this, what it answered says nothing of now.
+const LATELY: Duration = Duration::from_secs(10);
+
+impl Answers {
+    /// What a host is to say of a node's answers, after what it said before.
+    ///
+    /// ```
+    /// use grebecleat_membership::life::{Answers, Heard};
+    /// use std::time::Duration;
+    /// let heard = |ease, bad_row, s| Heard { ease, bad_row, since: Some(Duration::from_secs(s)) };
+    /// assert_eq!(Answers::of(heard(1.0, 0, 3), Answers::None), Answers::Good);
+    /// assert_eq!(Answers::of(heard(0.0, 0, 3), Answers::Good), Answers::Bad);
+    /// assert_eq!(Answers::of(heard(0.3, 0, 3), Answers::Bad), Answers::Bad);
+    /// assert_eq!(Answers::of(heard(0.6, 0, 30), Answers::Bad), Answers::None);
+    /// ```
+    pub fn of(h: Heard, before: Answers) -> Answers {
+        let least = if before == Answers::Bad { SHUT.1 } else { SHUT.0 };
+        match h.since {
+            _ if h.ease < least || h.bad_row >= BAD_ROW => Answers::Bad,
+            Some(since) if since < LATELY => Answers::Good,
+            _ => Answers::None,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub enum Life {
     #[default]
--- a/crates/membership/tests/drains.rs
+++ b/crates/membership/tests/drains.rs
@@ -30,10 +30,9 @@
 
 impl Rig {
     fn new() -> Rig {
-        let now = s(1000);
         let mut r = Rig {
             m: Membership::new(s(0), s(20), s(3), [H1, H2]),
-            now,
+            now: s(990),
             wall: s(WALL),
             version: 1,
             refuses: None,
@@ -42,6 +41,8 @@
             notes: Vec::new(),
         };
         r.begin();
+        // What hosts that come up may have had out before is over.
+        r.wait(s(10));
         r
     }
 
@@ -53,7 +54,8 @@
         };
         self.step((1..5).map(node).collect());
         let sure = |host| Event::Sure { host, version: Some(Version(self.version)) };
-        self.step(vec![sure(H1), sure(H2), Event::Up { host: H1 }, Event::Up { host: H2 }]);
+        let up = |host| Event::Up { host, process: 1 };
+        self.step(vec![sure(H1), sure(H2), up(H1), up(H2)]);
         for n in 1..5 {
             self.sees(H1, n, |_| ());
             self.sees(H2, n, |_| ());
@@ -289,9 +291,24 @@
     r.step(vec![Event::Lost { host: H2 }]);
     assert_eq!(r.phase(1), Phase::Quiescing { legs: 0, most: 1, unsure: s(6) });
     r.wait(s(5));
+    // Found by the explorer: cut off, it went on sending, and died only just before its next process came.
+    r.step(vec![Event::Up { host: H2, process: 2 }]);
+    r.sees(H2, 1, |_| ());
+    r.wait(s(5));
     assert_eq!(r.shown(1).0, Life::Draining);
     r.wait(s(1));
     assert_eq!(r.shown(1).0, Life::Empty);
+    // The same process counts what it has out by itself.
+    let mut r = Rig::new();
+    r.step(vec![Event::Lost { host: H2 }]);
+    r.wait(s(7));
+    r.step(vec![Event::Up { host: H2, process: 1 }]);
+    r.drain(1, Some(Stage::Going), s(0));
+    for h in [H1, H2] {
+        r.sure(h);
+        r.sees(h, 1, |_| ());
+    }
+    assert_eq!(r.shown(1).0, Life::Empty);
     // One that was never heard of has followed nothing, and is not waited for.
     let mut r = Rig::new();
     r.step(vec![Event::Sure { host: H2, version: None }]);
@@ -311,7 +328,7 @@
     r.sees(H2, 1, |_| ());
     // It follows, has nothing out, and dies before that is kept.
     r.sees(H1, 1, |_| ());
-    r.step(vec![Event::Lost { host: H1 }, Event::Up { host: H1 }]);
+    r.step(vec![Event::Lost { host: H1 }, Event::Up { host: H1, process: 2 }]);
     r.wait(s(10));
     r.sure(H1);
     assert!(matches!(r.phase(1), Phase::Quiescing { .. }), "its successor has not counted yet");
--- a/crates/membership/tests/explore.rs
+++ b/crates/membership/tests/explore.rs
@@ -54,6 +54,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Host {
     alive: bool,
+    process: u64,
     /// What this host and the service think of the way between them.
     linked: bool,
     heard: bool,
@@ -141,7 +142,7 @@
             sent: 0,
         };
         self.start_service(&mut w, ticks(0));
-        let up = (0..self.hosts as u32).map(|h| Event::Up { host: HostNo(h) }).collect();
+        let up = (0..self.hosts as u32).map(|h| Event::Up { host: HostNo(h), process: 0 }).collect();
         self.tell(&mut w, up);
         w
     }
@@ -306,9 +307,16 @@
             }
             if !host.alive {
                 go(&|w| {
-                    let (kept, heard) = (w.hosts[h].kept, w.hosts[h].heard);
-                    w.hosts[h] =
-                        Host { alive: true, heard, follows: kept, kept, list: listed, ..Host::default() };
+                    let (kept, heard, process) = (w.hosts[h].kept, w.hosts[h].heard, w.hosts[h].process + 1);
+                    w.hosts[h] = Host {
+                        alive: true,
+                        process,
+                        heard,
+                        follows: kept,
+                        kept,
+                        list: listed,
+                        ..Host::default()
+                    };
                 });
             }
             if w.mishaps < self.mishaps && host.alive {
@@ -383,7 +391,8 @@
         self.lose(w, h);
         let host = &mut w.hosts[h];
         (host.linked, host.heard, host.said, host.sights) = (true, true, None, None);
-        self.tell(w, vec![Event::Up { host: HostNo(h as u32) }]);
+        let process = host.process;
+        self.tell(w, vec![Event::Up { host: HostNo(h as u32), process }]);
     }
 
     fn tick(&self, w: &mut World) {
@@ -426,7 +435,7 @@
                 let no = HostNo(h as u32);
                 let host = &mut w.hosts[h];
                 if !host.alive {
-                    (host.alive, host.follows) = (true, host.kept);
+                    (host.alive, host.follows, host.process) = (true, host.kept, host.process + 1);
                 }
                 if !(host.linked && host.heard) {
                     self.link(&mut w, h);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,6 +5,7 @@
 //! memory. It must never decide where one goes, which change lands, nor over any transfer. Begin with
 //! [`store`].
 
+pub mod attending;
 pub mod client;
 pub mod codec;
 pub mod declared;
--- a/crates/state/src/serve.rs
+++ b/crates/state/src/serve.rs
@@ -8,11 +8,14 @@
 //! it is full; a writer's queue holds [`QUEUE`] frames of at most [`PART`] bytes or one record, and who leaves
 //! them unread is hung up on. Snapshots are written beside the store, by a thread of their own.
 
+use crate::attending::{Attending, Notes, Present, SPACING};
 use crate::codec::{change_pb, changes_of, entry_pb};
 use crate::declared::{declared, facts};
 use crate::keeper::Keeper;
 use crate::snapshot;
 use crate::store::{Keep as Record, Kept, StoreFault};
+use grebecleat_membership::drains::{Action as Wanted, Ask, Event as Seen, Facts, Membership, Sight};
+use grebecleat_membership::life::{Answers, Word};
 use grebecleat_plans::changes::{Change, Entry, Ledger, Name, Version};
 use grebecleat_plans::feed::HostNo;
 use grebecleat_plans::moves::{self, Size};
@@ -45,6 +48,9 @@
 /// Bytes of an extent, where no portal says how large its extents are.
 const EXTENT: u64 = 64 << 10;
 
+/// Rounds between the ledger and the members of one step.
+const ROUNDS: usize = 16;
+
 pub struct Options {
     pub settings: Arc<Settings>,
     /// How the settings are called, for the trail.
@@ -65,7 +71,7 @@
 }
 
 enum Heard {
-    Up { conn: u64, them: pb::Hello, line: Line },
+    Up { conn: u64, them: Box<pb::Hello>, line: Line },
     Frame { conn: u64, body: Box<Body> },
     Gone { conn: u64 },
     Kept { upto: u64 },
@@ -100,6 +106,8 @@
     name: String,
     /// None: an operator.
     host: Option<HostNo>,
+    /// The same host has dialled anew.
+    stale: bool,
 }
 
 /// What a store held, as the decisions want it at a start.
@@ -137,11 +145,20 @@
     let (era, fresh) = (kept.era, kept.version == Version(0));
     let now = clock::now();
     let source = Source::new(start(kept, &o.settings, &spec), spec.lease, spec.margin, spec.spread, now);
+    let longest = o.settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
+    let hosts = (0..o.settings.hosts.len() as u32).map(HostNo);
+    let members = Membership::new(now, o.settings.rules.cold.warm_within, longest, hosts);
     let listener = TcpListener::bind(o.listen).map_err(|e| format!("cannot listen on {}: {e}", o.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let (to, heard) = mpsc::channel();
     let mut owner = Owner {
         source,
+        members,
+        shown: Version(0),
+        sure: BTreeMap::new(),
+        asks: BTreeMap::new(),
+        notes: Notes::default(),
+        attending: BTreeMap::new(),
         era,
         keeper,
         to: to.clone(),
@@ -159,6 +176,7 @@
     if fresh {
         owner.declare()?;
     }
+    owner.tell_members(Vec::new());
     accept(listener, &o.tracer, to.clone());
     started(address, Handle(to));
     owner.run(&heard);
@@ -167,6 +185,14 @@
 
 struct Owner<'a> {
     source: Source,
+    members: Membership,
+    /// Up to where the members know the ledger, and what hosts have said to have.
+    shown: Version,
+    sure: BTreeMap<HostNo, Option<Version>>,
+    /// Calls of theirs.
+    asks: BTreeMap<Call, Ask>,
+    notes: Notes,
+    attending: BTreeMap<u64, Attending>,
     era: Era,
     keeper: Keeper,
     to: Sender<Heard>,
@@ -200,7 +226,9 @@
         for action in self.source.step(clock::now(), wall(), vec![Event::Proposed { call, proposal }]) {
             match action {
                 Action::Refused { why, .. } => refused = Some(why),
-                other => self.carry_out(vec![other]),
+                other => {
+                    self.carry_out(vec![other]);
+                }
             }
         }
         refused.map_or(Ok(()), |why| Err(format!("{}: {why}", self.o.file)))
@@ -209,18 +237,22 @@
     fn run(&mut self, heard: &Receiver<Heard>) {
         loop {
             let now = clock::now();
-            let wake = self.source.wake_at().map_or(IDLE, |at| at.saturating_sub(now).min(IDLE));
+            let wake = [self.source.wake_at(), self.members.wake_at()].into_iter().flatten().min();
+            let wake = wake.map_or(IDLE, |at| at.saturating_sub(now).min(IDLE));
+            let wake = if self.attending.is_empty() { wake } else { wake.min(SPACING) };
             let first = match heard.recv_timeout(wake) {
                 Ok(first) => Some(first),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            let mut events = Vec::new();
+            let (mut events, mut seen) = (Vec::new(), Vec::new());
             for h in first.into_iter().chain(heard.try_iter().take(ONE_STEP)) {
-                self.hear(h, &mut events);
+                self.hear(h, &mut events, &mut seen);
             }
             let actions = self.source.step(clock::now(), wall(), events);
-            self.carry_out(actions);
+            seen.extend(self.carry_out(actions));
+            self.tell_members(seen);
+            self.tell_attending();
             self.snapshot();
             if self.stopping && self.unkept.is_empty() {
                 return;
@@ -228,13 +260,104 @@
         }
     }
 
+    /// The members hear what has changed of the ledger and of what hosts have, beside what is given; and what
+    /// they want is brought before the ledger, which may answer at once.
+    fn tell_members(&mut self, mut seen: Vec<Seen>) {
+        for _ in 0..ROUNDS {
+            let kept = self.source.kept();
+            if kept > self.shown {
+                let anew = self.source.ledger().since(self.shown).is_none() || self.shown == Version(0);
+                let changes: Vec<(Version, Change)> = match self.source.ledger().since(self.shown) {
+                    Some(entries) if !anew => {
+                        let kept = entries.filter(|e| e.version <= kept);
+                        kept.flat_map(|e| e.changes.iter().map(|c| (e.version, c.clone()))).collect()
+                    }
+                    _ => {
+                        let at = |c: &Change| self.source.ledger().touched(&c.subject()).unwrap_or(kept);
+                        self.source.ledger().state_at(kept).map(|c| (at(&c), c)).collect()
+                    }
+                };
+                seen.push(Seen::Kept { version: kept });
+                seen.extend(changes.into_iter().filter_map(|(version, c)| member_event(version, c)));
+                self.shown = kept;
+            }
+            let follows: Vec<(HostNo, Option<Version>)> =
+                self.source.follows().enumerate().map(|(i, (_, has))| (HostNo(i as u32), has)).collect();
+            for (host, version) in follows {
+                if self.sure.insert(host, version) != Some(version) {
+                    seen.push(Seen::Sure { host, version });
+                }
+            }
+            let due = self.members.wake_at().is_some_and(|at| at <= clock::now());
+            if seen.is_empty() && !due {
+                return;
+            }
+            let mut events = Vec::new();
+            for action in self.members.step(clock::now(), wall(), std::mem::take(&mut seen)) {
+                match action {
+                    Wanted::Propose { ask, node, to, looked_at, why } => {
+                        self.next += 1;
+                        let call = Call(self.next);
+                        self.asks.insert(call, ask);
+                        let (who, changes) = ("drains".to_string(), vec![Change::Drain { node, to }]);
+                        let proposal = Proposal { who, why, looked_at, changes, at: None, force: false };
+                        events.push(Event::Proposed { call, proposal });
+                    }
+                    Wanted::Unfit { node, how } => events.push(Event::Unfit { node, how }),
+                    Wanted::Note { node, text } => {
+                        info!(node, "{text}");
+                        self.notes.add(wall(), Some(node), text);
+                    }
+                }
+            }
+            if !events.is_empty() {
+                let actions = self.source.step(clock::now(), wall(), events);
+                seen.extend(self.carry_out(actions));
+            }
+        }
+    }
+
+    fn tell_attending(&mut self) {
+        if self.attending.is_empty() {
+            return;
+        }
+        let hosts = self.host_status();
+        let present = Present {
+            source: &self.source,
+            members: &self.members,
+            notes: &self.notes,
+            era: self.era.0,
+            trouble: &self.trouble,
+            hosts: &hosts,
+        };
+        for (conn, attending) in &mut self.attending {
+            let Some(peer) = self.peers.get(conn) else { continue };
+            attending.tell(&present, Instant::now(), |a| peer.line.put(Body::Attended(a)));
+        }
+    }
+
+    fn host_status(&self) -> Vec<pb::HostStatus> {
+        let waits: BTreeMap<Name, bool> = self.source.waits_for(self.source.kept()).into_iter().collect();
+        let up: BTreeSet<&str> =
+            self.peers.values().filter(|p| p.host.is_some()).map(|p| p.name.as_str()).collect();
+        let hosts = self.source.follows().map(|(name, has)| pb::HostStatus {
+            name: name.to_string(),
+            heard_of: has.is_some(),
+            has: has.unwrap_or_default().0,
+            holds_up: waits.contains_key(name),
+            silent: waits.get(name).copied().unwrap_or(false),
+            up: up.contains(&**name),
+        });
+        hosts.collect()
+    }
+
     fn call(&mut self, conn: u64, theirs: u64) -> Call {
         self.next += 1;
         self.calls.insert(Call(self.next), (conn, theirs));
         Call(self.next)
     }
 
-    fn hear(&mut self, heard: Heard, events: &mut Vec<Event>) {
+    fn hear(&mut self, heard: Heard, events: &mut Vec<Event>, seen: &mut Vec<Seen>) {
         match heard {
             Heard::Up { conn, them, line } => {
                 let at = self.o.settings.hosts.iter().position(|h| h.name == them.name);
@@ -246,17 +369,26 @@
                         return line.hang_up();
                     }
                 };
-                self.peers.insert(conn, Peer { line, name: them.name, host });
+                if let Some(host) = host {
+                    // A host that dials anew is heard on its new way alone.
+                    let old = |p: &&Peer| p.host == Some(host);
+                    self.peers.values().filter(old).for_each(|p| p.line.hang_up());
+                    self.peers.values_mut().filter(|p| p.host == Some(host)).for_each(|p| p.stale = true);
+                    seen.push(Seen::Up { host, process: them.incarnation });
+                }
+                self.peers.insert(conn, Peer { line, name: them.name, host, stale: false });
             }
             Heard::Gone { conn } => {
-                self.peers.remove(&conn);
+                self.attending.remove(&conn);
+                let lost = self.peers.remove(&conn).filter(|p| !p.stale).and_then(|p| p.host);
+                seen.extend(lost.map(|host| Seen::Lost { host }));
                 let gone: Vec<Call> = self.calls.iter().filter(|c| c.1 .0 == conn).map(|c| *c.0).collect();
                 for call in gone {
                     self.calls.remove(&call);
                     events.push(Event::Hung { call });
                 }
             }
-            Heard::Frame { conn, body } => self.frame(conn, *body, events),
+            Heard::Frame { conn, body } => self.frame(conn, *body, events, seen),
             Heard::Kept { upto } => {
                 self.trouble.clear();
                 self.unkept.retain(|n| *n > upto);
@@ -278,9 +410,14 @@
         }
     }
 
-    fn frame(&mut self, conn: u64, body: Body, events: &mut Vec<Event>) {
-        let Some(peer) = self.peers.get(&conn) else { return };
+    fn frame(&mut self, conn: u64, body: Body, events: &mut Vec<Event>, seen: &mut Vec<Seen>) {
+        let Some(peer) = self.peers.get(&conn).filter(|p| !p.stale) else { return };
         match (body, peer.host) {
+            (Body::Sighted(s), Some(host)) => {
+                let each = s.nodes.into_iter().map(|n| (n.node, sight_of(&n)));
+                seen.extend(each.map(|(node, sight)| Seen::Seen { host, node, sight }));
+            }
+            (Body::Attend(a), None) => drop(self.attending.insert(conn, Attending::new(a.call))),
             (Body::Follow(f), Some(host)) => {
                 let call = self.call(conn, f.call);
                 let (has, settled, sure) = (Version(f.has), Version(f.settled), Version(f.sure));
@@ -292,7 +429,9 @@
             (Body::Propose(p), None) => {
                 let call = self.call(conn, p.call);
                 match changes_of(p.changes) {
-                    Err(why) => self.carry_out(vec![Action::Refused { call, why: why.to_string() }]),
+                    Err(why) => {
+                        self.carry_out(vec![Action::Refused { call, why: why.to_string() }]);
+                    }
                     Ok(changes) => {
                         let looked_at = p.looked_at.map_or(self.source.ledger().version(), Version);
                         let at = p.at_us.map(Duration::from_micros);
@@ -316,11 +455,15 @@
                 let call = self.call(conn, g.call);
                 let at = self.o.settings.hosts.iter().position(|h| h.name == g.host);
                 match at {
-                    Some(at) => events.push(Event::Gone { call, host: HostNo(at as u32), who: g.who }),
-                    None => self.carry_out(vec![Action::Refused {
-                        call,
-                        why: format!("{} is no host here", g.host),
-                    }]),
+                    Some(at) => {
+                        let host = HostNo(at as u32);
+                        events.push(Event::Gone { call, host, who: g.who });
+                        seen.push(Seen::Gone { host });
+                    }
+                    None => {
+                        let why = format!("{} is no host here", g.host);
+                        self.carry_out(vec![Action::Refused { call, why }]);
+                    }
                 }
             }
             (Body::Prevail(p), None) => {
@@ -365,18 +508,10 @@
                 });
             }
             What::Status | What::Unknown => {
-                let waits: BTreeMap<Name, bool> = self.source.waits_for(version).into_iter().collect();
-                let hosts = self.source.follows().map(|(name, has)| pb::HostStatus {
-                    name: name.to_string(),
-                    heard_of: has.is_some(),
-                    has: has.unwrap_or_default().0,
-                    holds_up: waits.contains_key(name),
-                    silent: waits.get(name).copied().unwrap_or(false),
-                });
                 let missing = self.source.admission().missing();
                 let (short, out_of_reach) = (missing.short, missing.out_of_reach);
                 let behind = self.source.behind().map(|v| v.0);
-                let hosts = hosts.collect();
+                let hosts = self.host_status();
                 line.put(Body::Shown(pb::Shown { hosts, short, out_of_reach, behind, ..head }));
             }
             What::Proposal => {
@@ -410,8 +545,10 @@
         self.o.settings.portals.first().map_or(EXTENT, |p| u64::from(p.extent_blocks) * 512)
     }
 
-    fn carry_out(&mut self, actions: Vec<Action>) {
+    /// Does what the ledger's decisions want; what came of the members' own proposals is answered.
+    fn carry_out(&mut self, actions: Vec<Action>) -> Vec<Seen> {
         let (mut records, mut numbers) = (Vec::new(), (0, 0));
+        let mut answered = Vec::new();
         for action in actions {
             match action {
                 Action::Keep { number, what } => {
@@ -426,6 +563,12 @@
                     warn!("a host has followed entry {}, which is not known here; an operator must say what counts", has.0);
                     self.say(call, |call| Body::FeedBehind(pb::FeedBehind { call }));
                 }
+                Action::Landed { call, .. } if self.asks.contains_key(&call) => {
+                    answered.extend(self.asks.remove(&call).map(|ask| Seen::Landed { ask }));
+                }
+                Action::Refused { call, why } if self.asks.contains_key(&call) => {
+                    answered.extend(self.asks.remove(&call).map(|ask| Seen::Refused { ask, why }));
+                }
                 Action::Landed { call, version, opinion } => {
                     let waits = self.source.waits_for(version);
                     let waits_for = waits.iter().filter(|w| w.1).map(|w| w.0.to_string()).collect();
@@ -458,6 +601,7 @@
                 });
             });
         }
+        answered
     }
 
     fn record(&self, what: Keep) -> Record {
@@ -530,8 +674,45 @@
     }
 }
 
+/// What the members are told of a change that is kept.
+fn member_event(version: Version, change: Change) -> Option<Seen> {
+    match change {
+        Change::Node { id, to } => {
+            let to = to.map(|n| Facts { name: n.name, zone: n.zone, cell: n.cell });
+            Some(Seen::Node { node: id, to })
+        }
+        Change::Drain { node, to } => Some(Seen::Drain { node, to, version }),
+        _ => None,
+    }
+}
+
+fn sight_of(n: &pb::NodeSight) -> Sight {
+    let word = match n.listed() {
+        pb::NodeState::NodeUnknown => Word::Never,
+        pb::NodeState::Ready => Word::Ready,
+        pb::NodeState::Draining => Word::Draining,
+        pb::NodeState::Gone => Word::Gone,
+    };
+    let answers = match n.answers() {
+        pb::Answering::NotAsked => Answers::None,
+        pb::Answering::Well => Answers::Good,
+        pb::Answering::Badly => Answers::Bad,
+    };
+    Sight {
+        word,
+        start: n.start,
+        age: n.up_us.map(Duration::from_micros),
+        revision: n.revision,
+        answers,
+        follows: Version(n.follows),
+        legs: n.legs,
+        unsure: Duration::from_micros(n.unsure_us),
+        extents: n.extents,
+    }
+}
+
 /// Gives records out in parts of some bytes; there is always at least one, and the last has no more after it.
-fn in_parts<T: Message>(all: impl Iterator<Item = T>, mut give: impl FnMut(Vec<T>, bool)) {
+pub(crate) fn in_parts<T: Message>(all: impl Iterator<Item = T>, mut give: impl FnMut(Vec<T>, bool)) {
     let (mut part, mut bytes) = (Vec::new(), 0);
     for record in all {
         let size = record.encoded_len();
@@ -610,7 +791,7 @@
                     let (writer, tracer) = (own.clone(), tracer.clone());
                     std::thread::spawn(move || write_on(&writer, conn, &tracer, &from));
                     let line = Line { frames, stream: own.clone() };
-                    let _ = to.send(Heard::Up { conn, them, line });
+                    let _ = to.send(Heard::Up { conn, them: Box::new(them), line });
                 }
                 (Some(body), Some(_)) => drop(to.send(Heard::Frame { conn, body: Box::new(body) })),
                 _ => return Err(io::Error::other("no proper greeting, or a frame without a body")),
--- a/crates/state/src/words.rs
+++ b/crates/state/src/words.rs
@@ -246,15 +246,30 @@
 }
 
 /// What an entry did, each change with what it changed of what was there before.
+///
+/// ```
+/// use grebecleat_plans::changes::Ledger;
+/// use grebecleat_state::words::{change, differences};
+/// let of = |line| change(&Ledger::default(), line).unwrap();
+/// let told = |now, was| differences(&[of(now)], &[of(was)]);
+/// assert_eq!(told("drain 3", "drain 3 queued within=1m"), ["drain 3: no longer queued no longer within=1m"]);
+/// assert_eq!(told("drain 3 empty", "drain 3"), ["drain 3: empty (was none)"]);
+/// ```
 pub fn differences(changes: &[Change], before: &[Change]) -> Vec<String> {
     let was = |s: &Subject| before.iter().find(|c| c.subject() == *s);
     let each = changes.iter().map(|c| match was(&c.subject()).filter(|b| !b.ends() && !c.ends()) {
         Some(b) => {
             let (old, new) = (said(b), said(c));
             let (old, new): (Vec<&str>, Vec<&str>) = (old.split(' ').collect(), new.split(' ').collect());
-            let changed = new.iter().zip(&old).skip(2).filter(|(n, o)| n != o);
-            let fields = changed.map(|(n, o)| format!("{n} (was {})", o.split_once('=').map_or(*o, |x| x.1)));
-            format!("{} {}: {}", new[0], new[1], fields.collect::<Vec<_>>().join(" "))
+            let key = |w: &str| w.split_once('=').map(|(k, _)| k.to_string());
+            let mut fields = Vec::new();
+            for n in new[2..].iter().filter(|n| !old[2..].contains(n)) {
+                let was = old[2..].iter().find(|o| key(o) == key(n)).copied().unwrap_or("none");
+                fields.push(format!("{n} (was {})", was.split_once('=').map_or(was, |x| x.1)));
+            }
+            let gone = old[2..].iter().filter(|o| !new[2..].iter().any(|n| key(n) == key(o)));
+            fields.extend(gone.map(|o| format!("no longer {o}")));
+            format!("{} {}: {}", new[0], new[1], fields.join(" "))
         }
         None => said(c),
     });
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -135,8 +135,14 @@
     let (accepting, tracer) = (to.clone(), host.tracer().clone());
     let most = spec.commands.2 as usize * (MOST_READ + 4096);
     go!(move || accept(&listener, &accepting, &tracer, most));
+    let cells = cells_of(&store);
+    host.holds(cells.clone());
     let owner = Owner {
         engine,
+        host: host.clone(),
+        cells,
+        told_at: clock::now(),
+        news: false,
         local,
         told,
         keeper: Some(store.keeper.clone()),
@@ -202,8 +208,22 @@
     )
 }
 
+/// Extents by the cell in which they lie.
+fn cells_of(store: &Places) -> BTreeMap<u32, u64> {
+    let mut cells = BTreeMap::new();
+    for (_, extents, cell) in store.places.values().flat_map(Extents::iter) {
+        *cells.entry(cell).or_default() += extents;
+    }
+    cells
+}
+
 struct Owner {
     engine: Engine,
+    host: Handle,
+    /// Extents by cell, when the host was last told of them, and whether there are others since.
+    cells: BTreeMap<u32, u64>,
+    told_at: Duration,
+    news: bool,
     local: grebecleat_host::run::Local,
     told: Arc<AtomicBool>,
     /// None once it can no longer be written.
@@ -261,6 +281,10 @@
             if !takes.is_empty() {
                 self.local.send(takes);
             }
+            if self.news && clock::now() >= self.told_at + IDLE {
+                (self.news, self.told_at) = (false, clock::now());
+                self.host.holds(self.cells.clone());
+            }
         }
     }
 
@@ -280,6 +304,8 @@
             Output::Close { conn } => self.lines.get(&conn).into_iter().for_each(|l| l.finish()),
             Output::Take(r) => takes.push(self.take(r)),
             Output::Store { no, volume, extent, cell } => {
+                *self.cells.entry(cell).or_default() += 1;
+                self.news = true;
                 self.keep(Keep::Place { volume, extent, cell }, Input::Stored { no });
             }
             Output::Reserve { ceiling } => self.keep(Keep::Ceiling(ceiling), Input::Reserved { ceiling }),
--- a/src/control.rs
+++ b/src/control.rs
@@ -149,7 +149,7 @@
     rest: Duration,
     tightest: Duration,
     per_unit: Histogram,
-    bk: Books,
+    pub(crate) bk: Books,
 }
 
 impl Control {
@@ -499,18 +499,27 @@
 
     /// The rules and the buckets let it go to this node now.
     fn may_send(&self, id: XferId, x: &Xfer, node: NodeId) -> bool {
+        self.bar(id, x, node).is_none()
+    }
+
+    /// Which of the rules and the buckets keeps it from going to this node now.
+    pub(crate) fn bar(&self, id: XferId, x: &Xfer, node: NodeId) -> Option<Bar> {
         let nd = &self.bk.nodes[&node];
         let (now, stream) = (self.bk.now, &self.streams[x.x.stream_type.0]);
         let limit = self.bk.volumes[&x.x.volume].limit.as_ref();
         let key = x.x.key.filter(|_| stream.ordered);
-        (x.not_before..x.x.expiry).contains(&now)
-            && key.is_none_or(|key| self.bk.keys.has_turn(key, id, now))
-            && (x.legs == 0 || self.further_allowed())
-            && (x.drawn || limit.is_none_or(|b| b.held() >= x.x.units))
-            && nd.cold.as_ref().is_none_or(|b| b.held() > 0.0)
-            && may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now)
-            && matches!(self.value(x, Some(node)), (value, paid)
-                if (paid || nd.tokens.held() > 0.0) && self.eased(x.lot, nd, value))
+        match () {
+            _ if !(x.not_before..x.x.expiry).contains(&now) => Some(Bar::Spacing),
+            _ if key.is_some_and(|key| !self.bk.keys.has_turn(key, id, now)) => Some(Bar::Turn),
+            _ if x.legs > 0 && !self.further_allowed() => Some(Bar::Budget),
+            _ if !x.drawn && limit.is_some_and(|b| b.held() < x.x.units) => Some(Bar::Limit),
+            _ if nd.cold.as_ref().is_some_and(|b| b.held() <= 0.0) => Some(Bar::Cold),
+            _ if !may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now) => Some(Bar::Repeat),
+            _ => match self.value(x, Some(node)) {
+                (_, false) if nd.tokens.held() <= 0.0 => Some(Bar::Share),
+                (value, _) => (!self.eased(x.lot, nd, value)).then_some(Bar::Ease),
+            },
+        }
     }
 
     /// Whether the node's ease lets a transfer of that value go. The scale is the settings', alike on all
@@ -524,7 +533,7 @@
 
     /// From when on the node has room for so many units, as far as time alone decides; None where something
     /// must come back first, or the node must change.
-    fn opens(&self, node: NodeId, units: f64) -> Option<Duration> {
+    pub(crate) fn opens(&self, node: NodeId, units: f64) -> Option<Duration> {
         let nd = &self.bk.nodes[&node];
         let rate = if nd.rate > 0.0 { nd.rate } else { self.bk.usual_rate };
         let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -247,6 +247,31 @@
     },
 }
 
+/// What keeps a held transfer from going, for whoever shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Bar {
+    /// Another leg keeps its distance.
+    Spacing,
+    /// An earlier one with its key is not over, or the key rests.
+    Turn,
+    /// The budget of further legs is spent.
+    Budget,
+    /// The volume's limit is.
+    Limit,
+    /// The node is cold, and this host's part of what it bears is spent.
+    Cold,
+    /// It may have run, and must not run there again.
+    Repeat,
+    /// The volume is beyond its share, and the node has nothing over.
+    Share,
+    /// The node takes only what brings more.
+    Ease,
+    /// As much is out at the node as may be.
+    Room,
+    /// No node has room for a new object.
+    Nowhere,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     Send { id: XferId, node: NodeId, until: Duration },
