--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,3 @@
+//! The control endpoint.
+pub mod accounts;
+pub mod ring;
