--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -209,6 +209,9 @@
     /// Whatever speaks against it; what does is kept in the trail.
     #[arg(long)]
     pub force: bool,
+    /// Nothing lands; says what would speak against it. Not for undo.
+    #[arg(long)]
+    pub dry_run: bool,
 }
 
 #[derive(Subcommand)]
--- a/crates/cli/src/plans.rs
+++ b/crates/cli/src/plans.rs
@@ -59,7 +59,7 @@
             set(c, &out, &who, changes, at_time, looked_at, change)
         }
         PlansCommand::History { most, of } => history(c, most, of, &out),
-        PlansCommand::Undo { entry, change: How { why, force } } => {
+        PlansCommand::Undo { entry, change: How { why, force, .. } } => {
             let undo = |call| Body::Undo(pb::Undo { call, who, why, entry, force });
             landed(c.change(undo).map_err(failed)?, &out)
         }
@@ -158,6 +158,13 @@
             eprintln!("refused: {why}");
             Err(Stop::Broken)
         }
+        Came::Would(w) => {
+            let mut lines: Vec<String> = w.against.iter().map(|r| format!("against it: {r}")).collect();
+            lines.extend(w.warnings.iter().map(|w| format!("warning: {w}")));
+            lines.extend(lines.is_empty().then(|| "nothing speaks against it".into()));
+            out.put(lines, json!({ "against": w.against, "warnings": w.warnings, "blind": w.blind }));
+            Ok(())
+        }
         Came::Landed(l) => {
             let mut lines = vec![format!("entry {}", l.version)];
             lines.extend(l.warnings.iter().map(|w| format!("warning: {w}")));
@@ -203,6 +210,7 @@
             changes: changes.iter().map(change_pb).collect(),
             at_us: at.map(grebecleat_wire::clock::micros),
             force: how.force,
+            only_look: how.dry_run,
         })
     };
     landed(c.change(propose).map_err(failed)?, out)
@@ -286,7 +294,8 @@
     let why = if how.why.is_empty() { format!("as declared in {}", file.display()) } else { how.why };
     let looked_at = Some(s.version.0);
     let propose = |call| {
-        Body::Propose(pb::Propose { call, who, why, looked_at, changes, at_us: None, force: how.force })
+        let (at_us, force, only_look) = (None, how.force, how.dry_run);
+        Body::Propose(pb::Propose { call, who, why, looked_at, changes, at_us, force, only_look })
     };
     landed(c.change(propose).map_err(failed)?, out)
 }
--- a/crates/plans/src/source.rs
+++ b/crates/plans/src/source.rs
@@ -54,6 +54,8 @@
     pub at: Option<Duration>,
     /// Whatever speaks against it.
     pub force: bool,
+    /// Nothing is to land: what would come of it is only told.
+    pub only_look: bool,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -160,6 +162,11 @@
         call: Call,
         why: String,
     },
+    /// To one who only looked.
+    Would {
+        call: Call,
+        opinion: Opinion,
+    },
     /// Hosts on which something waits, for the log.
     Note {
         text: String,
@@ -355,7 +362,7 @@
             Event::Proposed { call, proposal } => self.propose(call, proposal),
             Event::Undo { call, who, why, entry, force } => {
                 let entry = self.ledger.undo(entry, asks(&who, &why, self.wall));
-                self.land(Some(call), entry, force);
+                self.land(Some(call), entry, force, false);
             }
             Event::Gone { call, host, who } => {
                 self.leases.gone(host);
@@ -382,12 +389,12 @@
     }
 
     fn propose(&mut self, call: Call, p: Proposal) {
-        let Proposal { who, why, looked_at, mut changes, at, force } = p;
+        let Proposal { who, why, looked_at, mut changes, at, force, only_look } = p;
         if self.landing.len() >= MOST_WAITING {
             return self.refuse(call, format!("{MOST_WAITING} changes wait to be kept; try again"));
         }
         changes.iter_mut().for_each(|c| self.stamp(c, &who));
-        if let Some(at) = at.filter(|at| *at > self.wall) {
+        if let Some(at) = at.filter(|at| *at > self.wall && !only_look) {
             // What is wrong with it by itself is told now and not at night.
             if let Err(why) = self.ledger.propose(looked_at, asks(&who, &why, self.wall), changes.clone()) {
                 return self.refuse(call, why.to_string());
@@ -399,7 +406,7 @@
             changes = vec![Change::Timed { id, to: Some(timed) }];
         }
         let entry = self.ledger.propose(looked_at, asks(&who, &why, self.wall), changes);
-        self.land(Some(call), entry, force);
+        self.land(Some(call), entry, force, only_look);
     }
 
     /// A drain tells by itself who asked for it, when, and since when it is as far as it is; whoever asks for
@@ -412,7 +419,7 @@
     }
 
     /// The one place where a change lands: judged, laid over the ledger and sent to the disk.
-    fn land(&mut self, call: Option<Call>, entry: Result<Entry, Refused>, force: bool) {
+    fn land(&mut self, call: Option<Call>, entry: Result<Entry, Refused>, force: bool, only_look: bool) {
         let entry = match entry {
             Ok(entry) => entry,
             Err(why) => return self.refuse_some(call, why.to_string()),
@@ -435,6 +442,11 @@
         let opinion = self.admission.land(&self.ledger, &entry.changes, self.losses);
         let looked = self.admission.losses() - opinion.unseen.min(self.admission.losses());
         self.losses = self.losses.saturating_sub(looked.max(1));
+        if let (true, Some(call)) = (only_look, call) {
+            self.ledger.take_back();
+            self.admission.undo(&self.ledger, &entry.changes);
+            return self.out.push(Action::Would { call, opinion });
+        }
         let against = said(&opinion.against);
         let mut entry = entry;
         if !against.is_empty() {
@@ -488,7 +500,7 @@
                 let why = format!("lapsed: {why}");
                 let asks = asks("the state service", &why, self.wall);
                 let entry = self.ledger.propose(self.ledger.version(), asks, vec![over]);
-                self.land(None, entry, false);
+                self.land(None, entry, false, false);
             }
         }
     }
@@ -500,7 +512,7 @@
         let entry = self.ledger.propose(self.ledger.version(), asks, changes).map_err(|e| e.to_string())?;
         let before = self.landing.len();
         let told = self.out.len();
-        self.land(None, Ok(entry), t.force);
+        self.land(None, Ok(entry), t.force, false);
         match self.out.split_off(told) {
             // Refused: nothing was sent to the disk, and why is in its note.
             said if self.landing.len() == before => {
--- a/crates/plans/tests/fleet.rs
+++ b/crates/plans/tests/fleet.rs
@@ -208,7 +208,7 @@
                         self.send(Message::Told { host, event });
                     }
                 }
-                source::Action::Note { .. } => {}
+                source::Action::Would { .. } | source::Action::Note { .. } => {}
             }
         }
     }
@@ -280,6 +280,7 @@
             changes: changes.clone(),
             at,
             force: false,
+            only_look: false,
         };
         if at.is_none() {
             self.operators.insert(call.0, changes);
@@ -481,6 +482,7 @@
         changes: declared.into(),
         at: None,
         force: false,
+        only_look: false,
     };
     w.source_step(vec![source::Event::Proposed { call: Call(1 << 42), proposal }]);
     for _ in 0..ticks {
--- a/crates/plans/tests/source.rs
+++ b/crates/plans/tests/source.rs
@@ -73,7 +73,8 @@
         let call = self.call();
         let looked_at = self.s.kept();
         let (who, why) = ("clerk".to_string(), "test".to_string());
-        let mut proposal = Proposal { who, why, looked_at, changes, at: None, force: false };
+        let mut proposal =
+            Proposal { who, why, looked_at, changes, at: None, force: false, only_look: false };
         with(&mut proposal);
         self.step(vec![Event::Proposed { call, proposal }]);
         call
@@ -113,6 +114,9 @@
                 format!("{}: landed {} {warned}", call.0, version.0).trim_end().to_string()
             }
             Action::Refused { call, why } => format!("{}: {why}", call.0),
+            Action::Would { call, opinion } => {
+                format!("{}: would {}", call.0, said(&opinion.against)).trim_end().to_string()
+            }
             Action::Note { text } => text,
             Action::Keep { .. } => unreachable!("taken out"),
         };
@@ -173,6 +177,11 @@
     let why = "40.0 units a second of reserves cannot be met; what gives way: volume 5 by 40.0";
     assert_eq!(r.said(), [format!("{}: {why}", a.0)]);
     assert!(r.s.ledger().volume(3).is_none() && r.sent.is_empty());
+    // Whoever only looks is told the same, and nothing lands, not even what nothing speaks against.
+    let looks = r.propose(more.clone(), |p| p.only_look = true);
+    let fine = r.propose(vec![volume(3, "gold")], |p| p.only_look = true);
+    assert_eq!(r.said(), [format!("{}: would {why}", looks.0), format!("{}: would", fine.0)]);
+    assert!(r.s.ledger().volume(3).is_none() && r.sent.is_empty() && r.s.admission().missing().short == 0.0);
     let b = r.propose(more, |p| p.force = true);
     r.keep();
     assert_eq!(r.said(), [format!("{}: landed 3", b.0)]);
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -23,6 +23,8 @@
 pub enum Came {
     Landed(pb::Landed),
     Refused(String),
+    /// It was only looked at.
+    Would(pb::Would),
 }
 
 /// What the service shows, put together.
@@ -84,6 +86,7 @@
             let of = match &answer {
                 Body::Landed(l) => l.call,
                 Body::Refused(r) => r.call,
+                Body::Would(w) => w.call,
                 Body::Shown(s) => s.call,
                 _ => continue,
             };
@@ -98,6 +101,7 @@
         match self.ask(body)? {
             Body::Landed(l) => Ok(Came::Landed(l)),
             Body::Refused(r) => Ok(Came::Refused(r.why)),
+            Body::Would(w) => Ok(Came::Would(w)),
             _ => Err(io::Error::other("an answer to something else")),
         }
     }
--- a/crates/state/src/serve.rs
+++ b/crates/state/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::store::{Keep as Record, Kept, StoreFault};
 use grebecleat_membership::drains::{Action as Wanted, Ask, Event as Seen, Facts, Membership, Sight};
 use grebecleat_membership::life::{Answers, Word};
+use grebecleat_plans::admission::Reason;
 use grebecleat_plans::changes::{Change, Entry, Ledger, Name, Version};
 use grebecleat_plans::feed::HostNo;
 use grebecleat_plans::moves::{self, Size};
@@ -220,7 +221,7 @@
     fn declare(&mut self) -> Result<(), String> {
         let (who, why) = ("settings".to_string(), format!("declared in {}", self.o.file));
         let (changes, at, force, looked_at) = (declared(&self.o.settings), None, true, Version(0));
-        let proposal = Proposal { who, why, looked_at, changes, at, force };
+        let proposal = Proposal { who, why, looked_at, changes, at, force, only_look: false };
         let call = Call(0);
         let mut refused = None;
         for action in self.source.step(clock::now(), wall(), vec![Event::Proposed { call, proposal }]) {
@@ -300,7 +301,15 @@
                         let call = Call(self.next);
                         self.asks.insert(call, ask);
                         let (who, changes) = ("drains".to_string(), vec![Change::Drain { node, to }]);
-                        let proposal = Proposal { who, why, looked_at, changes, at: None, force: false };
+                        let proposal = Proposal {
+                            who,
+                            why,
+                            looked_at,
+                            changes,
+                            at: None,
+                            force: false,
+                            only_look: false,
+                        };
                         events.push(Event::Proposed { call, proposal });
                     }
                     Wanted::Unfit { node, how } => events.push(Event::Unfit { node, how }),
@@ -435,8 +444,15 @@
                     Ok(changes) => {
                         let looked_at = p.looked_at.map_or(self.source.ledger().version(), Version);
                         let at = p.at_us.map(Duration::from_micros);
-                        let proposal =
-                            Proposal { who: p.who, why: p.why, looked_at, changes, at, force: p.force };
+                        let proposal = Proposal {
+                            who: p.who,
+                            why: p.why,
+                            looked_at,
+                            changes,
+                            at,
+                            force: p.force,
+                            only_look: p.only_look,
+                        };
                         events.push(Event::Proposed { call, proposal });
                     }
                 }
@@ -588,6 +604,15 @@
                 Action::Refused { call, why } => {
                     self.say(call, |call| Body::Refused(pb::Refused { call, why }))
                 }
+                Action::Would { call, opinion } => {
+                    let version = self.source.ledger().version().0;
+                    let words = |all: &[Reason]| all.iter().map(|r| r.to_string()).collect();
+                    let (against, warnings) = (words(&opinion.against), words(&opinion.warnings));
+                    let (unseen, blind) = (opinion.unseen as u32, opinion.blind);
+                    self.say(call, |call| {
+                        Body::Would(pb::Would { call, version, against, warnings, unseen, blind })
+                    });
+                }
                 Action::Note { text } => info!("{text}"),
             }
         }
