--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Reads batches of events from standard input and writes the actions that grebecleat answers.
 //! Translation only: every decision is made in the library's `control` module.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -18,30 +18,30 @@
         Ok(Pairs(pairs))
     }
 
-    fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
+    pub fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
         match self.0.get(path).copied() {
             None | Some("" | "-") => Ok(None),
             Some(v) => v.parse().map(Some).map_err(|_| format!("setting {path} has a bad value: {v}")),
         }
     }
 
-    fn number(&self, path: &str) -> Result<f64, String> {
+    pub fn number(&self, path: &str) -> Result<f64, String> {
         Ok(self.get::<f64>(path)?.filter(|n| n.is_finite()).unwrap_or(0.0))
     }
 
-    fn time(&self, path: &str) -> Result<Duration, String> {
+    pub fn time(&self, path: &str) -> Result<Duration, String> {
         Ok(time(self.number(path)?))
     }
 
-    fn yes(&self, path: &str) -> Result<bool, String> {
+    pub fn yes(&self, path: &str) -> Result<bool, String> {
         Ok(self.get::<bool>(path)?.unwrap_or(false))
     }
 
-    fn count(&self, path: &str) -> Result<usize, String> {
+    pub fn count(&self, path: &str) -> Result<usize, String> {
         Ok(self.get::<usize>(path)?.unwrap_or(0))
     }
 
-    fn word(&self, path: &str) -> &str {
+    pub fn word(&self, path: &str) -> &str {
         self.0.get(path).copied().unwrap_or("")
     }
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,10 +1,10 @@
 //! Lines in, lines out.
 
-use crate::settings::{self, time, Pairs};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use grebecleat::control::Control;
 use grebecleat::interface::*;
+use grebecleat_adapter::settings::{self, time, Pairs};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 use std::str::FromStr;
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -43,6 +43,9 @@
 pub enum Command {
     /// Runs one host of a deployment until SIGTERM has drained it; a second signal ends it at once.
     Run(HostArgs),
+    /// Runs one host on the users' platform, as its variables and configuration say (LB_CONFIG), until SIGTERM has
+    /// ended it; SIGHUP reads the configuration again.
+    Platform,
     /// Runs the state service: keeps plans and volumes, and tells hosts what changes.
     StateService(StateArgs),
     /// Shows and changes plans and volumes while they are in service.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 use grebecleat_audit::{Case, Verdict, RULES};
 use grebecleat_host::run as host;
 use grebecleat_plans::follow::{Follow, Start};
+use grebecleat_platform::{config::Config, run as platform};
 use grebecleat_settings::{Kind, Settings};
 use grebecleat_standin::clients::Tally;
 use grebecleat_standin::{net, rehearse, serve};
@@ -52,6 +53,7 @@
     }
     let ended = match args.command {
         Command::Run(a) => run(a),
+        Command::Platform => on_platform(),
         Command::StateService(a) => state_service(a),
         Command::Plans(a) => plans::run(a),
         Command::Check { file } => check(&file),
@@ -196,6 +198,15 @@
     Ok(())
 }
 
+fn on_platform() -> Result<(), Stop> {
+    let (file, config) = Config::from_env().map_err(bad)?;
+    let name = config.name.clone();
+    let options = platform::Options { config, file: Some(file) };
+    let counts = platform::run(options, |address| info!(host = %name, %address, "up"))?;
+    info!(host = %name, ?counts, "ended");
+    Ok(())
+}
+
 fn state_service(a: StateArgs) -> Result<(), Stop> {
     let settings = Arc::new(load(&a.file)?);
     let Some(spec) = &settings.state else {
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -30,6 +30,7 @@
 use grebecleat_wire::clock;
 use grebecleat_wire::delay::Delay;
 use grebecleat_wire::pb::{self, frame::Body};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -119,6 +120,8 @@
         conn: ConnId,
         outbox: Arc<Outbox>,
     },
+    /// The list answers elsewhere from now on.
+    ListMoved,
     /// Take no more, answer what is held, then end.
     Drain,
 }
@@ -215,6 +218,8 @@
     outbox: Option<Arc<Outbox>>,
     legs: BTreeSet<LegNo>,
     idle_since: Duration,
+    /// Its node takes nothing more on it.
+    leaving: bool,
 }
 
 #[derive(Debug)]
@@ -239,6 +244,10 @@
     /// Its place among the settings' hosts.
     me: usize,
     plans: Following,
+    /// Clients say on what terms their volumes are served.
+    as_told: bool,
+    /// A connection carries one exchange at a time and ends with one that is given up.
+    one_at_a_time: bool,
     seed: u64,
     now: Duration,
     wanted_wake: Duration,
@@ -313,6 +322,8 @@
             control,
             me: 0,
             plans,
+            as_told: false,
+            one_at_a_time: false,
             seed,
             now: Duration::ZERO,
             wanted_wake: Duration::MAX,
@@ -356,6 +367,15 @@
         self
     }
 
+    /// For a platform whose clients say with each transfer on what terms its volume is served, and whose nodes
+    /// take one exchange at a time on a connection. A leg that is given up there takes its connection with it:
+    /// what its node may yet answer must not be read as the next leg's, and a closed connection is the only
+    /// way to call a leg off.
+    pub fn one_at_a_time(mut self) -> Self {
+        (self.as_told, self.one_at_a_time) = (true, true);
+        self
+    }
+
     fn bounds(&self) -> &Bounds {
         &self.settings.bounds
     }
@@ -484,6 +504,13 @@
             }
             Input::ListGone { conn } if self.list.conn == Some(conn) => self.list_lost("connection lost"),
             Input::ListGone { .. } => {}
+            // Not a failure: the decisions keep what they have, and the new one is dialled at once.
+            Input::ListMoved => {
+                self.list.outbox.take().into_iter().for_each(|o| o.close());
+                self.list = ListLink::default();
+                self.list.wanted.push(Body::Watch(pb::Watch { on: true }));
+                self.ask_list();
+            }
             Input::StateUp { conn, outbox } => {
                 self.sights.forget();
                 self.plans.up(conn, outbox);
@@ -538,7 +565,13 @@
             return self.throw_out(conn, "transfer of an unknown stream type");
         };
         let volume = VolumeId(t.volume);
-        let (plan, hosts) = match self.plans.standing(volume) {
+        let told = t.plan.zip(t.hosts).filter(|_| self.as_told);
+        let told =
+            told.map(|(plan, hosts)| Standing::Here { plan: PlanId(plan as usize), hosts: hosts as usize });
+        let (plan, hosts) = match told.unwrap_or_else(|| self.plans.standing(volume)) {
+            Standing::Here { plan, .. } if plan.0 >= self.settings.plans.len() => {
+                return self.throw_out(conn, "transfer of an unknown plan");
+            }
             Standing::Here { plan, hosts } => (plan, hosts),
             Standing::Nowhere if !self.plans.is_on() => {
                 return self.throw_out(conn, "transfer of an unknown volume");
@@ -801,8 +834,10 @@
         let Some(pool) = self.pools.get_mut(&node) else { return };
         while let Some(leg) = pool.waiting.front().copied() {
             let up = pool.conns.iter().filter_map(|c| Some((c, self.conns.get(c)?)));
-            let open = up.filter(|(_, c)| c.outbox.is_some() && c.legs.len() < per);
-            let Some(conn) = open.min_by_key(|(_, c)| c.legs.len()).map(|(id, _)| *id) else { return };
+            let open = up.filter(|(_, c)| c.outbox.is_some() && !c.leaving && c.legs.len() < per);
+            // Of idle ones the last used: the others grow old enough to be closed.
+            let emptiest = open.min_by_key(|(_, c)| (c.legs.len(), Reverse(c.idle_since)));
+            let Some(conn) = emptiest.map(|(id, _)| *id) else { return };
             pool.waiting.pop_front();
             let l = self.legs.get_mut(&leg).expect("waiting legs are known");
             l.conn = Some(conn);
@@ -895,6 +930,9 @@
             busy: told.busy,
         });
         self.settle(id);
+        if self.one_at_a_time && matches!(end, LegEnd::TimeOut | LegEnd::Cancelled) {
+            l.conn.into_iter().for_each(|conn| self.node_conn_gone(conn));
+        }
         self.serve(node);
     }
 
@@ -959,7 +997,9 @@
                     self.events.push(Event::Probed { node, end });
                 }
             }
-            Some(Body::GoingAway(_)) => {}
+            Some(Body::GoingAway(_)) => {
+                self.conns.get_mut(&conn).into_iter().for_each(|c| c.leaving = true);
+            }
             _ => {
                 self.complain(conn, "node sent what only hosts and clients send");
                 self.node_conn_gone(conn);
@@ -978,7 +1018,8 @@
             }
         }
         for leg in c.legs {
-            let unsent = c.outbox.as_ref().is_none_or(|o| o.revoke(leg));
+            let partly = |o: &Arc<Outbox>| self.one_at_a_time && o.is_writing();
+            let unsent = c.outbox.as_ref().is_none_or(|o| o.revoke(leg) || partly(o));
             self.counts.unsent += u64::from(unsent);
             self.end_leg(leg, if unsent { LegEnd::NoConnection } else { LegEnd::Reset }, self.now, None);
         }
@@ -995,24 +1036,25 @@
 
     /// Brings the connections of touched nodes towards what their pools want.
     fn tend_pools(&mut self) {
-        for node in std::mem::take(&mut self.touched) {
+        while let Some(node) = self.touched.pop_first() {
             let Some(pool) = self.pools.get(&node) else { continue };
             let conns = || pool.conns.iter().filter_map(|c| self.conns.get(c));
             let up = conns().filter(|c| c.outbox.is_some()).count();
             let legs = conns().map(|c| c.legs.len()).sum::<usize>() + pool.waiting.len();
             let present = Present { up, dialling: pool.conns.len() - up, legs, waiting: pool.waiting.len() };
             let address = self.listing.nodes.get(&node).and_then(|k| k.address);
+            let waiting: Vec<LegNo> = pool.waiting.iter().copied().collect();
             match (pool.pool.wanted(self.now, present), address) {
                 (Step::Nothing, _) => {}
+                // Where there is no room for another, its legs wait, and are swept if for too long.
                 (Step::Dial, Some(address)) => {
-                    let conn = ConnId(self.number());
-                    let (legs, idle_since) = (BTreeSet::new(), self.now);
-                    self.conns.insert(conn, NodeConn { node, outbox: None, legs, idle_since });
-                    self.pools.get_mut(&node).expect("looked up above").conns.push(conn);
-                    self.out.push(Output::Dial { conn, node, address });
+                    if self.one_more() {
+                        self.dial(node, address);
+                        self.touched.insert(node); // it may want several
+                    }
                 }
                 (Step::Fail, _) | (Step::Dial, None) => {
-                    for leg in pool.waiting.clone() {
+                    for leg in waiting {
                         self.counts.unsent += 1;
                         self.end_leg(leg, LegEnd::NoConnection, self.now, None);
                     }
@@ -1021,6 +1063,27 @@
         }
     }
 
+    fn dial(&mut self, node: NodeId, address: SocketAddr) {
+        let conn = ConnId(self.number());
+        let new =
+            NodeConn { node, outbox: None, legs: BTreeSet::new(), idle_since: self.now, leaving: false };
+        self.conns.insert(conn, new);
+        self.pools.get_mut(&node).into_iter().for_each(|p| p.conns.push(conn));
+        self.out.push(Output::Dial { conn, node, address });
+    }
+
+    /// Whether there may be one more connection to nodes; where all are spoken for, the one that has been idle
+    /// the longest makes room.
+    fn one_more(&mut self) -> bool {
+        if self.conns.len() < self.bounds().node_connections {
+            return true;
+        }
+        let idle = self.conns.iter().filter(|(_, c)| c.outbox.is_some() && c.legs.is_empty());
+        let oldest = idle.min_by_key(|(_, c)| c.idle_since).map(|(id, _)| *id);
+        oldest.into_iter().for_each(|conn| self.node_conn_gone(conn));
+        oldest.is_some()
+    }
+
     fn close_idle(&mut self, node: NodeId, since: Duration) {
         let Some(pool) = self.pools.get(&node) else { return };
         for conn in pool.conns.clone() {
--- a/crates/host/src/outbox.rs
+++ b/crates/host/src/outbox.rs
@@ -153,6 +153,11 @@
         self.lock().writing = false;
     }
 
+    /// What was pulled last has not been written whole.
+    pub fn is_writing(&self) -> bool {
+        self.lock().writing
+    }
+
     pub fn bytes(&self) -> usize {
         self.lock().bytes
     }
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -50,8 +50,13 @@
         let want = p.legs.div_ceil(self.per_connection).min(self.most);
         match p {
             Present { waiting: 0, .. } => Step::Nothing,
-            // One dial at a time: a node that just came up must not see every host's whole pool at once.
-            Present { dialling: 0, up, .. } if up < want && now >= self.not_before => Step::Dial,
+            // As many dials at a time as are up, so that legs don't queue behind one another's handshakes, and
+            // no more: a node that just came up must not see every host's whole pool at once.
+            Present { dialling, up, waiting, .. }
+                if up + dialling < want && dialling < waiting.min(up.max(1)) && now >= self.not_before =>
+            {
+                Step::Dial
+            }
             Present { dialling: 0, up: 0, .. } => Step::Fail,
             _ => Step::Nothing,
         }
@@ -77,6 +82,24 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn as_many_dials_as_legs_wait_and_connections_are_up() {
+        let (now, pool) = (Duration::from_secs(10), Pool::new(1, 8, 1));
+        let look = |up, dialling, waiting| Present { up, dialling, legs: up + waiting, waiting };
+        let cases = [
+            (look(0, 0, 5), Step::Dial),
+            (look(0, 1, 5), Step::Nothing),
+            (look(3, 2, 5), Step::Dial),
+            (look(3, 3, 5), Step::Nothing),
+            (look(3, 2, 2), Step::Nothing),
+            (look(7, 0, 5), Step::Dial),
+            (look(7, 1, 5), Step::Nothing),
+        ];
+        for (present, step) in cases {
+            assert_eq!(pool.wanted(now, present), step, "{present:?}");
+        }
+    }
+
     #[test]
     fn one_dial_at_a_time_and_fewer_after_failures() {
         let now = Duration::from_secs(10);
@@ -86,6 +109,7 @@
             (look(0, 0, 0, 0), Step::Nothing),
             (look(0, 0, 1, 1), Step::Dial),
             (look(0, 1, 5, 5), Step::Nothing),
+            (look(1, 1, 12, 2), Step::Nothing),
             (look(1, 0, 11, 1), Step::Dial),
             (look(2, 0, 40, 20), Step::Nothing),
         ];
--- /dev/null
+++ b/crates/platform/src/discovery.rs
@@ -0,0 +1,149 @@
+//! The platform's list of nodes, as the host's list messages, and the numbers that stand for its names.
+//!
+//! Begin with [`Names::read`]. The host's decisions know nodes and zones by number; a name keeps its number for
+//! the life of this process. Memory: one name for each node that was ever listed, [`MOST_NAMES`] at most; past
+//! that the list is not taken any more.
+
+use grebecleat_wire::pb;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+pub const PATH: &str = "/registry/instances";
+/// More than a day of replacements, every few seconds.
+const MOST_NAMES: usize = 100_000;
+
+#[derive(Deserialize)]
+struct Told {
+    rev: u64,
+    all: bool,
+    targets: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: Option<String>,
+    az: Option<String>,
+    pod_group: u32,
+    state: String,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+/// What was read: the list, its revision, and how many entries made no sense.
+#[derive(Debug)]
+pub struct Read {
+    pub list: pb::List,
+    pub revision: u64,
+    pub spoilt: usize,
+}
+
+#[derive(Debug, Default)]
+pub struct Names {
+    nodes: HashMap<String, u32>,
+    zones: HashMap<String, u32>,
+}
+
+fn number(of: &mut HashMap<String, u32>, name: &str) -> Option<u32> {
+    if let Some(n) = of.get(name) {
+        return Some(*n);
+    }
+    let n = of.len() as u32;
+    (of.len() < MOST_NAMES).then(|| of.insert(name.to_string(), n))?;
+    Some(n)
+}
+
+impl Names {
+    /// `unix_ms` is the wall clock, by which the list tells when nodes started.
+    ///
+    /// A whole list with an entry that makes no sense counts as changes, or the node behind that entry would pass
+    /// for gone.
+    pub fn read(&mut self, body: &[u8], unix_ms: f64) -> Result<Read, String> {
+        let told: Told = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let all = told.targets.len();
+        let entries: Vec<pb::Entry> =
+            told.targets.into_iter().filter_map(|t| self.entry(t, unix_ms)).collect();
+        let spoilt = all - entries.len();
+        if told.all && entries.is_empty() && spoilt > 0 {
+            return Err(format!("none of {spoilt} entries can be read"));
+        }
+        let kind = if told.all && spoilt == 0 { pb::ListKind::Whole } else { pb::ListKind::Changes };
+        let list = pb::List { kind: kind.into(), revision: told.rev, entries };
+        Ok(Read { list, revision: told.rev, spoilt })
+    }
+
+    fn entry(&mut self, told: serde_json::Value, unix_ms: f64) -> Option<pb::Entry> {
+        let t: Target = serde_json::from_value(told).ok()?;
+        let state = match t.state.as_str() {
+            "ready" => pb::NodeState::Ready,
+            "draining" => pb::NodeState::Draining,
+            "gone" => pb::NodeState::Gone,
+            _ => return None,
+        };
+        let address = t.endpoint.unwrap_or_default();
+        if address.parse::<SocketAddr>().is_err() && state != pb::NodeState::Gone {
+            return None;
+        }
+        let zone = number(&mut self.zones, t.az.as_deref().unwrap_or_default())?;
+        let up = (t.boot_ms > 0.0).then(|| (unix_ms - t.boot_ms).max(0.0) * 1000.0);
+        Some(pb::Entry {
+            node: number(&mut self.nodes, &t.uid)?,
+            zone,
+            cell: t.pod_group,
+            state: state.into(),
+            address,
+            start: t.boot_ms.max(0.0) as u64,
+            up_us: up.map(|us| us as u64),
+        })
+    }
+}
+
+/// The call for the whole list, or for what is newer than a revision once there is something.
+pub fn ask(service: &str, newer: Option<(u64, u64)>) -> Vec<u8> {
+    let mut text = format!("GET {PATH}");
+    if let Some((revision, wait_ms)) = newer {
+        let _ = write!(text, "?since={revision}&timeout_ms={wait_ms}");
+    }
+    let _ = write!(text, " HTTP/1.1\r\nHost: {service}\r\n\r\n");
+    text.into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ONE: &str = r#"{"uid":"a","endpoint":"127.0.0.1:9","az":"x","model":"m","pod_group":3,"state":"ready",
+        "capacity_hint":1.0,"boot_ms":0}"#;
+
+    fn list(all: bool, targets: &[&str]) -> Vec<u8> {
+        format!(r#"{{"rev":7,"all":{all},"targets":[{}]}}"#, targets.join(",")).into_bytes()
+    }
+
+    #[test]
+    fn names_keep_their_numbers_and_a_spoilt_entry_wipes_nothing() {
+        let mut names = Names::default();
+        let other = ONE.replace("\"a\"", "\"b\"").replace("\"boot_ms\":0", "\"boot_ms\":4000");
+        let read = names.read(&list(true, &[ONE, &other]), 5000.0).unwrap();
+        assert_eq!((read.revision, read.spoilt, read.list.kind()), (7, 0, pb::ListKind::Whole));
+        let seen: Vec<_> = read.list.entries.iter().map(|e| (e.node, e.cell, e.up_us, e.start)).collect();
+        assert_eq!(seen, [(0, 3, None, 0), (1, 3, Some(1_000_000), 4000)]);
+        let half = r#"{"uid":"a","state":"read"#;
+        assert!(names.read(half.as_bytes(), 0.0).is_err());
+        let bad = [
+            r#"{"uid":"c","state":"ready"}"#,
+            r#"{"uid":"a","endpoint":"nowhere","pod_group":1,"state":"ready"}"#,
+            r#"{"uid":"a","endpoint":"127.0.0.1:1","pod_group":1,"state":"asleep"}"#,
+            "7",
+        ];
+        for bad in bad {
+            let read = names.read(&list(true, &[bad, &other]), 5000.0).unwrap();
+            assert_eq!((read.spoilt, read.list.kind()), (1, pb::ListKind::Changes), "{bad}");
+            assert_eq!(read.list.entries[0].node, 1);
+            assert!(names.read(&list(true, &[bad]), 5000.0).is_err());
+        }
+        let gone = names.read(&list(false, &[r#"{"uid":"b","pod_group":3,"state":"gone"}"#]), 0.0).unwrap();
+        assert_eq!(gone.list.entries[0].state(), pb::NodeState::Gone);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/run.rs
@@ -0,0 +1,989 @@
+//! The sockets, and the loop of the one owner of the decisions.
+//!
+//! One thread owns the host's `Desk` and every connection's state. Each connection has one `may` coroutine, which
+//! reads and hands on what came; whole messages are taken apart by the owner, and what the desk puts into an
+//! outbox is written by the owner at once, without waiting: a leg that is decided is on the wire before anything
+//! else is heard, and whether its last byte was written is known without asking another thread. What the socket
+//! does not take at once is tried again at the next look.
+//!
+//! Bounds. Descriptors: [`Descriptors`], clients and nodes apart. Memory of a connection: its coroutine's stack,
+//! one message in, what is being written, and [`MOST_AHEAD`] read but not yet looked at; past that its reader
+//! waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
+
+use crate::clients::{put_final, Wish, Words, SERVICE};
+use crate::config::Config;
+use crate::discovery::{self, Names};
+use crate::http::{self, put_response, Fault};
+use crate::nodes;
+use bytes::Bytes;
+use grebecleat::interface::PeerId;
+use grebecleat_host::desk::{ConnId, Counts, Desk, Input, Output};
+use grebecleat_host::outbox::Outbox;
+use grebecleat_wire::clock;
+use grebecleat_wire::pb::{self, frame::Body};
+use may::go;
+use may::net::{TcpListener, TcpStream};
+use may::sync::Semphore;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd, RawFd};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Words of eight bytes. Nothing but a read and a send happens on it.
+const STACK: usize = 4 << 10;
+const ONE_READ: usize = 4 << 10;
+/// How long a worker without events waits before it looks by itself; see the host's own loop.
+const POLL: Duration = ms(1);
+/// Bytes of one connection that its reader may be ahead of the owner.
+const MOST_AHEAD: usize = 96 << 10;
+/// Bytes that may wait behind a client's open exchange.
+const MOST_BEHIND: usize = 16 << 10;
+/// Inputs that go into one step, so that a flood cannot keep timers waiting.
+const ONE_STEP: usize = 512;
+const ONE_WRITE: usize = 128 << 10;
+/// After a stall: time for the readers to bring what waits in the sockets.
+const CATCH_UP: Duration = ms(3);
+const SWEEP: Duration = ms(50);
+/// A caller that has said nothing, or not the whole of its first exchange, is closed so long after its coming.
+const FIRST_WORDS: Duration = ms(2400);
+/// The rest of a later exchange that has begun must come within this.
+const REST: Duration = ms(2000);
+/// From then on a connection without an open exchange may be closed when room is short.
+const IDLE: Duration = ms(2000);
+/// And is closed in any case.
+const IDLE_MOST: Duration = ms(10_000);
+/// Callers younger than this may just be about to speak.
+const YOUNG: Duration = ms(100);
+/// After an error, what its client still sends is dropped for so long and so much, or the error would be lost to
+/// a reset.
+const DISCARD: (Duration, usize) = (ms(500), 256 << 10);
+/// After SIGTERM new connections keep coming for a while.
+const STILL_COMING: Duration = ms(500);
+/// The least and the most that a call to the list may wait there, and what it may take beyond.
+const WATCH: (Duration, Duration) = (ms(1000), ms(5000));
+const LIST_ANSWER: Duration = ms(1500);
+/// With no word from the list, the remembered one is served from after this.
+const KNOWN_AFTER: Duration = ms(2000);
+/// Lines of the log in one second; further ones are counted.
+const LINES: u32 = 20;
+
+/// What the coroutines and signals tell the owner.
+enum Note {
+    Accepted {
+        conn: ConnId,
+        fd: RawFd,
+        gate: Arc<Gate>,
+    },
+    Read {
+        conn: ConnId,
+        at: Duration,
+        bytes: Vec<u8>,
+    },
+    /// The stream comes along, so that its number stays its own until the owner has let go of it.
+    Ended {
+        conn: ConnId,
+        stream: TcpStream,
+    },
+    /// The listener waits for room.
+    Short,
+    Signal(i32),
+}
+
+/// Between a connection's reader and the owner: how far ahead the reader is.
+struct Gate {
+    ahead: AtomicUsize,
+    closed: AtomicBool,
+    bell: Semphore,
+}
+
+impl Gate {
+    fn new() -> Arc<Self> {
+        Arc::new(Gate { ahead: AtomicUsize::new(0), closed: AtomicBool::new(false), bell: Semphore::new(0) })
+    }
+
+    fn consumed(&self, n: usize) {
+        let before = self.ahead.fetch_sub(n, Ordering::AcqRel);
+        if before > MOST_AHEAD && before - n <= MOST_AHEAD {
+            self.bell.post();
+        }
+    }
+
+    fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        self.bell.post();
+    }
+
+    fn wait_for_owner(&self) {
+        while self.ahead.load(Ordering::Acquire) > MOST_AHEAD && !self.closed.load(Ordering::Acquire) {
+            self.bell.wait();
+        }
+    }
+}
+
+/// Between the listener and the owner: how many client connections there are.
+struct Room {
+    live: AtomicUsize,
+    most: usize,
+    bell: Semphore,
+    ended: AtomicBool,
+}
+
+fn read_on(mut stream: TcpStream, conn: ConnId, gate: &Gate, to_owner: &Sender<Note>) {
+    let mut buffer = [0; ONE_READ];
+    while let Ok(n @ 1..) = stream.read(&mut buffer) {
+        gate.ahead.fetch_add(n, Ordering::AcqRel);
+        let read = Note::Read { conn, at: clock::now(), bytes: buffer[..n].to_vec() };
+        if to_owner.send(read).is_err() {
+            break;
+        }
+        gate.wait_for_owner();
+    }
+    let _ = to_owner.send(Note::Ended { conn, stream });
+}
+
+fn start_reader(stream: TcpStream, conn: ConnId, gate: Arc<Gate>, to_owner: Sender<Note>) {
+    go!(move || read_on(stream, conn, &gate, &to_owner));
+}
+
+/// Numbers below are the desk's own connections, above it the listener's.
+const ACCEPTED: u64 = 1 << 48;
+
+fn accept(listener: &TcpListener, room: &Room, to_owner: &Sender<Note>) {
+    let mut next = ACCEPTED;
+    while !room.ended.load(Ordering::Acquire) {
+        if room.live.load(Ordering::Acquire) >= room.most {
+            let _ = to_owner.send(Note::Short);
+            room.bell.wait();
+            continue;
+        }
+        match listener.accept() {
+            Ok((stream, _)) => {
+                room.live.fetch_add(1, Ordering::AcqRel);
+                let _ = stream.set_nodelay(true);
+                next += 1;
+                let (conn, gate) = (ConnId(next), Gate::new());
+                let accepted = Note::Accepted { conn, fd: stream.as_raw_fd(), gate: gate.clone() };
+                if to_owner.send(accepted).is_err() {
+                    return;
+                }
+                start_reader(stream, conn, gate, to_owner.clone());
+            }
+            // Out of descriptors, or the caller is gone already: the owner's next look rings.
+            Err(_) => {
+                let _ = to_owner.send(Note::Short);
+                room.bell.wait();
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Client {
+    /// The client's own id of its open exchange, and whether the connection stays.
+    open: Option<(String, bool)>,
+    spoke: bool,
+    /// When what is begun began, or when it fell idle.
+    since: Duration,
+    /// It has had its last answer; what still comes is dropped, so long and so much.
+    discard: Option<(Duration, usize)>,
+}
+
+#[derive(Debug)]
+enum Doing {
+    Nothing,
+    Leg(u64),
+    Probe(u64),
+}
+
+#[derive(Debug, Default)]
+struct ListCalls {
+    watching: bool,
+    whole: bool,
+    revision: Option<u64>,
+    /// A call is out, and must be answered by then.
+    by: Option<Duration>,
+}
+
+enum Role {
+    Client(Client),
+    Node(Doing),
+    List(ListCalls),
+}
+
+struct Conn {
+    role: Role,
+    fd: RawFd,
+    gate: Arc<Gate>,
+    outbox: Arc<Outbox>,
+    inward: Vec<u8>,
+    outward: Vec<u8>,
+    written: usize,
+    opened: Duration,
+}
+
+struct Dial {
+    conn: ConnId,
+    socket: Socket,
+    until: Duration,
+    list: bool,
+}
+
+/// What [`run`] is to do.
+pub struct Options {
+    pub config: Config,
+    /// Read again on SIGHUP.
+    pub file: Option<PathBuf>,
+}
+
+struct Host {
+    config: Config,
+    file: Option<PathBuf>,
+    words: Words,
+    names: Names,
+    desk: Desk,
+    conns: BTreeMap<ConnId, Conn>,
+    /// Closed by us; their readers have yet to end.
+    leaving: BTreeSet<ConnId>,
+    dials: Vec<Dial>,
+    inputs: Vec<Input>,
+    /// Connections whose outboxes have something new.
+    rung: Arc<Mutex<Vec<ConnId>>>,
+    /// Connections whose sockets did not take all.
+    blocked: BTreeSet<ConnId>,
+    /// Transfers open, by the clients' own ids.
+    ids: HashMap<String, ConnId>,
+    taken: u64,
+    discovery: SocketAddr,
+    room: Arc<Room>,
+    listener: RawFd,
+    short: bool,
+    to_owner: Sender<Note>,
+    started: Duration,
+    listed: bool,
+    known: bool,
+    sweep_at: Duration,
+    draining: Option<Duration>,
+    lines: (Duration, u32),
+}
+
+/// Runs the host until SIGTERM has ended it. `started` gets the address it listens on.
+pub fn run(options: Options, started: impl FnOnce(SocketAddr)) -> io::Result<Counts> {
+    may::config().set_workers(1).set_stack_size(STACK).set_timeout_ns(POLL.as_nanos() as u64);
+    let (to_owner, notes) = mpsc::channel();
+    // Before anybody can see this host as ready.
+    signals(to_owner.clone())?;
+    let listener = TcpListener::bind(options.config.listen)?;
+    let address = listener.local_addr()?;
+    let most = options.config.descriptors.clients;
+    let room = Arc::new(Room {
+        live: AtomicUsize::new(0),
+        most,
+        bell: Semphore::new(0),
+        ended: AtomicBool::new(false),
+    });
+    let mut host = Host::new(options, room.clone(), listener.as_raw_fd(), to_owner.clone());
+    go!(move || accept(&listener, &room, &to_owner));
+    started(address);
+    host.own(&notes);
+    Ok(host.desk.counts())
+}
+
+fn signals(to_owner: Sender<Note>) -> io::Result<()> {
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGHUP, SIGTERM, SIGINT])?;
+    std::thread::Builder::new().name("signals".into()).stack_size(64 << 10).spawn(move || {
+        for n in signals.forever() {
+            if to_owner.send(Note::Signal(n)).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn frame(body: Body, at: Duration) -> pb::Frame {
+    pb::Frame { sent_us: clock::micros(at), body: Some(body) }
+}
+
+impl Host {
+    fn new(options: Options, room: Arc<Room>, listener: RawFd, to_owner: Sender<Note>) -> Self {
+        let Options { config, file } = options;
+        let desk = Desk::new(config.settings.clone(), config.seed).one_at_a_time();
+        let now = clock::now();
+        let mut host = Host {
+            words: Words::of(&config),
+            names: Names::default(),
+            desk,
+            conns: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            dials: Vec::new(),
+            inputs: Vec::new(),
+            rung: Arc::default(),
+            blocked: BTreeSet::new(),
+            ids: HashMap::new(),
+            taken: 0,
+            discovery: config.discovery,
+            room,
+            listener,
+            short: false,
+            to_owner,
+            started: now,
+            listed: false,
+            known: false,
+            sweep_at: now,
+            draining: None,
+            lines: (now, 0),
+            file,
+            config,
+        };
+        host.remember();
+        host
+    }
+
+    /// The list as the platform last saw it here. One that cannot be read is none.
+    fn remember(&mut self) {
+        let Some(known) = self.config.known.take() else { return };
+        match self.names.read(&known, unix_ms()) {
+            Ok(read) => {
+                self.known = !read.list.entries.is_empty();
+                self.inputs.push(Input::Remembered { list: read.list });
+            }
+            Err(why) => self.say(&format!("known: not taken: {why}")),
+        }
+    }
+
+    fn say(&mut self, text: &str) {
+        let now = clock::now();
+        if now > self.lines.0 + ms(1000) {
+            if self.lines.1 > LINES {
+                warn!("{} lines left out", self.lines.1 - LINES);
+            }
+            self.lines = (now, 0);
+        }
+        self.lines.1 += 1;
+        if self.lines.1 <= LINES {
+            info!("{text}");
+        }
+    }
+
+    fn own(&mut self, notes: &Receiver<Note>) {
+        // A first step, so that the decisions ask for the list without waiting for a client.
+        self.inputs.push(Input::Word { from: PeerId(u32::MAX), bytes: Vec::new() });
+        loop {
+            let now = clock::now();
+            let mut wake = self.desk.wake_at().min(self.sweep_at);
+            if !self.dials.is_empty() || !self.blocked.is_empty() {
+                wake = wake.min(now + ms(2));
+            }
+            let wait = wake.saturating_sub(now);
+            let mut heard = 0;
+            if self.inputs.is_empty() && !wait.is_zero() {
+                match notes.recv_timeout(wait) {
+                    Ok(note) => {
+                        self.hear(note);
+                        heard += 1;
+                    }
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            }
+            if self.desk.stood_still(clock::now()) {
+                self.say("this host stood still; its own lateness is not laid on the nodes");
+                std::thread::sleep(CATCH_UP);
+            }
+            while heard < ONE_STEP {
+                let Ok(note) = notes.try_recv() else { break };
+                self.hear(note);
+                heard += 1;
+            }
+            self.look_at_dials();
+            let inputs = std::mem::take(&mut self.inputs);
+            for output in self.desk.step(clock::now(), inputs) {
+                self.carry_out(output);
+            }
+            self.flush_all();
+            if clock::now() >= self.sweep_at {
+                self.sweep();
+            }
+            if self.has_ended() {
+                return;
+            }
+        }
+    }
+
+    fn hear(&mut self, note: Note) {
+        match note {
+            Note::Accepted { conn, fd, gate } => {
+                let now = clock::now();
+                let client = Client { open: None, spoke: false, since: now, discard: None };
+                let outbox = self.add(conn, Role::Client(client), fd, gate, now);
+                self.inputs.push(Input::ClientUp { conn, outbox });
+            }
+            Note::Read { conn, at, bytes } => self.read(conn, at, &bytes),
+            Note::Ended { conn, stream } => {
+                if !self.leaving.remove(&conn) {
+                    self.lost(conn);
+                    self.leaving.remove(&conn);
+                }
+                drop(stream);
+                if conn.0 > ACCEPTED {
+                    self.room.live.fetch_sub(1, Ordering::AcqRel);
+                    if std::mem::take(&mut self.short) {
+                        self.room.bell.post();
+                    }
+                }
+            }
+            Note::Short => {
+                self.short = true;
+                self.make_room();
+            }
+            Note::Signal(signal_hook::consts::SIGHUP) => self.reload(),
+            Note::Signal(_) if self.draining.is_none() => {
+                self.draining = Some(clock::now());
+                self.say("told to end: serving on until new connections cease");
+            }
+            Note::Signal(_) => {}
+        }
+    }
+
+    fn add(&mut self, conn: ConnId, role: Role, fd: RawFd, gate: Arc<Gate>, now: Duration) -> Arc<Outbox> {
+        let (rung, hung) = (self.rung.clone(), self.rung.clone());
+        let ring = move |rung: &Mutex<Vec<ConnId>>| rung.lock().unwrap_or_else(|e| e.into_inner()).push(conn);
+        let outbox = Arc::new(Outbox::new(move || ring(&rung), move || ring(&hung)));
+        let new = Conn {
+            role,
+            fd,
+            gate,
+            outbox: outbox.clone(),
+            inward: Vec::new(),
+            outward: Vec::new(),
+            written: 0,
+            opened: now,
+        };
+        self.conns.insert(conn, new);
+        outbox
+    }
+
+    /// Lets go of a connection; its reader ends, and with it the descriptor.
+    fn close(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.remove(&conn) else { return };
+        if let Role::Client(Client { open: Some((id, _)), .. }) = &c.role {
+            self.ids.remove(id);
+        }
+        self.blocked.remove(&conn);
+        // SAFETY: the number is its own until `Note::Ended` has brought the stream.
+        unsafe { libc::shutdown(c.fd, libc::SHUT_RDWR) };
+        c.gate.close();
+        self.leaving.insert(conn);
+    }
+
+    /// A connection has ended, or is of no further use.
+    fn lost(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        self.inputs.push(match c.role {
+            Role::Client(_) => Input::ClientGone { conn },
+            Role::Node(_) => Input::NodeGone { conn },
+            Role::List(_) => Input::ListGone { conn },
+        });
+        self.close(conn);
+    }
+
+    fn read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.gate.consumed(bytes.len());
+        match &mut c.role {
+            Role::Client(Client { discard: Some((_, left)), .. }) => {
+                *left = left.saturating_sub(bytes.len());
+                if *left == 0 {
+                    self.lost(conn);
+                }
+            }
+            Role::Client(client) => {
+                if c.inward.is_empty() && client.open.is_none() && client.spoke {
+                    client.since = at;
+                }
+                client.spoke = true;
+                c.inward.extend_from_slice(bytes);
+                if client.open.is_some() && c.inward.len() > MOST_BEHIND {
+                    return self.lost(conn);
+                }
+                self.advance(conn, at);
+            }
+            Role::Node(_) => {
+                c.inward.extend_from_slice(bytes);
+                self.node_answers(conn, at);
+            }
+            Role::List(_) => {
+                c.inward.extend_from_slice(bytes);
+                self.list_answers(conn);
+            }
+        }
+    }
+
+    // Clients
+
+    /// Takes apart what a client has sent, as far as it may: one exchange at a time.
+    fn advance(&mut self, conn: ConnId, at: Duration) {
+        loop {
+            let Some(c) = self.conns.get_mut(&conn) else { return };
+            let Role::Client(client) = &mut c.role else { return };
+            if client.open.is_some() || client.discard.is_some() || c.inward.is_empty() {
+                return;
+            }
+            let read = match http::request(&c.inward) {
+                Ok(None) => return,
+                Ok(Some((r, used))) => self.words.read(&r).map(|wish| (wish, r.keep, used)),
+                Err(fault) => Err(fault),
+            };
+            let (wish, keep, used) = match read {
+                Ok(read) => read,
+                Err(fault) => return self.turn_down(conn, fault),
+            };
+            match wish {
+                Wish::Ready => {
+                    let ready = self.listed || self.known && clock::now() > self.started + KNOWN_AFTER;
+                    let status = if ready { 200 } else { 503 };
+                    drained(&mut c.inward, used);
+                    client.since = at;
+                    put_response(&mut c.outward, status, "", keep, b"");
+                    if !keep {
+                        client.discard = Some((at + DISCARD.0, DISCARD.1));
+                    }
+                    self.flush(conn);
+                }
+                Wish::Take { id, mut take } => {
+                    if self.ids.contains_key(&id) {
+                        return self.turn_down(conn, Fault { status: 409, what: "an id that is open" });
+                    }
+                    drained(&mut c.inward, used);
+                    self.taken += 1;
+                    take.id = Bytes::from(format!("{:036x}", self.taken));
+                    client.open = Some((id.clone(), keep));
+                    self.ids.insert(id, conn);
+                    let frames = vec![frame(Body::Take(*take), at)];
+                    self.inputs.push(Input::ClientFrames { conn, at, frames });
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Says what is wrong, and hangs up once that has been read.
+    fn turn_down(&mut self, conn: ConnId, fault: Fault) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Role::Client(client) = &mut c.role else { return };
+        client.discard = Some((clock::now() + DISCARD.0, DISCARD.1));
+        c.inward = Vec::new();
+        put_response(&mut c.outward, fault.status, "", false, fault.what.as_bytes());
+        tracing::debug!(conn = conn.0, status = fault.status, "client: {}", fault.what);
+        self.flush(conn);
+    }
+
+    /// Where clients hold all they may: the silent go first, then those that have been idle for long.
+    fn make_room(&mut self) {
+        let now = clock::now();
+        let order = |c: &Conn| {
+            let Role::Client(client) = &c.role else { return None };
+            let idle = now.saturating_sub(client.since);
+            match client {
+                Client { open: Some(_), .. } => None,
+                Client { discard: Some(_), .. } => Some((0, idle)),
+                Client { spoke: false, .. } if idle > YOUNG => Some((1, idle)),
+                _ if idle > IDLE => Some((2, idle)),
+                Client { spoke: true, .. } if c.inward.is_empty() => Some((3, idle)),
+                _ => Some((4, idle)),
+            }
+        };
+        let all = self.conns.iter().filter_map(|(id, c)| Some((order(c)?, *id)));
+        let mut all: Vec<_> = all.collect();
+        all.sort_unstable_by_key(|((kind, idle), _)| (*kind, std::cmp::Reverse(*idle)));
+        // A few at a time: each costs a look at all.
+        let few = 1 + self.room.most / 16;
+        for ((kind, _), conn) in all.into_iter().take(few) {
+            if kind < 4 {
+                self.lost(conn);
+            }
+        }
+    }
+
+    // Nodes
+
+    fn node_answers(&mut self, conn: ConnId, at: Duration) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Role::Node(doing) = &mut c.role else { return };
+        let (body, leaving) = match (http::response(&c.inward), &*doing) {
+            // Bytes that nothing waits for.
+            (_, Doing::Nothing) => return self.lost(conn),
+            (Ok(None), _) => return,
+            (Ok(Some((r, used))), doing) => {
+                let partly = c.written < c.outward.len();
+                let leaving = !r.keep || used < c.inward.len() || partly;
+                let body = match doing {
+                    Doing::Leg(leg) => Body::LegAnswer(nodes::answer(*leg, &r)),
+                    Doing::Probe(probe) => probed(*probe, r.status),
+                    Doing::Nothing => return,
+                };
+                (body, leaving)
+            }
+            (Err(fault), Doing::Leg(leg)) => {
+                tracing::debug!(conn = conn.0, "node: {}", fault.what);
+                (Body::LegAnswer(nodes::spoilt(*leg)), true)
+            }
+            (Err(_), Doing::Probe(probe)) => (probed(*probe, 502), true),
+        };
+        *doing = Doing::Nothing;
+        c.inward = Vec::new();
+        let mut frames = Vec::new();
+        if leaving {
+            // First, or the next leg would be given to it.
+            frames.push(frame(Body::GoingAway(pb::GoingAway {}), at));
+        }
+        frames.push(frame(body, at));
+        self.inputs.push(Input::NodeFrames { conn, at, frames });
+        if leaving {
+            self.lost(conn);
+        }
+    }
+
+    /// Without waiting: on this machine and near it a connection is up or refused at once, and what is neither
+    /// is looked at again.
+    fn dial(&mut self, conn: ConnId, address: SocketAddr, list: bool) {
+        let now = clock::now();
+        let until = now + self.config.settings.bounds.dial_timeout;
+        let domain = if address.is_ipv4() { Domain::IPV4 } else { Domain::IPV6 };
+        let dialled = Socket::new(domain, Type::STREAM, Some(Protocol::TCP)).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            socket.set_nodelay(true)?;
+            match socket.connect(&address.into()) {
+                Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => Err(e),
+                _ => Ok(socket),
+            }
+        });
+        match dialled {
+            Ok(socket) => self.dials.push(Dial { conn, socket, until, list }),
+            Err(e) => {
+                tracing::debug!(%address, "cannot dial: {e}");
+                self.inputs.push(if list { Input::ListGone { conn } } else { Input::NodeGone { conn } });
+            }
+        }
+    }
+
+    fn look_at_dials(&mut self) {
+        if self.dials.is_empty() {
+            return;
+        }
+        let mut polled: Vec<libc::pollfd> = self
+            .dials
+            .iter()
+            .map(|d| libc::pollfd { fd: d.socket.as_raw_fd(), events: libc::POLLOUT, revents: 0 })
+            .collect();
+        // SAFETY: the pointer and the length are of one live vector.
+        unsafe { libc::poll(polled.as_mut_ptr(), polled.len() as libc::nfds_t, 0) };
+        let now = clock::now();
+        let dials = std::mem::take(&mut self.dials);
+        for (d, p) in dials.into_iter().zip(polled) {
+            let (conn, list) = (d.conn, d.list);
+            let ready = p.revents != 0;
+            if !ready && now < d.until {
+                self.dials.push(d);
+                continue;
+            }
+            let up = ready && matches!(d.socket.take_error(), Ok(None)) && d.socket.peer_addr().is_ok();
+            if !up {
+                self.inputs.push(if list { Input::ListGone { conn } } else { Input::NodeGone { conn } });
+                continue;
+            }
+            // SAFETY: the number has just been given up by its only owner.
+            let stream = unsafe { TcpStream::from_raw_fd(d.socket.into_raw_fd()) };
+            let (fd, gate) = (stream.as_raw_fd(), Gate::new());
+            let role = if list { Role::List(ListCalls::default()) } else { Role::Node(Doing::Nothing) };
+            let outbox = self.add(conn, role, fd, gate.clone(), now);
+            start_reader(stream, conn, gate, self.to_owner.clone());
+            self.inputs.push(match list {
+                true => Input::ListUp { conn, outbox },
+                false => Input::NodeUp { conn, outbox },
+            });
+        }
+    }
+
+    // The list
+
+    fn list_answers(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Role::List(calls) = &mut c.role else { return };
+        if calls.by.is_none() {
+            return self.lost(conn);
+        }
+        let (told, keep) = match http::response(&c.inward) {
+            Ok(None) => return,
+            Ok(Some((r, used))) if r.status == 200 => {
+                let keep = r.keep && used == c.inward.len();
+                (self.names.read(&r.body, unix_ms()), keep)
+            }
+            Ok(Some((r, _))) => (Err(format!("status {}", r.status)), false),
+            Err(fault) => (Err(fault.what.to_string()), false),
+        };
+        calls.by = None;
+        c.inward = Vec::new();
+        match told {
+            Ok(read) => {
+                calls.revision = Some(read.revision);
+                self.listed = true;
+                let frames = vec![frame(Body::List(read.list), clock::now())];
+                self.inputs.push(Input::ListFrames { conn, frames });
+                if read.spoilt > 0 {
+                    self.say(&format!("list of nodes: {} entries cannot be read", read.spoilt));
+                }
+                match keep {
+                    true => self.ask_list(conn),
+                    false => self.lost(conn),
+                }
+            }
+            Err(why) => {
+                self.say(&format!("list of nodes: {why}"));
+                self.lost(conn);
+            }
+        }
+    }
+
+    /// The next call follows at once, or what changes meanwhile would count as told.
+    fn ask_list(&mut self, conn: ConnId) {
+        let wait = (self.config.settings.list.rule.ask_every / 2).clamp(WATCH.0, WATCH.1);
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Role::List(calls) = &mut c.role else { return };
+        if calls.by.is_some() {
+            return;
+        }
+        let newer = calls.revision.filter(|_| !std::mem::take(&mut calls.whole));
+        if newer.is_some() && !calls.watching {
+            return;
+        }
+        let newer = newer.map(|revision| (revision, wait.as_millis() as u64));
+        let waits = newer.map_or(Duration::ZERO, |_| wait);
+        calls.by = Some(clock::now() + waits + LIST_ANSWER);
+        c.outward.extend_from_slice(&discovery::ask(SERVICE, newer));
+        self.flush(conn);
+    }
+
+    /// A bad file changes nothing.
+    fn reload(&mut self) {
+        let Some(file) = &self.file else { return };
+        match Config::load(file) {
+            Ok(new) => {
+                if new.discovery != self.discovery {
+                    self.discovery = new.discovery;
+                    self.inputs.push(Input::ListMoved);
+                }
+                self.say("configuration read again");
+            }
+            Err(why) => self.say(&format!("configuration not taken, the last good one stays: {why}")),
+        }
+    }
+
+    // Writing
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Dial { conn, address, .. } => self.dial(conn, address, false),
+            Output::DialList { conn } => self.dial(conn, self.discovery, true),
+            Output::Note { text } => self.say(&text),
+            // No disk, no state service, no peers here.
+            Output::Remember { .. } | Output::DialState { .. } | Output::Keep { .. } => {}
+            Output::Tell { .. } | Output::Ended => {}
+        }
+    }
+
+    fn flush_all(&mut self) {
+        let rung = std::mem::take(&mut *self.rung.lock().unwrap_or_else(|e| e.into_inner()));
+        let blocked = std::mem::take(&mut self.blocked);
+        for conn in rung.into_iter().chain(blocked) {
+            self.flush(conn);
+        }
+    }
+
+    /// Writes what the socket takes; then what its outbox has.
+    fn flush(&mut self, conn: ConnId) {
+        loop {
+            let Some(c) = self.conns.get_mut(&conn) else { return };
+            while c.written < c.outward.len() {
+                let rest = &c.outward[c.written..];
+                let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
+                // SAFETY: the pointer and the length are of one live slice; the number is still its own.
+                let n = unsafe { libc::send(c.fd, rest.as_ptr().cast(), rest.len(), flags) };
+                match usize::try_from(n) {
+                    Ok(n) => c.written += n,
+                    Err(_) => match io::Error::last_os_error().kind() {
+                        io::ErrorKind::Interrupted => {}
+                        io::ErrorKind::WouldBlock => {
+                            self.blocked.insert(conn);
+                            return;
+                        }
+                        _ => return self.lost(conn),
+                    },
+                }
+            }
+            if !c.outward.is_empty() {
+                c.written = 0;
+                drained(&mut c.outward, usize::MAX);
+                if let Role::Client(Client { discard: Some(_), .. }) = c.role {
+                    // SAFETY: as above.
+                    unsafe { libc::shutdown(c.fd, libc::SHUT_WR) };
+                }
+            }
+            c.outbox.wrote();
+            let pulled = c.outbox.pull(clock::now, ONE_WRITE);
+            if pulled.frames.is_empty() {
+                if pulled.closed {
+                    self.close(conn);
+                }
+                return;
+            }
+            for f in pulled.frames {
+                if let Some(body) = f.body {
+                    self.put(conn, body);
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, conn: ConnId, body: Body) {
+        let ending = self.closing();
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        match (&mut c.role, body) {
+            (Role::Client(client), Body::Final(told)) => {
+                let Some((id, keep)) = client.open.take() else { return };
+                let keep = keep && !ending;
+                let now = clock::now();
+                client.since = now;
+                if !keep {
+                    client.discard = Some((now + DISCARD.0, DISCARD.1));
+                }
+                self.ids.remove(&id);
+                put_final(&mut c.outward, &told, keep);
+                if keep && !c.inward.is_empty() {
+                    // What waited behind it; the answer goes first, since it stands in the buffer.
+                    self.advance(conn, now);
+                }
+            }
+            (Role::Node(doing), Body::Leg(leg)) => {
+                *doing = Doing::Leg(leg.leg);
+                nodes::put_leg(&mut c.outward, &leg);
+            }
+            (Role::Node(doing), Body::Probe(probe)) => {
+                if matches!(doing, Doing::Nothing) {
+                    *doing = Doing::Probe(probe.probe);
+                    nodes::put_probe(&mut c.outward);
+                } else {
+                    let at = clock::now();
+                    let frames = vec![frame(probed(probe.probe, 0), at)];
+                    self.inputs.push(Input::NodeFrames { conn, at, frames });
+                }
+            }
+            (Role::List(calls), Body::Watch(w)) => {
+                calls.watching = w.on;
+                self.ask_list(conn);
+            }
+            (Role::List(calls), Body::FetchList(_)) => {
+                calls.whole = true;
+                self.ask_list(conn);
+            }
+            _ => {}
+        }
+    }
+
+    // Time and the end
+
+    /// Whether answers now end their connections.
+    fn closing(&self) -> bool {
+        self.draining.is_some_and(|at| clock::now() >= at + STILL_COMING)
+    }
+
+    fn sweep(&mut self) {
+        let now = clock::now();
+        self.sweep_at = now + SWEEP;
+        let closing = self.closing();
+        if closing && !self.room.ended.swap(true, Ordering::AcqRel) {
+            // SAFETY: the listener lives in its coroutine until it sees this.
+            unsafe { libc::shutdown(self.listener, libc::SHUT_RDWR) };
+            self.room.bell.post();
+        }
+        let (mut lost, mut slow) = (Vec::new(), Vec::new());
+        for (id, c) in &self.conns {
+            match end_of(c) {
+                End::Hang(at) if now >= at || closing && idles(c) => lost.push(*id),
+                End::Complain(at) if now >= at => slow.push(*id),
+                _ => {}
+            }
+        }
+        lost.into_iter().for_each(|conn| self.lost(conn));
+        let late = Fault { status: 408, what: "the rest did not come" };
+        slow.into_iter().for_each(|conn| self.turn_down(conn, late));
+        if self.short {
+            self.make_room();
+            self.room.bell.post();
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        let busy = |c: &Conn| match &c.role {
+            Role::Client(client) => client.open.is_some() || c.written < c.outward.len(),
+            _ => false,
+        };
+        self.closing() && self.inputs.is_empty() && !self.conns.values().any(busy)
+    }
+}
+
+/// When a connection that only waits has waited long enough.
+enum End {
+    Never,
+    Hang(Duration),
+    Complain(Duration),
+}
+
+fn end_of(c: &Conn) -> End {
+    match &c.role {
+        Role::Client(Client { open: Some(_), .. }) | Role::Node(_) => End::Never,
+        Role::Client(Client { discard: Some((until, _)), .. }) => End::Hang(*until),
+        Role::Client(Client { spoke: false, .. }) => End::Hang(c.opened + FIRST_WORDS),
+        Role::Client(client) if c.inward.is_empty() => End::Hang(client.since + IDLE_MOST),
+        // Until a first exchange has ended, its time counts from the caller's coming.
+        Role::Client(client) if client.since <= c.opened => End::Complain(c.opened + FIRST_WORDS),
+        Role::Client(client) => End::Complain(client.since + REST),
+        Role::List(calls) => calls.by.map_or(End::Never, End::Hang),
+    }
+}
+
+/// A client's connection without an exchange, begun or open.
+fn idles(c: &Conn) -> bool {
+    matches!(&c.role, Role::Client(Client { open: None, discard: None, .. })) && c.inward.is_empty()
+}
+
+fn probed(probe: u64, status: u16) -> Body {
+    let result = if status == 200 { pb::Result::Ok } else { pb::Result::Error };
+    Body::Probed(pb::Probed { probe, result: result.into() })
+}
+
+/// Takes the first bytes away, and gives the memory back once nothing is left.
+fn drained(buffer: &mut Vec<u8>, used: usize) {
+    if used >= buffer.len() {
+        *buffer = Vec::new();
+    } else {
+        buffer.drain(..used);
+    }
+}
+
+/// The wall clock, by which the list tells when nodes started.
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -120,6 +120,8 @@
     pub most_unread: usize,
     pub legs_per_connection: usize,
     pub connections_per_node: usize,
+    /// To all nodes together.
+    pub node_connections: usize,
     pub dial_timeout: Duration,
     pub idle: Duration,
     /// A leg that could not be written for so long is taken back.
@@ -620,6 +622,7 @@
         most_unread: f.whole("most_unread", Some(8 << 20), (4096, most)) as usize,
         legs_per_connection: f.whole("legs_per_connection", Some(100), (1, 1 << 20)) as usize,
         connections_per_node: f.whole("connections_per_node", Some(4), (1, 1024)) as usize,
+        node_connections: f.whole("node_connections", Some(10_000), (1, most)) as usize,
         dial_timeout: f.span("dial_timeout", Some(ms(250)), DAY),
         idle: f.span("idle", Some(ms(15_000)), DAY),
         linger: f.span("linger", Some(ms(250)), DAY),
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -338,6 +338,8 @@
             data,
             offset: None,
             version: None,
+            plan: None,
+            hosts: None,
         }));
         let host = p.host;
         self.tally.tries += 1;
--- a/crates/target/src/portal.rs
+++ b/crates/target/src/portal.rs
@@ -348,6 +348,8 @@
             data: r.data,
             offset: Some(r.offset),
             version: r.version,
+            plan: None,
+            hosts: None,
         })
     }
 
