A node's answer that never becomes whole ends its leg; the live host's tests on sockets

Cause: an answer said to be longer than it is leaves its connection open, and the leg waited for its transfer's expiry (run.rs, Host::node_answers: 'Ok(None) => return').

Change: 250 ms after the first byte such an answer counts as spoilt: the leg has run, the connection goes.

--- /dev/null
+++ b/crates/cli/tests/platform.rs
@@ -0,0 +1,502 @@
+//! The program as a live host on the platform, against a small list and scripted nodes on loopback.
+//!
+//! Verdicts come from what crossed the sockets: each node keeps every exchange that came whole.
+
+use grebecleat_platform::http;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// What a node does with an exchange that came whole.
+#[derive(Clone)]
+enum Does {
+    Says(Vec<u8>),
+    /// Says it and hangs up.
+    SaysAndEnds(Vec<u8>),
+    Waits(Duration, Vec<u8>),
+}
+
+fn says(text: &str) -> Does {
+    Does::Says(text.as_bytes().to_vec())
+}
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+const AWAY: &str = "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+
+type Script = Arc<dyn Fn(usize) -> Does + Send + Sync>;
+
+/// A node: answers the n-th exchange as its script says, and keeps what came.
+struct Node {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    connections: Arc<Mutex<usize>>,
+}
+
+fn node(script: impl Fn(usize) -> Does + Send + Sync + 'static) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, connections): (Arc<Mutex<Vec<String>>>, Arc<Mutex<usize>>) = Default::default();
+    let (kept, opened, script): (_, _, Script) = (seen.clone(), connections.clone(), Arc::new(script));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            *opened.lock().unwrap() += 1;
+            let (kept, script) = (kept.clone(), script.clone());
+            std::thread::spawn(move || serve_node(stream, &kept, &*script));
+        }
+    });
+    Node { address, seen, connections }
+}
+
+fn serve_node(mut stream: TcpStream, kept: &Mutex<Vec<String>>, script: &dyn Fn(usize) -> Does) {
+    let mut had = Vec::new();
+    loop {
+        let Some(text) = next_exchange(&mut stream, &mut had) else { return };
+        let n = {
+            let mut kept = kept.lock().unwrap();
+            kept.push(text);
+            kept.len() - 1
+        };
+        match script(n) {
+            Does::Says(bytes) => _ = stream.write_all(&bytes),
+            Does::Waits(span, bytes) => {
+                sleep(span);
+                let _ = stream.write_all(&bytes);
+            }
+            Does::SaysAndEnds(bytes) => {
+                let _ = stream.write_all(&bytes);
+                return;
+            }
+        }
+    }
+}
+
+/// The next whole request as text.
+fn next_exchange(stream: &mut TcpStream, had: &mut Vec<u8>) -> Option<String> {
+    let mut buffer = [0; 4096];
+    loop {
+        if let Ok(Some((_, used))) = http::request(had) {
+            let text = String::from_utf8_lossy(&had[..used]).into_owned();
+            had.drain(..used);
+            return Some(text);
+        }
+        match stream.read(&mut buffer) {
+            Ok(n @ 1..) => had.extend_from_slice(&buffer[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// A list: the whole of it, and watches that wait until it changes.
+#[derive(Clone)]
+struct Discovery {
+    address: SocketAddr,
+    told: Arc<Mutex<(u64, Value)>>,
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+fn discovery(targets: Value) -> Discovery {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let d = Discovery { address, told: Arc::new(Mutex::new((1, targets))), calls: Arc::default() };
+    let list = d.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let list = list.clone();
+            std::thread::spawn(move || list.serve(stream));
+        }
+    });
+    d
+}
+
+impl Discovery {
+    fn serve(&self, mut stream: TcpStream) {
+        let mut had = Vec::new();
+        while let Some(text) = next_exchange(&mut stream, &mut had) {
+            let target = text.split(' ').nth(1).unwrap_or_default().to_string();
+            self.calls.lock().unwrap().push(target.clone());
+            let since = target.split("since=").nth(1).and_then(|s| s.split('&').next()?.parse::<u64>().ok());
+            let until = Instant::now() + ms(1000);
+            while since.is_some_and(|s| self.told.lock().unwrap().0 <= s) && Instant::now() < until {
+                sleep(ms(5));
+            }
+            let (rev, targets) = self.told.lock().unwrap().clone();
+            let news = since.is_none_or(|s| rev > s);
+            let targets = if news { targets } else { json!([]) };
+            let body = json!({"rev": rev, "all": news, "targets": targets}).to_string();
+            let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        }
+    }
+
+    fn tell(&self, targets: Value) {
+        let mut told = self.told.lock().unwrap();
+        *told = (told.0 + 1, targets);
+    }
+}
+
+fn target(uid: &str, node: &Node, shard: u32, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": node.address.to_string(), "az": "a", "model": "m", "pod_group": shard,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+struct Live {
+    child: Child,
+    address: SocketAddr,
+    config: PathBuf,
+    sockets: u64,
+}
+
+impl Drop for Live {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn settings() -> Value {
+    let stream = |name: &str, repeat: &str, ordered: bool| {
+        json!({"name": name, "objective-ms": 200.0, "deadline-ms": 3000.0, "idempotency": repeat,
+               "key-scope": "cell", "dedup-window-ms": 1500.0, "worth": 3.0, "late-value": 0.2,
+               "serial-by-key": ordered, "stream": false})
+    };
+    json!({
+        "balancers": 1, "registry-mode": "on_request", "zones": ["a"],
+        "caps": {"max-attempts": 3, "retry-after": true, "max-retry-after-ms": 500.0, "conn-idle-ms": 30000.0,
+                 "dial-timeout-ms": 250.0, "max-open": 1000, "probing": true},
+        "family-info": {"largest": 6, "mean-units": 2.0, "writes": [false, true, true], "cold-units": 20.0,
+                        "meter-ms": 500.0, "within-share": 0.35, "spare-worth": 0.08},
+        "profiles": [stream("read", "free", false), stream("once", "single_shot", false),
+                     stream("row", "guarded", true)],
+        "plans": [{"name": "gold", "base-rate": 500.0, "guaranteed": 500.0, "proportion": 1.0, "price": 1.0}],
+        "rules": {"answer-slack-ms": 58.0, "ask-every-ms": 9000.0, "extra-floor": 3.0, "further-ratio": 0.25,
+                  "extra-window-ms": 5000.0, "cold-from": 0.2, "cold-ms": 9000.0, "fall-ms": 2000.0,
+                  "tip-multiple": 4.0, "drain-grace-ms": 250.0, "settle-after-doubt-ms": 200.0}
+    })
+}
+
+impl Live {
+    fn start(list: &Discovery, sockets: u64) -> Live {
+        static NEXT: Mutex<u32> = Mutex::new(0);
+        let n = {
+            let mut next = NEXT.lock().unwrap();
+            *next += 1;
+            *next
+        };
+        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let config = std::env::temp_dir().join(format!("grebecleat-{}-{n}.json", std::process::id()));
+        let mut live =
+            Live { child: spawn(&config, free, list.address, sockets), address: free, config, sockets };
+        let until = Instant::now() + Duration::from_secs(20);
+        while live.ask("GET /health/ready HTTP/1.1\r\n\r\n") != Some(200) {
+            assert!(Instant::now() < until && live.child.try_wait().unwrap().is_none(), "it never was ready");
+            sleep(ms(20));
+        }
+        live
+    }
+
+    fn ask(&self, text: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+        stream.write_all(text.as_bytes()).ok()?;
+        answer(&mut stream).map(|a| a.0)
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+fn write_config(path: &PathBuf, listen: SocketAddr, list: SocketAddr, sockets: u64) {
+    let config = json!({
+        "name": "n1", "listen": listen.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets}, "settings": settings(),
+    });
+    std::fs::write(path, config.to_string()).unwrap();
+}
+
+fn spawn(path: &PathBuf, listen: SocketAddr, list: SocketAddr, sockets: u64) -> Child {
+    write_config(path, listen, list, sockets);
+    let program = env!("CARGO_BIN_EXE_grebecleat");
+    let mut command = Command::new(program);
+    command.arg("platform").env("LB_CONFIG", path).stdin(Stdio::null()).stderr(Stdio::null());
+    command.spawn().unwrap()
+}
+
+/// Status, head and body of the next answer; None where the connection ends without one.
+fn answer(stream: &mut TcpStream) -> Option<(u16, String, Vec<u8>)> {
+    let (mut had, mut buffer) = (Vec::new(), [0; 4096]);
+    loop {
+        if let Ok(Some((r, used))) = http::response(&had) {
+            let head = String::from_utf8_lossy(&had[..used - r.body.len()]).into_owned();
+            return Some((r.status, head, r.body.to_vec()));
+        }
+        match stream.read(&mut buffer) {
+            Ok(n @ 1..) => had.extend_from_slice(&buffer[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// A request of a stream type for one piece of data.
+fn request(stream: &str, id: &str, shard: i64, key: u64, left: u64) -> String {
+    let method = if stream == "read" { "GET" } else { "PUT" };
+    let body = if stream == "read" { "" } else { "Content-Length: 2\r\n" };
+    let data = if stream == "read" { "" } else { "hi" };
+    format!(
+        "{method} /{stream}/{key:016x}?q=1 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {id}\r\nX-Qos-Policy: gold\r\n\
+         X-Remaining-Ms: {left}\r\nIdempotency-Key: k{id}\r\n{body}\
+         X-Placement: volume=00000003b4d60021,units=2,shard={shard},hosts=1\r\n\r\n{data}"
+    )
+}
+
+fn one_node(script: impl Fn(usize) -> Does + Send + Sync + 'static) -> (Node, Discovery, Live) {
+    let node = node(script);
+    let list = discovery(json!([target("s-1", &node, 0, "ready")]));
+    let live = Live::start(&list, 256);
+    (node, list, live)
+}
+
+fn seen(node: &Node) -> Vec<String> {
+    node.seen.lock().unwrap().clone()
+}
+
+#[test]
+fn a_transfer_passes_unchanged_and_so_does_its_answer() {
+    let (node, _list, live) = one_node(|_| says(GOOD));
+    let mut stream = TcpStream::connect(live.address).unwrap();
+    for n in 0..3 {
+        stream.write_all(request("row", &format!("t{n}"), 0, 7, 2500).as_bytes()).unwrap();
+        let (status, _, body) = answer(&mut stream).unwrap();
+        assert_eq!((status, &body[..]), (200, &b"good"[..]));
+    }
+    let seen = seen(&node);
+    assert_eq!((seen.len(), *node.connections.lock().unwrap()), (3, 1), "one connection serves them in turn");
+    for (n, text) in seen.iter().enumerate() {
+        assert!(
+            text.starts_with("PUT /row/0000000000000007?q=1 HTTP/1.1\r\n") && text.ends_with("\r\n\r\nhi")
+        );
+        assert!(
+            text.contains(&format!("X-Txn: t{n}\r\n"))
+                && text.contains(&format!("Idempotency-Key: kt{n}\r\n"))
+        );
+        let left = text.split("X-Remaining-Ms: ").nth(1).unwrap().split("\r\n").next().unwrap();
+        assert!((1..=2500).contains(&left.parse::<u64>().unwrap()));
+    }
+}
+
+/// What never ran may be tried again or deferred, whatever the stream type; what may have run, never for one that
+/// is unrepeatable.
+#[test]
+fn only_what_proves_that_a_leg_never_ran_lets_an_unrepeatable_transfer_be_sent_again() {
+    let stalled = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ngood";
+    let huge = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ngood";
+    let both = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\ngood";
+    let cases: [(&str, Does, &[u16], usize); 9] = [
+        ("turned away, then done", says(AWAY), &[200], 2),
+        ("503 without its header", says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), &[502], 1),
+        ("500", says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), &[502], 1),
+        ("hangs up after it came whole", Does::SaysAndEnds(Vec::new()), &[502], 1),
+        ("noise", says("~~~ no answer ~~~\r\n\r\n"), &[502], 1),
+        ("an answer that stops half way", says(stalled), &[502], 1),
+        ("an answer of 3 GB", says(huge), &[502], 1),
+        ("both lengths", says(both), &[502], 1),
+        ("no length", says("HTTP/1.1 200 OK\r\n\r\ngood"), &[502], 1),
+    ];
+    for (what, does, wanted, legs) in cases {
+        let (node, _list, live) = one_node(move |n| if n == 0 { does.clone() } else { says(GOOD) });
+        let status = live.ask(&request("once", "t", 0, 7, 2500)).expect(what);
+        assert!(wanted.contains(&status), "{what}: {status}");
+        assert_eq!(seen(&node).len(), legs, "{what}");
+        // The host is of use still.
+        assert_eq!(live.ask(&request("once", "u", 0, 8, 2500)), Some(200), "{what}");
+    }
+}
+
+#[test]
+fn a_good_answer_counts_whatever_comes_before_and_behind_it() {
+    let early = format!("HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n{GOOD}");
+    let chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ngo\r\n2\r\nod\r\n0\r\n\r\n".to_string();
+    let unread =
+        "HTTP/1.1 200 OK\r\nX-Iops-Used: much\r\nX-Rho: \r\nContent-Length: 4\r\n\r\ngood".to_string();
+    let cases = [early, format!("{GOOD}{GOOD}"), format!("{GOOD}~~~"), chunked, unread];
+    for text in cases {
+        let told = text.clone();
+        let (_node, _list, live) = one_node(move |_| says(&told));
+        for n in 0..3 {
+            let mut stream = TcpStream::connect(live.address).unwrap();
+            stream.write_all(request("once", &format!("t{n}"), 0, n, 2500).as_bytes()).unwrap();
+            let (status, _, body) = answer(&mut stream).expect(&text);
+            assert_eq!((status, &body[..]), (200, &b"good"[..]), "{text}");
+        }
+    }
+}
+
+#[test]
+fn what_the_module_gives_up_is_answered_with_a_time_to_come_back() {
+    // Nobody holds shard 5.
+    let (node, _list, live) = one_node(|_| says(GOOD));
+    let mut stream = TcpStream::connect(live.address).unwrap();
+    let began = Instant::now();
+    stream.write_all(request("once", "t", 5, 7, 2500).as_bytes()).unwrap();
+    let (status, head, _) = answer(&mut stream).unwrap();
+    assert!(status == 503 && head.contains("Retry-After: 0.500"), "{status} {head}");
+    assert!(began.elapsed() < ms(2000), "at once, not near its expiry");
+    assert_eq!(seen(&node), Vec::<String>::new());
+}
+
+#[test]
+fn who_cannot_be_understood_gets_a_fault_of_his_own_and_nothing_reaches_a_node() {
+    let (node, _list, live) = one_node(|_| says(GOOD));
+    let good = request("once", "t", 0, 7, 2500);
+    let change = |from: &str, to: &str| good.replacen(from, to, 1);
+    let cases = [
+        "noise without any sense\r\n\r\n".to_string(),
+        format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000)),
+        change("Content-Length: 2", "Content-Length: 60000000"),
+        change("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"),
+        change("Content-Length: 2", "Content-Length: -2"),
+        change("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 40"),
+        change("/once/", "/never/"),
+        change("gold", "lead"),
+        change("2500", "soon"),
+        change("X-Txn: t\r\n", ""),
+    ];
+    for text in &cases {
+        let status = live.ask(text).unwrap_or(400);
+        assert!((400..500).contains(&status) && status != 429, "{status}: {:.80}", text);
+    }
+    // Half a request, and nothing at all: an error or a close within three seconds.
+    let began = Instant::now();
+    let mut half = TcpStream::connect(live.address).unwrap();
+    half.write_all(&good.as_bytes()[..60]).unwrap();
+    let mut silent = TcpStream::connect(live.address).unwrap();
+    half.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    silent.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    assert_eq!(answer(&mut half).map(|a| a.0), Some(408));
+    assert_eq!(silent.read(&mut [0; 8]).unwrap_or(0), 0);
+    assert!(began.elapsed() < Duration::from_secs(8));
+    assert_eq!(seen(&node), Vec::<String>::new());
+    assert_eq!(live.ask(&good), Some(200));
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_and_the_transfer_that_has_it_goes_on() {
+    let (node, _list, live) = one_node(|_| Does::Waits(ms(400), GOOD.into()));
+    let text = request("once", "same", 0, 7, 2500);
+    let mut first = TcpStream::connect(live.address).unwrap();
+    first.write_all(text.as_bytes()).unwrap();
+    sleep(ms(100));
+    assert_eq!(live.ask(&text), Some(409));
+    assert_eq!(answer(&mut first).map(|a| a.0), Some(200));
+    assert_eq!(seen(&node).len(), 1);
+}
+
+#[test]
+fn transfers_of_one_key_run_one_at_a_time() {
+    let (node, _list, live) = one_node(|_| Does::Waits(ms(60), GOOD.into()));
+    let mut streams: Vec<TcpStream> = (0..4).map(|_| TcpStream::connect(live.address).unwrap()).collect();
+    for (n, s) in streams.iter_mut().enumerate() {
+        s.write_all(request("row", &format!("t{n}"), 0, 7, 2500).as_bytes()).unwrap();
+        sleep(ms(5));
+    }
+    let statuses: Vec<_> = streams.iter_mut().map(|s| answer(s).map(|a| a.0)).collect();
+    assert_eq!(statuses, [Some(200); 4]);
+    assert_eq!(*node.connections.lock().unwrap(), 1, "never two at a time");
+    let ids: Vec<bool> =
+        seen(&node).iter().zip(0..).map(|(s, n)| s.contains(&format!("X-Txn: t{n}\r\n"))).collect();
+    assert_eq!(ids, [true; 4], "in the order they came");
+}
+
+#[test]
+fn a_drained_node_gets_nothing_new_and_a_reload_moves_to_another_list() {
+    let (old, list, live) = one_node(|_| says(GOOD));
+    assert_eq!(live.ask(&request("once", "a", 0, 1, 2500)), Some(200));
+    let new = node(|_| says(GOOD));
+    // Dropped from a whole list, with another in its place.
+    list.tell(json!([target("s-2", &new, 0, "ready")]));
+    sleep(ms(700));
+    assert_eq!(live.ask(&request("once", "b", 0, 2, 2500)), Some(200));
+    assert_eq!((seen(&old).len(), seen(&new).len()), (1, 1));
+    // A bad file changes nothing.
+    std::fs::write(&live.config, "{ \"name\": ").unwrap();
+    live.signal("-HUP");
+    sleep(ms(200));
+    assert_eq!(live.ask(&request("once", "c", 0, 3, 2500)), Some(200));
+    let third = node(|_| says(GOOD));
+    let other = discovery(json!([target("s-2", &new, 0, "draining"), target("s-3", &third, 0, "ready")]));
+    write_config(&live.config, live.address, other.address, live.sockets);
+    live.signal("-HUP");
+    sleep(ms(900));
+    assert_eq!(other.calls.lock().unwrap()[0], "/registry/instances", "the new list whole");
+    assert_eq!(live.ask(&request("once", "d", 0, 4, 2500)), Some(200));
+    assert_eq!((seen(&new).len(), seen(&third).len()), (2, 1));
+}
+
+#[test]
+fn told_to_end_it_serves_on_answers_what_it_took_and_ends() {
+    let (_node, _list, mut live) = one_node(|_| Does::Waits(ms(900), GOOD.into()));
+    let mut open = TcpStream::connect(live.address).unwrap();
+    open.write_all(request("once", "a", 0, 1, 2500).as_bytes()).unwrap();
+    sleep(ms(50));
+    live.signal("-TERM");
+    sleep(ms(200));
+    let mut late = TcpStream::connect(live.address).expect("new connections are still taken");
+    late.write_all(request("once", "b", 0, 2, 2500).as_bytes()).unwrap();
+    let (status, head, _) = answer(&mut open).unwrap();
+    assert!(status == 200 && head.contains("Connection: close"), "{head}");
+    assert_eq!(answer(&mut late).map(|a| a.0), Some(200));
+    let until = Instant::now() + Duration::from_secs(10);
+    while live.child.try_wait().unwrap().is_none() {
+        assert!(Instant::now() < until, "it never ended");
+        sleep(ms(20));
+    }
+    assert!(live.child.wait().unwrap().success());
+}
+
+#[test]
+fn callers_who_say_nothing_do_not_keep_others_out() {
+    let node = node(|_| says(GOOD));
+    let list = discovery(json!([target("s-1", &node, 0, "ready")]));
+    let live = Live::start(&list, 64);
+    let silent: Vec<TcpStream> = (0..200).filter_map(|_| TcpStream::connect(live.address).ok()).collect();
+    for n in 0..5 {
+        assert_eq!(live.ask(&request("once", &format!("t{n}"), 0, n, 2500)), Some(200));
+    }
+    let fds = std::fs::read_dir(format!("/proc/{}/fd", live.child.id())).unwrap().count();
+    assert!(fds <= 64, "{fds} descriptors");
+    silent.iter().for_each(|s| _ = s.shutdown(Shutdown::Both));
+}
+
+#[test]
+fn a_faulty_start_says_where_the_fault_is_and_ends_with_2() {
+    let program = env!("CARGO_BIN_EXE_grebecleat");
+    let path = std::env::temp_dir().join(format!("grebecleat-bad-{}.json", std::process::id()));
+    let cases: BTreeMap<&str, &str> = [
+        ("{", "is no JSON"),
+        ("{\"name\": 3}", "name: expected a text, found 3"),
+        ("{\"name\": \"a\", \"listen\": \"x\"}", "listen: expected an address and port, found x"),
+    ]
+    .into();
+    for (text, told) in cases {
+        std::fs::write(&path, text).unwrap();
+        let out = Command::new(program).arg("platform").env("LB_CONFIG", &path).output().unwrap();
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(out.status.code() == Some(2) && said.contains(told), "{said}");
+        assert!(said.contains(&path.display().to_string()) && said.trim().lines().count() == 1, "{said}");
+    }
+    let out = Command::new(program).arg("platform").env_remove("LB_CONFIG").output().unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let _ = std::fs::remove_file(path);
+}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -75,6 +75,10 @@
 const LIST_ANSWER: Duration = ms(1500);
 /// With no word from the list, the remembered one is served from after this.
 const KNOWN_AFTER: Duration = ms(2000);
+/// The rest of a node's answer must come this soon after its first byte. Guards against answers that are said to
+/// be longer than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
+/// Harm: a whole answer over a link that stalls for longer counts as spoilt.
+const REST_OF_ANSWER: Duration = ms(250);
 /// Lines of the log in one second; further ones are counted.
 const LINES: u32 = 20;
 
@@ -230,6 +234,8 @@
     outward: Vec<u8>,
     written: usize,
     opened: Duration,
+    /// When the first byte of what is inward came.
+    begun: Duration,
 }
 
 struct Dial {
@@ -470,6 +476,7 @@
             outward: Vec::new(),
             written: 0,
             opened: now,
+            begun: now,
         };
         self.conns.insert(conn, new);
         outbox
@@ -521,6 +528,9 @@
                 self.advance(conn, at);
             }
             Role::Node(_) => {
+                if c.inward.is_empty() {
+                    c.begun = at;
+                }
                 c.inward.extend_from_slice(bytes);
                 self.node_answers(conn, at);
             }
@@ -626,21 +636,20 @@
             // Bytes that nothing waits for.
             (_, Doing::Nothing) => return self.lost(conn),
             (Ok(None), _) => return,
+            (Err(fault), _) => {
+                tracing::debug!(conn = conn.0, "node: {}", fault.what);
+                return self.spoilt(conn);
+            }
             (Ok(Some((r, used))), doing) => {
                 let partly = c.written < c.outward.len();
                 let leaving = !r.keep || used < c.inward.len() || partly;
                 let body = match doing {
-                    Doing::Leg(leg) => Body::LegAnswer(nodes::answer(*leg, &r)),
                     Doing::Probe(probe) => probed(*probe, r.status),
+                    Doing::Leg(leg) => Body::LegAnswer(nodes::answer(*leg, &r)),
                     Doing::Nothing => return,
                 };
                 (body, leaving)
             }
-            (Err(fault), Doing::Leg(leg)) => {
-                tracing::debug!(conn = conn.0, "node: {}", fault.what);
-                (Body::LegAnswer(nodes::spoilt(*leg)), true)
-            }
-            (Err(_), Doing::Probe(probe)) => (probed(*probe, 502), true),
         };
         *doing = Doing::Nothing;
         c.inward = Vec::new();
@@ -656,6 +665,20 @@
         }
     }
 
+    /// An answer that will never be whole: what it was for has run, and the connection is of no further use.
+    fn spoilt(&mut self, conn: ConnId) {
+        let Some(Conn { role: Role::Node(doing), .. }) = self.conns.get_mut(&conn) else { return };
+        let at = clock::now();
+        let body = match std::mem::replace(doing, Doing::Nothing) {
+            Doing::Leg(leg) => Body::LegAnswer(nodes::spoilt(leg)),
+            Doing::Probe(probe) => probed(probe, 502),
+            Doing::Nothing => return self.lost(conn),
+        };
+        let frames = vec![frame(Body::GoingAway(pb::GoingAway {}), at), frame(body, at)];
+        self.inputs.push(Input::NodeFrames { conn, at, frames });
+        self.lost(conn);
+    }
+
     /// Without waiting: on this machine and near it a connection is up or refused at once, and what is neither
     /// is looked at again.
     fn dial(&mut self, conn: ConnId, address: SocketAddr, list: bool) {
@@ -918,15 +941,17 @@
             unsafe { libc::shutdown(self.listener, libc::SHUT_RDWR) };
             self.room.bell.post();
         }
-        let (mut lost, mut slow) = (Vec::new(), Vec::new());
+        let (mut lost, mut slow, mut spoilt) = (Vec::new(), Vec::new(), Vec::new());
         for (id, c) in &self.conns {
             match end_of(c) {
                 End::Hang(at) if now >= at || closing && idles(c) => lost.push(*id),
                 End::Complain(at) if now >= at => slow.push(*id),
+                End::Spoilt(at) if now >= at => spoilt.push(*id),
                 _ => {}
             }
         }
         lost.into_iter().for_each(|conn| self.lost(conn));
+        spoilt.into_iter().for_each(|conn| self.spoilt(conn));
         let late = Fault { status: 408, what: "the rest did not come" };
         slow.into_iter().for_each(|conn| self.turn_down(conn, late));
         if self.short {
@@ -949,10 +974,12 @@
     Never,
     Hang(Duration),
     Complain(Duration),
+    Spoilt(Duration),
 }
 
 fn end_of(c: &Conn) -> End {
     match &c.role {
+        Role::Node(_) if !c.inward.is_empty() => End::Spoilt(c.begun + REST_OF_ANSWER),
         Role::Client(Client { open: Some(_), .. }) | Role::Node(_) => End::Never,
         Role::Client(Client { discard: Some((until, _)), .. }) => End::Hang(*until),
         Role::Client(Client { spoke: false, .. }) => End::Hang(c.opened + FIRST_WORDS),
