--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -68,13 +68,15 @@
 /// After an error, what its client still sends is dropped for so long and so much, or the error would be lost to
 /// a reset.
 const DISCARD: (Duration, usize) = (ms(500), 256 << 10);
-/// After SIGTERM new connections keep coming for a while.
-const STILL_COMING: Duration = ms(500);
+/// After SIGTERM clients go on with the connections that they have, and the process is killed no sooner than the
+/// longest expiry, of which no more than the first counts, and the second. It serves until so long before that, and
+/// has answered by the fourth.
+const KILLED: (Duration, Duration) = (ms(3000), ms(700));
+const LAST_TAKEN: Duration = ms(800);
+const LAST_ANSWER: Duration = ms(250);
 /// The least and the most that a call to the list may wait there, and what it may take beyond.
 const WATCH: (Duration, Duration) = (ms(1000), ms(5000));
 const LIST_ANSWER: Duration = ms(1500);
-/// With no word from the list, the remembered one is served from after this.
-const KNOWN_AFTER: Duration = ms(2000);
 /// The rest of a node's answer must come this soon after its first byte. Guards against answers that are said to
 /// be longer than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
@@ -275,7 +277,6 @@
     listener: RawFd,
     short: bool,
     to_owner: Sender<Note>,
-    started: Duration,
     listed: bool,
     known: bool,
     sweep_at: Duration,
@@ -344,7 +345,6 @@
             listener,
             short: false,
             to_owner,
-            started: now,
             listed: false,
             known: false,
             sweep_at: now,
@@ -386,6 +386,7 @@
     fn own(&mut self, notes: &Receiver<Note>) {
         // A first step, so that the decisions ask for the list without waiting for a client.
         self.inputs.push(Input::Word { from: PeerId(u32::MAX), bytes: Vec::new() });
+        self.step();
         loop {
             let now = clock::now();
             let mut wake = self.desk.wake_at().min(self.sweep_at);
@@ -414,11 +415,7 @@
                 heard += 1;
             }
             self.look_at_dials();
-            let inputs = std::mem::take(&mut self.inputs);
-            for output in self.desk.step(clock::now(), inputs) {
-                self.carry_out(output);
-            }
-            self.flush_all();
+            self.step();
             if clock::now() >= self.sweep_at {
                 self.sweep();
             }
@@ -428,6 +425,14 @@
         }
     }
 
+    fn step(&mut self) {
+        let inputs = std::mem::take(&mut self.inputs);
+        for output in self.desk.step(clock::now(), inputs) {
+            self.carry_out(output);
+        }
+        self.flush_all();
+    }
+
     fn hear(&mut self, note: Note) {
         match note {
             Note::Accepted { conn, fd, gate } => {
@@ -545,6 +550,7 @@
 
     /// Takes apart what a client has sent, as far as it may: one exchange at a time.
     fn advance(&mut self, conn: ConnId, at: Duration) {
+        let last = self.killed_at();
         loop {
             let Some(c) = self.conns.get_mut(&conn) else { return };
             let Role::Client(client) = &mut c.role else { return };
@@ -562,7 +568,7 @@
             };
             match wish {
                 Wish::Ready => {
-                    let ready = self.listed || self.known && clock::now() > self.started + KNOWN_AFTER;
+                    let ready = self.listed || self.known;
                     let status = if ready { 200 } else { 503 };
                     drained(&mut c.inward, used);
                     client.since = at;
@@ -578,6 +584,10 @@
                     }
                     drained(&mut c.inward, used);
                     self.taken += 1;
+                    if let Some(killed) = last {
+                        let left = killed.saturating_sub(at + LAST_ANSWER);
+                        take.left_us = take.left_us.min(clock::micros(left));
+                    }
                     take.id = Bytes::from(format!("{:036x}", self.taken));
                     client.open = Some((id.clone(), keep));
                     self.ids.insert(id, conn);
@@ -927,9 +937,16 @@
 
     // Time and the end
 
-    /// Whether answers now end their connections.
+    /// When this process may be killed, once it was told to end.
+    fn killed_at(&self) -> Option<Duration> {
+        let longest = self.config.settings.streams.iter().map(|s| s.expiry).max().unwrap_or_default();
+        Some(self.draining? + longest.min(KILLED.0) + KILLED.1)
+    }
+
+    /// Whether answers now end their connections. Until then a host that was told to end serves on: its clients
+    /// would find nobody else there before the next start.
     fn closing(&self) -> bool {
-        self.draining.is_some_and(|at| clock::now() >= at + STILL_COMING)
+        self.killed_at().is_some_and(|at| clock::now() + LAST_TAKEN >= at)
     }
 
     fn sweep(&mut self) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -671,7 +671,7 @@
             let wait = wait_behind(ahead, rate);
             let ready = now + wait + self.expected(Some(node), x.x.units);
             let barred = ready > x.slo_at && !self.eased(x.lot, nd, self.value(x, Some(node)).0);
-            if barred || ready + next > x.x.expiry {
+            if barred || ready + next > x.x.expiry || self.overheld(x, next) {
                 doomed.push((id, wait.max(COME_BACK)));
             } else {
                 ahead += x.x.units;
@@ -683,6 +683,11 @@
         self.bk.nodes.get_mut(&node).expect("looked up above").answers.below_reservation |= below;
     }
 
+    /// What has not gone by half of its time would come late if at all; its client still has time to ask again.
+    fn overheld(&self, x: &Xfer, next: Duration) -> bool {
+        x.legs == 0 && self.bk.now + next > x.taken + (x.x.expiry - x.taken) / 2
+    }
+
     /// New objects go to the first node in their volume's ranking, or the next when that has enough: no
     /// room, something better of its own waiting, or sickness (a node that fails fast looks idle).
     fn place(&mut self, ticked: bool, tick: u32) {
@@ -721,7 +726,9 @@
             let ready = self.bk.now + wait + self.expected(None, x.x.units) + TICK * (every - 1);
             match node {
                 Some(node) => self.send(id, node),
-                None if ticked && ready > x.x.expiry => self.give_up(id, wait.max(COME_BACK)),
+                None if ticked && (ready > x.x.expiry || self.overheld(x, TICK)) => {
+                    self.give_up(id, wait.max(COME_BACK))
+                }
                 None => stuck += x.x.units,
             }
         }
