A host told to end serves until 450 ms before it may be killed

Seen by a probe of connections while a host ends: 18 client connections go on with some 130 transfers a second after SIGTERM. Ruled out: that they cease with the new ones. The rest of the failed ones find no host for a new connection.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -72,8 +72,8 @@
 /// longest expiry, of which no more than the first counts, and the second. It serves until so long before that, and
 /// has answered by the fourth.
 const KILLED: (Duration, Duration) = (ms(3000), ms(700));
-const LAST_TAKEN: Duration = ms(800);
-const LAST_ANSWER: Duration = ms(250);
+const LAST_TAKEN: Duration = ms(450);
+const LAST_ANSWER: Duration = ms(200);
 /// The least and the most that a call to the list may wait there, and what it may take beyond.
 const WATCH: (Duration, Duration) = (ms(1000), ms(5000));
 const LIST_ANSWER: Duration = ms(1500);
