Answers larger than 64 KiB pass; a started answer may take as long as it goes on

Ruled out: that a client's leaving ends the leg's connection.

Change: an answer may have 512 KiB; past 64 KiB only while all that come in keep to their part of the memory; 250 ms count from the last bytes; what comes in bulk is read in bulk; a client has 5 s to read.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -343,6 +343,22 @@
     }
 }
 
+/// The pages speak of 64 KiB at most; nodes were seen to give three times that.
+#[test]
+fn a_large_answer_passes_whole_and_its_connection_stays() {
+    let data: String = (0..200_000).map(|n| char::from(b'a' + (n % 23) as u8)).collect();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{data}", data.len());
+    let (node, _list, live) = one_node(move |_| says(&text));
+    for n in 0..4 {
+        let mut stream = TcpStream::connect(live.address).unwrap();
+        stream.write_all(request("read", &format!("t{n}"), 0, n, 2500).as_bytes()).unwrap();
+        sleep(ms(50)); // more than the socket takes at once waits
+        let (status, _, body) = answer(&mut stream).unwrap();
+        assert!(status == 200 && body == data.as_bytes(), "{status}, {} bytes", body.len());
+    }
+    assert_eq!(*node.connections.lock().unwrap(), 1);
+}
+
 #[test]
 fn what_the_module_gives_up_is_answered_with_a_time_to_come_back() {
     // Nobody holds shard 5.
@@ -451,12 +467,18 @@
     open.write_all(request("once", "a", 0, 1, 2500).as_bytes()).unwrap();
     sleep(ms(50));
     live.signal("-TERM");
+    let told = Instant::now();
     sleep(ms(200));
     let mut late = TcpStream::connect(live.address).expect("new connections are still taken");
     late.write_all(request("once", "b", 0, 2, 2500).as_bytes()).unwrap();
+    assert_eq!(answer(&mut open).map(|a| a.0), Some(200));
+    assert_eq!(answer(&mut late).map(|a| a.0), Some(200));
+    // Its clients go on with what they have, until shortly before it may be killed: 3 s and 0.7 s after the signal.
+    sleep(ms(2400).saturating_sub(told.elapsed()));
+    open.write_all(request("once", "c", 0, 3, 2500).as_bytes()).unwrap();
     let (status, head, _) = answer(&mut open).unwrap();
     assert!(status == 200 && head.contains("Connection: close"), "{head}");
-    assert_eq!(answer(&mut late).map(|a| a.0), Some(200));
+    assert!(told.elapsed() < ms(3700));
     let until = Instant::now() + Duration::from_secs(10);
     while live.child.try_wait().unwrap().is_none() {
         assert!(Instant::now() < until, "it never ended");
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,7 +9,10 @@
 use std::io::Write;
 
 pub const MOST_HEAD: usize = 16 << 10;
+/// Of a client's.
 pub const MOST_BODY: usize = 64 << 10;
+/// Of an answer's: nodes were seen to give 200 KB, and what is dropped here has run for nothing.
+pub const MOST_ANSWER: usize = 512 << 10;
 const MOST_HEADERS: usize = 64;
 /// Interim heads before an answer.
 const MOST_INTERIM: usize = 8;
@@ -84,7 +87,7 @@
     Chunked,
 }
 
-fn length(headers: &Headers) -> Result<Length, Fault> {
+fn length(headers: &Headers, most: usize) -> Result<Length, Fault> {
     let told = headers.one("content-length").map_err(|_| fault(400, "more than one length"))?;
     let mut codings = headers.all("transfer-encoding");
     match (told, codings.next(), codings.next()) {
@@ -98,27 +101,27 @@
             }
             let n: u64 = text.parse().map_err(|_| fault(400, "a length that is no number"))?;
             match usize::try_from(n) {
-                Ok(n) if n <= MOST_BODY => Ok(Length::Is(n)),
-                _ => Err(fault(413, "a body larger than 64 KiB")),
+                Ok(n) if n <= most => Ok(Length::Is(n)),
+                _ => Err(fault(413, "a body that is too large")),
             }
         }
     }
 }
 
 /// The body that begins where the head ended, and how long it is on the wire; None: more must come.
-fn body(rest: &[u8], length: Length) -> Result<Whole<Cow<'_, [u8]>>, Fault> {
+fn body(rest: &[u8], length: Length, most: usize) -> Result<Whole<Cow<'_, [u8]>>, Fault> {
     match length {
         Length::None => Ok(Some((Cow::Borrowed(&[]), 0))),
         Length::Is(n) => Ok(rest.get(..n).map(|b| (Cow::Borrowed(b), n))),
-        Length::Chunked => chunked(rest),
+        Length::Chunked => chunked(rest, most),
     }
 }
 
-fn chunked(rest: &[u8]) -> Result<Whole<Cow<'_, [u8]>>, Fault> {
+fn chunked(rest: &[u8], most: usize) -> Result<Whole<Cow<'_, [u8]>>, Fault> {
     let (mut whole, mut at) = (Vec::new(), 0);
     loop {
-        if at > MOST_BODY + CHUNK_MARKS {
-            return Err(fault(413, "a body larger than 64 KiB"));
+        if at > most + CHUNK_MARKS {
+            return Err(fault(413, "a body that is too large"));
         }
         let size = httparse::parse_chunk_size(&rest[at..]);
         let (mark, n) = match size.map_err(|_| fault(400, "a chunk without a size"))? {
@@ -128,8 +131,8 @@
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(size) => size,
         };
-        if n > (MOST_BODY - whole.len()) as u64 {
-            return Err(fault(413, "a body larger than 64 KiB"));
+        if n > (most - whole.len()) as u64 {
+            return Err(fault(413, "a body that is too large"));
         }
         at += mark;
         if n == 0 {
@@ -183,7 +186,9 @@
     };
     let headers = Headers::of(head.headers);
     let keep = keeps(version, &headers);
-    let Some((body, more)) = body(&bytes[used..], length(&headers)?)? else { return Ok(None) };
+    let Some((body, more)) = body(&bytes[used..], length(&headers, MOST_BODY)?, MOST_BODY)? else {
+        return Ok(None);
+    };
     Ok(Some((Request { method, target, headers, body, keep }, used + more)))
 }
 
@@ -221,11 +226,11 @@
         }
         let headers = Headers::of(head.headers);
         let keep = keeps(version, &headers);
-        let length = match length(&headers)? {
+        let length = match length(&headers, MOST_ANSWER)? {
             Length::None if !matches!(status, 204 | 304) => return Err(fault(502, "no length")),
             length => length,
         };
-        let Some((body, more)) = body(&bytes[at + used..], length)? else { return Ok(None) };
+        let Some((body, more)) = body(&bytes[at + used..], length, MOST_ANSWER)? else { return Ok(None) };
         return Ok(Some((Response { status, headers, body, keep }, at + used + more)));
     }
     Err(fault(502, "interim answers without end"))
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -77,10 +77,16 @@
 /// The least and the most that a call to the list may wait there, and what it may take beyond.
 const WATCH: (Duration, Duration) = (ms(1000), ms(5000));
 const LIST_ANSWER: Duration = ms(1500);
-/// The rest of a node's answer must come this soon after its first byte. Guards against answers that are said to
-/// be longer than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
+/// A node's answer that has begun must go on within this. Guards against answers that are said to be longer than
+/// they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
 const REST_OF_ANSWER: Duration = ms(250);
+/// How long a client may take to read its answer.
+const READING: Duration = ms(5000);
+/// What is read beyond a first full read, without waiting.
+const MORE_READ: usize = 60 << 10;
+/// An answer may hold more than this only while all that come in hold no more than their part of the memory.
+const SMALL_ANSWER: usize = 64 << 10;
 /// Lines of the log in one second; further ones are counted.
 const LINES: u32 = 20;
 
@@ -149,7 +155,13 @@
     let mut buffer = [0; ONE_READ];
     while let Ok(n @ 1..) = stream.read(&mut buffer) {
         gate.ahead.fetch_add(n, Ordering::AcqRel);
-        let read = Note::Read { conn, at: clock::now(), bytes: buffer[..n].to_vec() };
+        let mut bytes = buffer[..n].to_vec();
+        if n == ONE_READ {
+            // Where much comes, many small notes would cost more than reading it.
+            read_more(stream.as_raw_fd(), &mut bytes);
+            gate.ahead.fetch_add(bytes.len() - n, Ordering::AcqRel);
+        }
+        let read = Note::Read { conn, at: clock::now(), bytes };
         if to_owner.send(read).is_err() {
             break;
         }
@@ -158,6 +170,17 @@
     let _ = to_owner.send(Note::Ended { conn, stream });
 }
 
+/// An end or a fault is left for the next read to find.
+fn read_more(fd: RawFd, bytes: &mut Vec<u8>) {
+    let had = bytes.len();
+    bytes.resize(had + MORE_READ, 0);
+    let rest = &mut bytes[had..];
+    // SAFETY: the pointer and the length are of one live slice; the caller owns the number.
+    let n = unsafe { libc::recv(fd, rest.as_mut_ptr().cast(), rest.len(), libc::MSG_DONTWAIT) };
+    bytes.truncate(had + usize::try_from(n).unwrap_or(0));
+    bytes.shrink_to_fit();
+}
+
 fn start_reader(stream: TcpStream, conn: ConnId, gate: Arc<Gate>, to_owner: Sender<Note>) {
     go!(move || read_on(stream, conn, &gate, &to_owner));
 }
@@ -236,8 +259,8 @@
     outward: Vec<u8>,
     written: usize,
     opened: Duration,
-    /// When the first byte of what is inward came.
-    begun: Duration,
+    /// When the last bytes of what is inward came.
+    moved: Duration,
 }
 
 struct Dial {
@@ -481,7 +504,7 @@
             outward: Vec::new(),
             written: 0,
             opened: now,
-            begun: now,
+            moved: now,
         };
         self.conns.insert(conn, new);
         outbox
@@ -533,10 +556,13 @@
                 self.advance(conn, at);
             }
             Role::Node(_) => {
-                if c.inward.is_empty() {
-                    c.begun = at;
-                }
+                c.moved = at;
                 c.inward.extend_from_slice(bytes);
+                if c.inward.len() > SMALL_ANSWER
+                    && self.inward_of_nodes() > self.config.settings.bounds.most_held_bytes
+                {
+                    return self.spoilt(conn);
+                }
                 self.node_answers(conn, at);
             }
             Role::List(_) => {
@@ -675,6 +701,11 @@
         }
     }
 
+    fn inward_of_nodes(&self) -> usize {
+        let nodes = self.conns.values().filter(|c| matches!(c.role, Role::Node(_)));
+        nodes.map(|c| c.inward.len()).sum()
+    }
+
     /// An answer that will never be whole: what it was for has run, and the connection is of no further use.
     fn spoilt(&mut self, conn: ConnId) {
         let Some(Conn { role: Role::Node(doing), .. }) = self.conns.get_mut(&conn) else { return };
@@ -996,8 +1027,9 @@
 
 fn end_of(c: &Conn) -> End {
     match &c.role {
-        Role::Node(_) if !c.inward.is_empty() => End::Spoilt(c.begun + REST_OF_ANSWER),
+        Role::Node(_) if !c.inward.is_empty() => End::Spoilt(c.moved + REST_OF_ANSWER),
         Role::Client(Client { open: Some(_), .. }) | Role::Node(_) => End::Never,
+        Role::Client(client) if c.written < c.outward.len() => End::Hang(client.since + READING),
         Role::Client(Client { discard: Some((until, _)), .. }) => End::Hang(*until),
         Role::Client(Client { spoke: false, .. }) => End::Hang(c.opened + FIRST_WORDS),
         Role::Client(client) if c.inward.is_empty() => End::Hang(client.since + IDLE_MOST),
