--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -80,7 +80,7 @@
 /// A node's answer that has begun must go on within this. Guards against answers that are said to be longer than
 /// they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
-const REST_OF_ANSWER: Duration = ms(250);
+const REST_OF_ANSWER: Duration = ms(100);
 /// How long a client may take to read its answer.
 const READING: Duration = ms(5000);
 /// What is read beyond a first full read, without waiting.
