--- /dev/null
+++ b/crates/platform/tests/http.rs
@@ -0,0 +1,82 @@
+//! Any bytes give a message, a fault or 'more', never a panic; and where a stream is cut changes nothing.
+
+use grebecleat_platform::discovery::Names;
+use grebecleat_platform::http::{request, response, MOST_BODY, MOST_HEAD};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const REQUESTS: [&str; 4] = [
+    "GET /read/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Txn: 9b\r\nX-Remaining-Ms: 480\r\n\r\n",
+    "PUT /row/7f3a9c21e0b4d655?q HTTP/1.1\r\nContent-Length: 5\r\nIdempotency-Key: k\r\n\r\nhello",
+    "PUT /row/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+    "PUT /row/1 HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+];
+const RESPONSES: [&str; 3] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Iops-Used: 86\r\n\r\ngood",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+];
+
+#[test]
+fn a_message_is_the_same_wherever_its_stream_is_cut() {
+    for text in REQUESTS {
+        let bytes = text.as_bytes();
+        (0..bytes.len()).for_each(|n| assert!(matches!(request(&bytes[..n]), Ok(None)), "{text} at {n}"));
+        assert_eq!(request(bytes).unwrap().unwrap().1, bytes.len(), "{text}");
+        let twice = [bytes, bytes].concat();
+        assert_eq!(request(&twice).unwrap().unwrap().1, bytes.len(), "{text}: what is behind waits");
+    }
+    for text in RESPONSES {
+        let bytes = text.as_bytes();
+        (0..bytes.len()).for_each(|n| assert!(matches!(response(&bytes[..n]), Ok(None)), "{text} at {n}"));
+        assert_eq!(response(bytes).unwrap().unwrap().1, bytes.len(), "{text}");
+    }
+}
+
+#[test]
+fn no_bytes_make_it_panic_and_what_is_taken_is_bounded() {
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    let bits: [&[u8]; 8] = [
+        b"\r\n",
+        b"\r",
+        b"\n\n",
+        b"Content-Length: 99999999999999999999\r\n",
+        b":",
+        b"\0",
+        b"ffffffffffffffff\r\n",
+        b" ",
+    ];
+    for _ in 0..60_000 {
+        let of = rng.random_range(0..REQUESTS.len() + RESPONSES.len());
+        let text = REQUESTS.iter().chain(&RESPONSES).nth(of).expect("within");
+        let mut bytes = text.as_bytes().to_vec();
+        for _ in 0..rng.random_range(1..5) {
+            let at = rng.random_range(0..=bytes.len());
+            match rng.random_range(0..3) {
+                0 if at < bytes.len() => bytes[at] = rng.random(),
+                1 if at < bytes.len() => _ = bytes.remove(at),
+                _ => _ = bytes.splice(at..at, bits[rng.random_range(0..bits.len())].iter().copied()),
+            }
+        }
+        if let Ok(Some((r, used))) = request(&bytes) {
+            assert!(used <= bytes.len() && r.body.len() <= MOST_BODY);
+        }
+        if let Ok(Some((_, used))) = response(&bytes) {
+            assert!(used <= bytes.len());
+        }
+        let _ = Names::default().read(&bytes, 0.0);
+    }
+}
+
+#[test]
+fn what_has_no_end_is_a_fault_in_the_end() {
+    let head = [b"GET / HTTP/1.1\r\nA: ".to_vec(), vec![b'x'; MOST_HEAD]].concat();
+    assert_eq!(request(&head).unwrap_err().status, 431);
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(200));
+    assert_eq!(request(many.as_bytes()).unwrap_err().status, 431);
+    let interim = "HTTP/1.1 102 Wait\r\n\r\n".repeat(50);
+    assert!(response(interim.as_bytes()).is_err());
+    let chunks =
+        format!("PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}", "1\r\nx\r\n".repeat(70_000));
+    assert_eq!(request(chunks.as_bytes()).unwrap_err().status, 413);
+}
