Resets alone do not shut a node

Faulty lines: measure() in control.rs, which let every bad answer but an error take ease. Ruled out: nodes that went (the shut ones answered others), descriptors, late lists.

Change: a reset counts as an error does, and keeps new objects away; a node that died has a dead port next, which shuts it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -283,10 +283,11 @@
         }
         // What fails fast looks idle and would draw all that may go anywhere. Some bad answers in a row keep
         // new objects away; dead ports and full queues also shut the node's ease, while errors may spare
-        // some transfers whose data is there. Harm: a short jam shuts a node for seconds.
+        // some transfers whose data is there, and a reset may be its connection's alone: a node that died
+        // has a dead port next. Harm: a short jam shuts a node for seconds.
         let bad = !matches!(end, LegEnd::Done | LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Moot);
         nd.bad_row += u32::from(bad);
-        if bad && end != LegEnd::Error {
+        if bad && !matches!(end, LegEnd::Error | LegEnd::Reset) {
             nd.feel(now, EASE_DOWN, EASE_SPAN, &mut self.bk.late, LATE_WEIGHT, belief);
             if nd.bad_row >= SHUT_AFTER {
                 nd.shut(&mut self.bk.out, format!("{end:?} after {} bad answers in a row", nd.bad_row));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -183,23 +183,28 @@
 }
 
 #[test]
-fn errors_keep_new_objects_away_but_not_transfers_whose_data_is_there() {
-    let mut c = host(vec![stream(Repeat::Repeatable)], vec![plan(1000.0)], None);
-    let new = |n, t| Event::Taken(Transfer { cell: None, ..xfer(n, ms(t + 1500)) });
-    let first = at(&mut c, 1005, vec![new(250, 1005)]).0[0].1;
-    let (mut new_there, mut pinned, mut out) = (0, 0, vec![(id(250), first)]);
-    for t in (1010..2010).step_by(10) {
-        let n = ((t / 10) % 100) as u8;
-        let data = Transfer { cell: Some(CellId(first.0)), ..xfer(100 + n, ms(t + 60)) };
-        let end = |nd: NodeId| if nd == first { LegEnd::Error } else { LegEnd::Done };
-        let mut events: Vec<Event> =
-            out.iter().map(|(x, nd): &(XferId, NodeId)| over(x.0[0], nd.0, end(*nd), ms(1), false)).collect();
-        events.extend([new(n, t), Event::Taken(data)]);
-        (out, ..) = at(&mut c, t, events);
-        new_there += out.iter().filter(|(x, nd)| x.0[0] < 100 && *nd == first).count();
-        pinned += out.iter().filter(|(x, _)| x.0[0] >= 100).count();
+fn errors_and_resets_keep_new_objects_away_but_not_transfers_whose_data_is_there() {
+    // What the node answers, and whether transfers still go where their data is: a port that is dead shuts it.
+    for (bad, goes) in [(LegEnd::Error, true), (LegEnd::Reset, true), (LegEnd::NoConnection, false)] {
+        let mut c = host(vec![stream(Repeat::Repeatable)], vec![plan(1000.0)], None);
+        let new = |n, t| Event::Taken(Transfer { cell: None, ..xfer(n, ms(t + 1500)) });
+        let first = at(&mut c, 1005, vec![new(250, 1005)]).0[0].1;
+        let (mut new_there, mut pinned, mut out) = (0, 0, vec![(id(250), first)]);
+        for t in (1010..2010).step_by(10) {
+            let n = ((t / 10) % 100) as u8;
+            let data = Transfer { cell: Some(CellId(first.0)), ..xfer(100 + n, ms(t + 60)) };
+            let end = |nd: NodeId| if nd == first { bad } else { LegEnd::Done };
+            let ends =
+                out.iter().map(|(x, nd): &(XferId, NodeId)| over(x.0[0], nd.0, end(*nd), ms(1), false));
+            let mut events: Vec<Event> = ends.collect();
+            events.extend([new(n, t), Event::Taken(data)]);
+            (out, ..) = at(&mut c, t, events);
+            new_there += out.iter().filter(|(x, nd)| x.0[0] < 100 && *nd == first).count();
+            pinned += out.iter().filter(|(x, _)| x.0[0] >= 100).count();
+        }
+        assert!(new_there < 20, "{bad:?}: {new_there} new objects");
+        assert_eq!(pinned > 100, goes, "{bad:?}: {pinned} with their data there");
     }
-    assert!(new_there < 20 && pinned > 100, "{new_there} new objects, {pinned} with their data there");
 }
 
 #[test]
