--- a/crates/audit/src/drains.rs
+++ b/crates/audit/src/drains.rs
@@ -39,8 +39,8 @@
     all
 }
 
-/// Every drain that hosts were told of, in the order told: from the first host that hears of one to the first that
-/// hears that it is over.
+/// Every drain that hosts were told of, in the order told: from the first host that hears of one to the first
+/// that hears that it is over.
 pub fn drains(run: &Run, asked: &[(Duration, u32)]) -> Vec<Drained> {
     let mut words: Vec<(u32, Duration, bool)> = Vec::new();
     for (node, told) in run.hosts.iter().flat_map(|h| &h.wished) {
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,8 +4,8 @@
 //! broken, with the frames that show it. It never asks a host for its own counts, and shares nothing with it
 //! but the wire. All processes of a machine record one clock. Begin with [`Case::judge`]; each rule is a
 //! function of [`rules`]; [`run`] is the run as read from the traces. [`commands`] counts iSCSI commands and
-//! puts every block's reads and writes in order, by [`history`]. [`plans`] says which limits were in force when, [`drains`] how a drain went
-//! that somebody asked for.
+//! puts every block's reads and writes in order, by [`history`]. [`plans`] says which limits were in force
+//! when, [`drains`] how a drain went that somebody asked for.
 
 pub mod commands;
 pub mod drains;
--- a/crates/audit/src/plans.rs
+++ b/crates/audit/src/plans.rs
@@ -1,12 +1,13 @@
 //! Plans as they were told: which limit was in force when, from the frames of the state service alone.
 //!
-//! What a version says is put together from the entries and states that hosts were sent; what was settled, from
-//! the first answer that says so. The limit in force is that of the settled version. Whether it was right to
-//! call it settled is judged as well: every host that may have followed an older version, by its last words and
-//! answers, must not thereby have held itself entitled to more than the settled version gives it.
+//! What a version says is put together from the entries and states that hosts were sent; what was settled,
+//! from the first answer that says so. The limit in force is that of the settled version. Whether it was
+//! right to call it settled is judged as well: every host that may have followed an older version, by its
+//! last words and answers, must not thereby have held itself entitled to more than the settled version gives
+//! it.
 //!
-//! After a store was put back from a snapshot two histories are under way: until the one that counts is settled
-//! to its end, the larger of both limits is in force, and nothing is said of what was settled.
+//! After a store was put back from a snapshot two histories are under way: until the one that counts is
+//! settled to its end, the larger of both limits is in force, and nothing is said of what was settled.
 
 use crate::run::Host;
 use crate::{Breach, Verdict};
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -1,5 +1,5 @@
-//! The store and the state service at size: how long a large store takes to open, and how many changes a second
-//! land through sockets, each on the disk before it is told.
+//! The store and the state service at size: how long a large store takes to open, and how many changes a
+//! second land through sockets, each on the disk before it is told.
 
 use grebecleat_plans::changes::{Change, Plan, Version, Volume};
 use grebecleat_state::client::{Came, Client};
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -43,8 +43,8 @@
 pub enum Command {
     /// Runs one host of a deployment until SIGTERM has drained it; a second signal ends it at once.
     Run(HostArgs),
-    /// Runs one host on the users' platform, as its variables and configuration say (LB_CONFIG), until SIGTERM has
-    /// ended it; SIGHUP reads the configuration again.
+    /// Runs one host on the users' platform, as its variables and configuration say (LB_CONFIG), until
+    /// SIGTERM has ended it; SIGHUP reads the configuration again.
     Platform,
     /// Runs the state service: keeps plans and volumes, and tells hosts what changes.
     StateService(StateArgs),
@@ -101,8 +101,8 @@
     /// Where this host's iSCSI portal listens; overrides the settings.
     #[arg(long)]
     pub portal: Option<SocketAddr>,
-    /// Keeps what must outlive this process: where extents lie, for an iSCSI portal, and plans as they were last
-    /// told.
+    /// Keeps what must outlive this process: where extents lie, for an iSCSI portal, and plans as they were
+    /// last told.
     #[arg(long)]
     pub store: Option<PathBuf>,
     /// Seed of the decisions; new at each start if left out.
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -295,8 +295,8 @@
     }
 }
 
-/// What never ran may be tried again or deferred, whatever the stream type; what may have run, never for one that
-/// is unrepeatable.
+/// What never ran may be tried again or deferred, whatever the stream type; what may have run, never for one
+/// that is unrepeatable.
 #[test]
 fn only_what_proves_that_a_leg_never_ran_lets_an_unrepeatable_transfer_be_sent_again() {
     let stalled = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ngood";
@@ -473,7 +473,8 @@
     late.write_all(request("once", "b", 0, 2, 2500).as_bytes()).unwrap();
     assert_eq!(answer(&mut open).map(|a| a.0), Some(200));
     assert_eq!(answer(&mut late).map(|a| a.0), Some(200));
-    // Its clients go on with what they have, until shortly before it may be killed: 3 s and 0.7 s after the signal.
+    // Its clients go on with what they have, until shortly before it may be killed: 3 s and 0.7 s after the
+    // signal.
     sleep(ms(2400).saturating_sub(told.elapsed()));
     open.write_all(request("once", "c", 0, 3, 2500).as_bytes()).unwrap();
     let (status, head, _) = answer(&mut open).unwrap();
--- a/crates/endpoint/src/accounts.rs
+++ b/crates/endpoint/src/accounts.rs
@@ -1,17 +1,18 @@
-//! Service as the users count it: for each volume and second what was due inside its reserve, inside its share and
-//! beyond, and what of it was got in time.
+//! Service as the users count it: for each volume and second what was due inside its reserve, inside its
+//! share and beyond, and what of it was got in time.
 //!
-//! Called as `add` with what hosts tell of a second, in any order and piece by piece, and `close`, which accounts for
-//! every second that can change no more. The counting is that of the users' terms (section 'how storage is shared'):
-//! units are due inside the reserve as far as a store that fills at that rate, and holds a second of it and one
-//! largest transfer, has them; then, cell by cell, inside the share by weight of nine tenths of what its node can do
-//! beyond the reserves asked there; the rest beyond, up to the limit. What was done in time takes the best that is
-//! due, what was late the worst. A second is the one in which a transfer came.
+//! Called as `add` with what hosts tell of a second, in any order and piece by piece, and `close`, which
+//! accounts for every second that can change no more. The counting is that of the users' terms (section 'how
+//! storage is shared'): units are due inside the reserve as far as a store that fills at that rate, and holds
+//! a second of it and one largest transfer, has them; then, cell by cell, inside the share by weight of nine
+//! tenths of what its node can do beyond the reserves asked there; the rest beyond, up to the limit. What was
+//! done in time takes the best that is due, what was late the worst. A second is the one in which a transfer
+//! came.
 //!
-//! Where nobody has said what a node can do there is no share to reckon, and what is asked beyond the reserve counts
-//! as beyond. Without input or output. Memory: one account for each volume, plan and all together, of which
-//! [`crate::ring`] says the size, at most [`MOST`] volumes (the one that has been quiet longest goes); and the open
-//! seconds, as many records as hosts told for them.
+//! Where nobody has said what a node can do there is no share to reckon, and what is asked beyond the reserve
+//! counts as beyond. Without input or output. Memory: one account for each volume, plan and all together, of
+//! which [`crate::ring`] says the size, at most [`MOST`] volumes (the one that has been quiet longest goes);
+//! and the open seconds, as many records as hosts told for them.
 
 use crate::ring::Falling;
 use grebecleat::filling::fill;
--- a/crates/endpoint/src/ring.rs
+++ b/crates/endpoint/src/ring.rs
@@ -1,11 +1,11 @@
 //! Figures by the second, kept for days in little memory, at falling detail.
 //!
-//! Called as `push` with each second that has something in it, and `sum` over a span or `points` of one. Five rings
-//! of 64 slots; a slot of the first is a second, and one of each further is eight of the one before: a minute by the
-//! second, eight minutes by eight seconds, an hour by the minute, nine hours by nine minutes, three days by an hour and
-//! a bit. A slot is packed, each figure as a logarithm in two bytes; what is passed on to the next ring is added up
-//! before it is packed, so that errors do not add up along the rings. A figure of a slot is off by less than
-//! [`ERROR`] of itself.
+//! Called as `push` with each second that has something in it, and `sum` over a span or `points` of one. Five
+//! rings of 64 slots; a slot of the first is a second, and one of each further is eight of the one before: a
+//! minute by the second, eight minutes by eight seconds, an hour by the minute, nine hours by nine minutes,
+//! three days by an hour and a bit. A slot is packed, each figure as a logarithm in two bytes; what is passed
+//! on to the next ring is added up before it is packed, so that errors do not add up along the rings. A
+//! figure of a slot is off by less than [`ERROR`] of itself.
 //!
 //! Seconds come in order; one that is older than the newest is added to it. Memory: at most
 //! `5 * 64 * 2 * N + 40 * N` bytes and a little, and of rings that have not begun nothing.
@@ -121,7 +121,8 @@
         fits.unwrap_or(self.rings.len().saturating_sub(1))
     }
 
-    /// What the `span` seconds up to and with `end` amount to, rounded to whole slots of the ring that still has them.
+    /// What the `span` seconds up to and with `end` amount to, rounded to whole slots of the ring that still
+    /// has them.
     pub fn sum(&self, end: u64, span: u64) -> [f64; N] {
         let level = self.level(span);
         let mut all = [0.0; N];
@@ -133,8 +134,8 @@
         all
     }
 
-    /// The last `n` slots of the finest ring in which that many cover `span` seconds, oldest first, and how many
-    /// seconds each covers; the one that is being filled is the last.
+    /// The last `n` slots of the finest ring in which that many cover `span` seconds, oldest first, and how
+    /// many seconds each covers; the one that is being filled is the last.
     pub fn points(&self, end: u64, span: u64, n: usize) -> (u64, Vec<[f64; N]>) {
         let covers = |l: &usize| width(*l) * n as u64 >= span;
         let level = (0..self.rings.len()).find(covers).unwrap_or(self.rings.len().saturating_sub(1));
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -8,8 +8,9 @@
 //!   client is gone); what comes later is counted as stray and dropped;
 //! - a leg ends once, by the first of: its node's answer, its time, a reset, a cancel, or being taken back
 //!   from an outbox, which alone is told as "never ran";
-//! - what the list says of a node, or an operator's wish to have it empty, takes back every leg to it that has not
-//!   crossed. The decisions are told of a node that somebody wants empty as the list would tell of one that drains.
+//! - what the list says of a node, or an operator's wish to have it empty, takes back every leg to it that
+//!   has not crossed. The decisions are told of a node that somebody wants empty as the list would tell of
+//!   one that drains.
 //!
 //! Which volumes are served, and on what terms, [`crate::following`] says: the settings, or a state service.
 
@@ -367,10 +368,10 @@
         self
     }
 
-    /// For a platform whose clients say with each transfer on what terms its volume is served, and whose nodes
-    /// take one exchange at a time on a connection. A leg that is given up there takes its connection with it:
-    /// what its node may yet answer must not be read as the next leg's, and a closed connection is the only
-    /// way to call a leg off.
+    /// For a platform whose clients say with each transfer on what terms its volume is served, and whose
+    /// nodes take one exchange at a time on a connection. A leg that is given up there takes its connection
+    /// with it: what its node may yet answer must not be read as the next leg's, and a closed connection is
+    /// the only way to call a leg off.
     pub fn one_at_a_time(mut self) -> Self {
         (self.as_told, self.one_at_a_time) = (true, true);
         self
@@ -646,7 +647,8 @@
         );
     }
 
-    /// Tells the decisions what changed of plans and volumes, and the disk and the service what they must know.
+    /// Tells the decisions what changed of plans and volumes, and the disk and the service what they must
+    /// know.
     fn tend_plans(&mut self) {
         let mut next = self.next;
         let number = || {
@@ -1072,8 +1074,8 @@
         self.out.push(Output::Dial { conn, node, address });
     }
 
-    /// Whether there may be one more connection to nodes; where all are spoken for, the one that has been idle
-    /// the longest makes room.
+    /// Whether there may be one more connection to nodes; where all are spoken for, the one that has been
+    /// idle the longest makes room.
     fn one_more(&mut self) -> bool {
         if self.conns.len() < self.bounds().node_connections {
             return true;
--- a/crates/host/src/figures.rs
+++ b/crates/host/src/figures.rs
@@ -1,13 +1,14 @@
-//! What this host tells whoever watches it, every second: nodes, what is held and why, and what each volume asked for
-//! and got.
+//! What this host tells whoever watches it, every second: nodes, what is held and why, and what each volume
+//! asked for and got.
 //!
-//! Called by the desk with every transfer that is taken and done, and `tell` makes a second's figures. Nothing is
-//! counted while nobody watches. What a volume asked for is told under the second in which it came, and what has come
-//! of it under the same second, whenever that is; whoever watches adds it up. SLO times count from when a transfer
-//! was taken here: a client's later try is one of its own to us, since nobody tells us of its first.
+//! Called by the desk with every transfer that is taken and done, and `tell` makes a second's figures.
+//! Nothing is counted while nobody watches. What a volume asked for is told under the second in which it
+//! came, and what has come of it under the same second, whenever that is; whoever watches adds it up. SLO
+//! times count from when a transfer was taken here: a client's later try is one of its own to us, since
+//! nobody tells us of its first.
 //!
-//! Memory: a record for each volume, cell and second of which something changed since the last figures, and of the
-//! nodes what was last told.
+//! Memory: a record for each volume, cell and second of which something changed since the last figures, and
+//! of the nodes what was last told.
 
 use grebecleat::control::Control;
 use grebecleat::figures::{HeldFigures, NodeFigures};
--- a/crates/host/src/following.rs
+++ b/crates/host/src/following.rs
@@ -2,8 +2,8 @@
 //!
 //! Called by the desk: what came on the connection and from the disk goes in, and `step` answers what the
 //! sockets, the disk and the decisions are to be told. What is followed, kept and believed is decided in
-//! [`grebecleat_plans::follow`]; here is only when to dial again, and the putting together of answers that come
-//! in parts. A host without a state service serves what its settings say, for good.
+//! [`grebecleat_plans::follow`]; here is only when to dial again, and the putting together of answers that
+//! come in parts. A host without a state service serves what its settings say, for good.
 //!
 //! Memory: the ledger of volumes that work through this host, and one answer being put together, of at most
 //! [`MOST_PARTS`] records.
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -50,8 +50,8 @@
         let want = p.legs.div_ceil(self.per_connection).min(self.most);
         match p {
             Present { waiting: 0, .. } => Step::Nothing,
-            // As many dials at a time as are up, so that legs don't queue behind one another's handshakes, and
-            // no more: a node that just came up must not see every host's whole pool at once.
+            // As many dials at a time as are up, so that legs don't queue behind one another's handshakes,
+            // and no more: a node that just came up must not see every host's whole pool at once.
             Present { dialling, up, waiting, .. }
                 if up + dialling < want && dialling < waiting.min(up.max(1)) && now >= self.not_before =>
             {
--- a/crates/host/src/sights.rs
+++ b/crates/host/src/sights.rs
@@ -1,8 +1,8 @@
 //! How this host sees nodes, as it tells the state service: only what has changed since it last told.
 //!
-//! Called by the desk at every sweep with a row for each node; `news` answers the rows to send. What runs by itself
-//! (ages, the time that is left to what may still run) is no news, but for its end. A new connection is told all.
-//! Memory: a row for each node of the list.
+//! Called by the desk at every sweep with a row for each node; `news` answers the rows to send. What runs by
+//! itself (ages, the time that is left to what may still run) is no news, but for its end. A new connection
+//! is told all. Memory: a row for each node of the list.
 
 use grebecleat_membership::life::Answers;
 use grebecleat_wire::pb;
--- a/crates/membership/src/drains.rs
+++ b/crates/membership/src/drains.rs
@@ -1,30 +1,32 @@
 //! How nodes are drained, and what all hosts together see of them.
 //!
-//! Called as `step(now, wall, events)` for every batch of what the ledger, the hosts and the disk brought, which
-//! answers what to propose to the ledger, what to tell admission and what to tell people; [`Membership::wake_at`]
-//! says when it must be called again. Wanted at any time, and brought about by `bring`: that each drain stands at
-//! the stage that what is known allows, and that admission knows which nodes are not as they should be.
+//! Called as `step(now, wall, events)` for every batch of what the ledger, the hosts and the disk brought,
+//! which answers what to propose to the ledger, what to tell admission and what to tell people;
+//! [`Membership::wake_at`] says when it must be called again. Wanted at any time, and brought about by
+//! `bring`: that each drain stands at the stage that what is known allows, and that admission knows which
+//! nodes are not as they should be.
 //!
-//! A drain goes: asked for (perhaps waiting for its turn), told to every host, quiet, empty, out. Its stages lie
-//! in the ledger, each a change of its own that is kept and told like any other, so that a crash at any moment
-//! finds it where it was; between them only hosts know, and tell it again to whoever starts anew:
+//! A drain goes: asked for (perhaps waiting for its turn), told to every host, quiet, empty, out. Its stages
+//! lie in the ledger, each a change of its own that is kept and told like any other, so that a crash at any
+//! moment finds it where it was; between them only hosts know, and tell it again to whoever starts anew:
 //!
-//! - a host is *told* once it has said that it keeps the ledger up to the drain and that nothing decided before
-//!   can still cross. One that was never heard of serves nothing; one that is dead holds the drain up until it is
-//!   back or an operator answers for it, since it might send again on what it knew;
-//! - a node is *quiet* at a host that counted its legs after it followed the drain and found none, once those that
-//!   ended without a word have had the longest time that any may take. What a host had out when the way to it was
-//!   lost, or an earlier process of it up to when the next one came, is given twice that: to end, and to be over
-//!   at the node;
+//! - a host is *told* once it has said that it keeps the ledger up to the drain and that nothing decided
+//!   before can still cross. One that was never heard of serves nothing; one that is dead holds the drain up
+//!   until it is back or an operator answers for it, since it might send again on what it knew;
+//! - a node is *quiet* at a host that counted its legs after it followed the drain and found none, once those
+//!   that ended without a word have had the longest time that any may take. What a host had out when the way
+//!   to it was lost, or an earlier process of it up to when the next one came, is given twice that: to end,
+//!   and to be over at the node;
 //! - a node is *empty* when every host is told and quiet. It does not go back: nobody sends to it any more.
 //!
 //! One that waits is proposed when nothing in its zone is known to speak against it, the one that asked first
-//! before the others of its zone; admission has the last word, at each try anew. A drain that is not empty within
-//! its time is given up, and the node serves again: its operator wanted it soon or not at all. Time is counted by
-//! this process's clock; over a start by the wall clock, which may have stepped, so at least [`ANEW`] remains.
+//! before the others of its zone; admission has the last word, at each try anew. A drain that is not empty
+//! within its time is given up, and the node serves again: its operator wanted it soon or not at all. Time is
+//! counted by this process's clock; over a start by the wall clock, which may have stepped, so at least
+//! [`ANEW`] remains.
 //!
-//! At a start everything that the ledger has goes into one step: a drain whose hosts come in a later one would be
-//! taken for one that no host need be told of.
+//! At a start everything that the ledger has goes into one step: a drain whose hosts come in a later one
+//! would be taken for one that no host need be told of.
 //!
 //! Without input or output. Memory: a few words for each node and host, and for each node that is known.
 
@@ -38,8 +40,8 @@
 
 /// What a drain that has a time keeps of it at a start of ours, whatever the wall clock says.
 pub const ANEW: Duration = Duration::from_secs(10);
-/// One that waits is proposed again after this, if nothing that is known here has changed: what keeps it may be
-/// elsewhere in the ledger.
+/// One that waits is proposed again after this, if nothing that is known here has changed: what keeps it may
+/// be elsewhere in the ledger.
 const AGAIN: Duration = Duration::from_secs(5);
 
 /// What one host sees of a node.
@@ -263,7 +265,8 @@
     pub fn new(
         now: Duration, warm_within: Duration, longest: Duration, hosts: impl IntoIterator<Item = HostNo>,
     ) -> Self {
-        // What hosts had out before this process was there, they may have lost since, and not know of any more.
+        // What hosts had out before this process was there, they may have lost since, and not know of any
+        // more.
         let host = Host { over: now + longest * 2, ..Host::default() };
         Membership {
             warm_within,
@@ -341,8 +344,8 @@
                 let over = self.now + self.longest * 2;
                 let h = self.hosts.entry(host).or_default();
                 (h.up, h.over) = (false, over);
-                // Whoever comes back may be another process, which knows less than the one that counted: its legs
-                // must not be missed for the other's having had none.
+                // Whoever comes back may be another process, which knows less than the one that counted: its
+                // legs must not be missed for the other's having had none.
                 let sights = self.nodes.values_mut().filter_map(|n| n.seen.get_mut(&host));
                 sights
                     .for_each(|s| s.sight = Sight { follows: Version(0), answers: Answers::None, ..s.sight });
@@ -478,8 +481,8 @@
         self.hosts.iter().filter(|(_, h)| may(h)).map(|(no, h)| (*no, h.up)).collect()
     }
 
-    /// When the last that any host had out there is over, as far as is known: None while some host still counts
-    /// legs, or has not counted since it follows.
+    /// When the last that any host had out there is over, as far as is known: None while some host still
+    /// counts legs, or has not counted since it follows.
     fn quiet_at(&self, node: u32) -> Option<Duration> {
         let n = &self.nodes[&node];
         let version = n.wish.as_ref()?.version;
@@ -594,7 +597,8 @@
         self.nodes.get(&node).map_or(Life::Unknown, |n| n.life)
     }
 
-    /// `missing`: reserves that cannot be met as it is, units a second, for what speaks against taking one out.
+    /// `missing`: reserves that cannot be met as it is, units a second, for what speaks against taking one
+    /// out.
     pub fn shown(&self, missing: f64) -> impl Iterator<Item = Shown<'_>> + '_ {
         self.nodes.iter().filter(|(_, n)| n.known).map(move |(id, n)| self.show(*id, n, missing))
     }
--- a/crates/membership/src/life.rs
+++ b/crates/membership/src/life.rs
@@ -1,11 +1,11 @@
 //! What a node is, by all who speak of it.
 //!
-//! Operators, the list of nodes and the answers of the node itself often disagree: the list is seconds late and
-//! knows only whether a process runs, answers tell nothing of a node that is sent nothing, and operators may
-//! drain what is long gone. [`TABLE`] says whom to believe: its rows are read from the top, and the first that
-//! fits counts. Operators' wishes stand above the list, since only they know what a box is meant for; the list
-//! stands above answers, since a node that is told to drain answers as well as ever; and answers stand above
-//! the age that the list tells, since one that fails everything is no better for being warm.
+//! Operators, the list of nodes and the answers of the node itself often disagree: the list is seconds late
+//! and knows only whether a process runs, answers tell nothing of a node that is sent nothing, and operators
+//! may drain what is long gone. [`TABLE`] says whom to believe: its rows are read from the top, and the first
+//! that fits counts. Operators' wishes stand above the list, since only they know what a box is meant for;
+//! the list stands above answers, since a node that is told to drain answers as well as ever; and answers
+//! stand above the age that the list tells, since one that fails everything is no better for being warm.
 
 use grebecleat_plans::changes::Stage;
 use std::fmt;
@@ -44,8 +44,8 @@
     pub since: Option<Duration>,
 }
 
-/// Below the first it is shut or nearly so; it must be above the second before it is trusted again, since ease comes
-/// back by itself while nothing is sent.
+/// Below the first it is shut or nearly so; it must be above the second before it is trusted again, since
+/// ease comes back by itself while nothing is sent.
 const SHUT: (f64, f64) = (0.1, 0.5);
 /// One or two bad answers can be chance.
 const BAD_ROW: u32 = 3;
@@ -208,8 +208,8 @@
     }
 }
 
-/// One host's reading of the list: which start of the node's process it is about, when that began by our clock
-/// (None: long ago), and the list's revision that told it.
+/// One host's reading of the list: which start of the node's process it is about, when that began by our
+/// clock (None: long ago), and the list's revision that told it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct Reading {
     pub word: Word,
@@ -219,10 +219,11 @@
 }
 
 impl Reading {
-    /// Whether this one is to be believed rather than another host's: of two starts the younger, since the older
-    /// one is over; of words about one start what the list told later. What a host only remembers (revision 0) is
-    /// older than what any has heard. A list that itself began anew counts from the start again: until its
-    /// hosts have asked it anew they may believe an old word, for as long as the list is late anyway.
+    /// Whether this one is to be believed rather than another host's: of two starts the younger, since the
+    /// older one is over; of words about one start what the list told later. What a host only remembers
+    /// (revision 0) is older than what any has heard. A list that itself began anew counts from the start
+    /// again: until its hosts have asked it anew they may believe an old word, for as long as the list is
+    /// late anyway.
     ///
     /// ```
     /// use grebecleat_membership::life::{Reading, Word};
--- a/crates/membership/tests/drains.rs
+++ b/crates/membership/tests/drains.rs
@@ -15,7 +15,8 @@
 const H2: HostNo = HostNo(1);
 const WALL: u64 = 1_000_000;
 
-/// Two hosts, four nodes in two zones, and a ledger that takes whatever is proposed, unless it is told not to.
+/// Two hosts, four nodes in two zones, and a ledger that takes whatever is proposed, unless it is told not
+/// to.
 struct Rig {
     m: Membership,
     now: Duration,
@@ -197,7 +198,8 @@
     // Its process ends, and the list says so.
     r.sees(H1, 1, |s| (s.word, s.revision) = (Word::Gone, 2));
     assert_eq!(r.shown(1), (Life::Out, Some(Phase::Out)));
-    // The other host's list is late, and then the box is put back: nobody sends it anything before it is returned.
+    // The other host's list is late, and then the box is put back: nobody sends it anything before it is
+    // returned.
     r.sees(H2, 1, |_| ());
     assert_eq!(r.shown(1).0, Life::Out);
     r.wait(s(60));
@@ -318,8 +320,8 @@
     assert_eq!(r.shown(1).0, Life::Empty);
 }
 
-/// Found by the explorer: what an earlier process of a host counted was taken for what the next one had out, which
-/// had started without the drain, sent, and then followed it.
+/// Found by the explorer: what an earlier process of a host counted was taken for what the next one had out,
+/// which had started without the drain, sent, and then followed it.
 #[test]
 fn what_an_earlier_process_counted_says_nothing_of_the_next() {
     let mut r = Rig::new();
--- a/crates/plans/src/admission.rs
+++ b/crates/plans/src/admission.rs
@@ -8,10 +8,10 @@
 //! reason against a change that does not make it worse: or nobody could mend a site step by step. Where no
 //! node's capacity has been said, nothing can be judged, and the answer says so.
 //!
-//! Against a drain speaks, beside that, whatever else its zone is without: another drain, a node that is cold,
-//! does not answer as it should or is gone (`unfit` says so). A zone is what fails as one, and data is laid out so
-//! that it may lose one node and not two; and two clerks who each see one drain must not together make it two. A
-//! drain that only waits for its turn is judged by reserves alone, as if its turn had come.
+//! Against a drain speaks, beside that, whatever else its zone is without: another drain, a node that is
+//! cold, does not answer as it should or is gone (`unfit` says so). A zone is what fails as one, and data is
+//! laid out so that it may lose one node and not two; and two clerks who each see one drain must not together
+//! make it two. A drain that only waits for its turn is judged by reserves alone, as if its turn had come.
 //!
 //! Losses are looked at one by one, those first that share nodes with what is changed; a look is cut off
 //! after a number of steps, and the answer says how many losses were not looked at. Without input or output.
--- a/crates/plans/src/feed.rs
+++ b/crates/plans/src/feed.rs
@@ -11,11 +11,11 @@
 //!   version's limit, whoever knows what;
 //! - an answer carries the entries and a lease together, so whoever has the lease has the entries;
 //! - a host counts its lease from when it asked, the source from when it answered, which is later, and a
-//!   margin longer: no delay, and no clock that runs slower by less than the margin, lets a host follow beyond
-//!   what the source believes;
-//! - without a lease a host keeps to its part of the reservation, which no change takes away unheard: a change
-//!   that does take of it is not settled before the host has said that it has it, or somebody has said that
-//!   the host is gone;
+//!   margin longer: no delay, and no clock that runs slower by less than the margin, lets a host follow
+//!   beyond what the source believes;
+//! - without a lease a host keeps to its part of the reservation, which no change takes away unheard: a
+//!   change that does take of it is not settled before the host has said that it has it, or somebody has said
+//!   that the host is gone;
 //! - a host never goes back, and neither does what is settled.
 //!
 //! Without input or output. Memory: a few words for each host.
@@ -104,8 +104,8 @@
 }
 
 impl Leases {
-    /// `settled`: what was, before an earlier start told anyone. `hosts`: all there are, with what each was last
-    /// known to have; None: it was never heard of. Leases of an earlier start may be out.
+    /// `settled`: what was, before an earlier start told anyone. `hosts`: all there are, with what each was
+    /// last known to have; None: it was never heard of. Leases of an earlier start may be out.
     pub fn new(
         lease: Duration, margin: Duration, now: Duration, settled: Version,
         hosts: impl IntoIterator<Item = (HostNo, Option<Version>)>,
@@ -184,8 +184,8 @@
         }
     }
 
-    /// Hosts on which a version waits, and whether nothing but their own word can end that: they have not been
-    /// heard for as long as a lease.
+    /// Hosts on which a version waits, and whether nothing but their own word can end that: they have not
+    /// been heard for as long as a lease.
     pub fn waits_for(&self, now: Duration, version: Version, lowerings: &Lowerings) -> Vec<(HostNo, bool)> {
         let waits = self.hosts.iter().filter(|(_, h)| Self::reach(h, now, lowerings) < version);
         waits.map(|(no, h)| (*no, now >= h.until)).collect()
--- a/crates/plans/src/follow.rs
+++ b/crates/plans/src/follow.rs
@@ -1,10 +1,12 @@
-//! A host's side of the feed: what it asks for, what it keeps, and what its decisions are told of each volume.
+//! A host's side of the feed: what it asks for, what it keeps, and what its decisions are told of each
+//! volume.
 //!
 //! Called as `step(now, events)` for every batch of what happened on the way to the state service and to the
 //! disk, which answers what to ask, keep, and tell; [`Follow::wake_at`] says when it must be called again.
-//! Wanted at any time: an open question to the service, everything that came on the disk, a word to the service
-//! once nothing of an older version can cross any more, and the decisions on the terms that follow from all
-//! versions that must be reckoned with ([`crate::feed::part`]). `bring` diffs these against what is so.
+//! Wanted at any time: an open question to the service, everything that came on the disk, a word to the
+//! service once nothing of an older version can cross any more, and the decisions on the terms that follow
+//! from all versions that must be reckoned with ([`crate::feed::part`]). `bring` diffs these against what is
+//! so.
 //!
 //! - What comes is followed at once and kept beside; only once it is kept, and what was decided before has
 //!   crossed or never will, does the host say that it has it. A host that dies in between has less than it
@@ -12,8 +14,8 @@
 //! - A host that starts has no lease: until the first answer it sends of limited volumes what no change can
 //!   have taken from it, by what it kept. One that kept nothing knows of no volume.
 //!
-//! Without input or output. Memory: the ledger of volumes that work through this host, the last terms of each,
-//! and at most [`MOST_OPEN`] entries that are not settled.
+//! Without input or output. Memory: the ledger of volumes that work through this host, the last terms of
+//! each, and at most [`MOST_OPEN`] entries that are not settled.
 
 use crate::changes::{Change, Entry, Facts, Ledger, Name, Plan, Subject, Version, Volume};
 use crate::feed::{part, Follower, Part, Says};
@@ -317,8 +319,8 @@
             self.plans.extend(self.ledger.plans().map(|(name, _)| name.clone()));
             self.unkept.clear();
             self.whole = true;
-            // In another history the numbers of the last one mean nothing, nor what is still on its way to the
-            // disk of it.
+            // In another history the numbers of the last one mean nothing, nor what is still on its way to
+            // the disk of it.
             self.follower = Follower::kept(at, at);
             (self.kept, self.sure, self.confirmed, self.keeping) = Default::default();
             self.followed.clear();
--- a/crates/plans/src/source.rs
+++ b/crates/plans/src/source.rs
@@ -3,21 +3,21 @@
 //! Called as `step(now, wall, events)` for every batch of what happened, which answers what to keep and what
 //! to say; [`Source::wake_at`] says when it must be called again. It holds the ledger, what speaks against a
 //! change ([`crate::admission`]) and who follows what ([`crate::feed`]). Three things are wanted at any time,
-//! and `bring` brings them about: that what was decided is kept, that who asked is answered once what it rests
-//! on is kept, and that what was to land by now has landed.
+//! and `bring` brings them about: that what was decided is kept, that who asked is answered once what it
+//! rests on is kept, and that what was to land by now has landed.
 //!
 //! - A change is judged against the ledger with all that is on its way to the disk, so that many are kept at
 //!   once; nobody is told of one before it is kept, and if it cannot be kept, it and all after it never were.
 //! - What is settled, and that a host was ever heard of, are kept before anyone is told what rests on them.
-//! - A store that was put back from a snapshot begins a new era, and hosts say in which era they followed what
-//!   they have: versions alone would be taken for the same history once as many new ones have landed. Of a
-//!   host that has followed what is not known here nothing is believed, and nobody is granted anything, until
-//!   an operator has said that the state here prevails.
+//! - A store that was put back from a snapshot begins a new era, and hosts say in which era they followed
+//!   what they have: versions alone would be taken for the same history once as many new ones have landed. Of
+//!   a host that has followed what is not known here nothing is believed, and nobody is granted anything,
+//!   until an operator has said that the state here prevails.
 //! - A host that has all is answered only when there is something new, or a third of its lease is over: it
 //!   learns by answers and not by asking again and again.
 //!
-//! Without input or output. Memory: the ledger, the flow, one call for each host, and at most [`MOST_WAITING`]
-//! changes on their way to the disk.
+//! Without input or output. Memory: the ledger, the flow, one call for each host, and at most
+//! [`MOST_WAITING`] changes on their way to the disk.
 
 use crate::admission::{Admission, Beside, Opinion, Reason};
 use crate::changes::{Asks, Change, Entry, Ledger, Name, Refused, Subject, Timed, Version};
@@ -27,8 +27,8 @@
 
 /// Changes that are decided and not yet kept; more are turned away until some are.
 pub const MOST_WAITING: usize = 4096;
-/// Losses that are looked at for one change: some 36 ms at ten thousand volumes. Several at once share a quarter
-/// of it: under a flood each is judged by what it does to all that is there, and few by any loss.
+/// Losses that are looked at for one change: some 36 ms at ten thousand volumes. Several at once share a
+/// quarter of it: under a flood each is judged by what it does to all that is there, and few by any loss.
 const LOSSES: usize = 256;
 /// Losses whose figures are brought up to date in a step without changes, and how long until the next.
 const IDLE_LOSSES: usize = 16;
@@ -304,7 +304,8 @@
         &self.admission
     }
 
-    /// Hosts on which that version waits, and whether nothing but their own word, or an operator's, can end that.
+    /// Hosts on which that version waits, and whether nothing but their own word, or an operator's, can end
+    /// that.
     pub fn waits_for(&self, version: Version) -> Vec<(Name, bool)> {
         let waits = self.leases.waits_for(self.now, version, &self.lowerings);
         waits.into_iter().map(|(h, silent)| (self.hosts[h.0 as usize].clone(), silent)).collect()
@@ -587,8 +588,9 @@
         }
         let sent: BTreeSet<HostNo> = self.known_sent.values().map(|k| k.0).collect();
         for host in self.waiting.keys().copied().collect::<Vec<_>>() {
-            // Once it has been granted anything, it must never again be taken for one that has not; and what it
-            // has must not be forgotten for long, or what waits for its word would wait again after a start.
+            // Once it has been granted anything, it must never again be taken for one that has not; and what
+            // it has must not be forgotten for long, or what waits for its word would wait again after a
+            // start.
             let has = self.leases.has(host).unwrap_or_default();
             if self.known.get(&host) != Some(&has) && !sent.contains(&host) && self.now >= self.not_before {
                 let number = self.keep(Keep::Has(host, has));
--- a/crates/plans/tests/admission.rs
+++ b/crates/plans/tests/admission.rs
@@ -84,7 +84,8 @@
         (
             "as much as holds, and no node to spare",
             vec![volume(5, "gold", &[1, 2]), volume(6, "gold", &[1, 2])],
-            // With node 1 out, half of what lies on both must be carried by node 2, and the rest is out of reach.
+            // With node 1 out, half of what lies on both must be carried by node 2, and the rest is out of
+            // reach.
             &[],
         ),
         (
--- a/crates/plans/tests/feed.rs
+++ b/crates/plans/tests/feed.rs
@@ -1,7 +1,7 @@
 //! All that can happen to changes on their way to two hosts, explored: requests and answers that cross in any
-//! order, late or never, clocks that lose a tick, a source that starts anew, hosts that start anew, changes at
-//! any moment, an operator who says that a host is gone and is right. In each state what both hosts may send
-//! together is at most the limit of the settled version. Bugs planted on purpose must be found.
+//! order, late or never, clocks that lose a tick, a source that starts anew, hosts that start anew, changes
+//! at any moment, an operator who says that a host is gone and is right. In each state what both hosts may
+//! send together is at most the limit of the settled version. Bugs planted on purpose must be found.
 
 use grebecleat_plans::changes::Version;
 use grebecleat_plans::feed::{part, Answer, Follower, HostNo, Leases, Lowerings, Says};
@@ -165,7 +165,8 @@
         if s.mishaps < self.mishaps {
             push(&|s| {
                 s.mishaps += 1;
-                // It knows what hosts last said, and what it has called settled: both are kept before they count.
+                // It knows what hosts last said, and what it has called settled: both are kept before they
+                // count.
                 let had = |h: u32| (HostNo(h), s.leases.has(HostNo(h)));
                 let had: Vec<_> = (0..HOSTS as u32).map(had).collect();
                 let again = if self.bug == Bug::ForgetsLeases {
--- a/crates/plans/tests/fleet.rs
+++ b/crates/plans/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! A state service and three hosts in one small world: messages late, lost and out of order, disks that fail,
 //! processes that die between any two steps, a store put back from a snapshot, operators who change plans all
-//! the while. At every moment no volume may be sent more of than the settled version's limit; what was told as
-//! landed stays landed; no host goes back. Once the faults stop, everybody follows the newest.
+//! the while. At every moment no volume may be sent more of than the settled version's limit; what was told
+//! as landed stays landed; no host goes back. Once the faults stop, everybody follows the newest.
 
 use grebecleat_plans::changes::*;
 use grebecleat_plans::feed::HostNo;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,8 +1,8 @@
 //! A client's exchange and the transfer it asks for.
 //!
-//! [`Words::read`] turns a whole request into a take, or says what is wrong with it; [`put_final`] turns a final
-//! answer into a response. What cannot be understood, or does not exist, is answered here and never becomes a
-//! transfer, so nothing of it can reach a node.
+//! [`Words::read`] turns a whole request into a take, or says what is wrong with it; [`put_final`] turns a
+//! final answer into a response. What cannot be understood, or does not exist, is answered here and never
+//! becomes a transfer, so nothing of it can reach a node.
 
 use crate::config::{Config, Kind};
 use crate::http::{self, Fault, Request};
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,9 +1,9 @@
 //! What the platform tells a host at its start: variables, and a file with the settings, as the host's own.
 //!
 //! Begin with [`Config::read`]. The settings are the object that the users' bench gives its adapter; they are
-//! flattened to the bench's pairs and read by the adapter's own reader, so that no default can differ between the
-//! two. What is not there (names, waits, limits of this process) is read here, and a file is taken whole or not
-//! at all. A fault names the file, the path in it, and what is wrong.
+//! flattened to the bench's pairs and read by the adapter's own reader, so that no default can differ between
+//! the two. What is not there (names, waits, limits of this process) is read here, and a file is taken whole
+//! or not at all. A fault names the file, the path in it, and what is wrong.
 
 use grebecleat::interface::*;
 use grebecleat_adapter::settings::{self as shared, Pairs};
@@ -22,13 +22,13 @@
 const ANSWER_MARGIN: Duration = ms(12);
 /// A connection is closed so long before its node would, since a leg that crosses that close is reset.
 const IDLE_MARGIN: Duration = ms(1000);
-/// Descriptors for what is neither a client's nor a node's: standard streams, the runtime's, the signals', the
-/// listener, the list's old and new connection.
+/// Descriptors for what is neither a client's nor a node's: standard streams, the runtime's, the signals',
+/// the listener, the list's old and new connection.
 const SPARE: usize = 24;
 /// Of the rest, what clients may hold.
 const CLIENTS_PART: f64 = 0.55;
-/// Of all, what clients that have asked may keep: the platform lets them hold a third, and whoever has asked once and
-/// keeps his connection for good takes the place of one who would ask.
+/// Of all, what clients that have asked may keep: the platform lets them hold a third, and whoever has asked
+/// once and keeps his connection for good takes the place of one who would ask.
 const KEPT_PART: usize = 5;
 /// Of the memory, what bodies of open transfers may hold.
 const BYTES_PART: usize = 8;
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The platform's list of nodes, as the host's list messages, and the numbers that stand for its names.
 //!
-//! Begin with [`Names::read`]. The host's decisions know nodes and zones by number; a name keeps its number for
-//! the life of this process. Memory: one name for each node that was ever listed, [`MOST_NAMES`] at most; past
-//! that the list is not taken any more.
+//! Begin with [`Names::read`]. The host's decisions know nodes and zones by number; a name keeps its number
+//! for the life of this process. Memory: one name for each node that was ever listed, [`MOST_NAMES`] at most;
+//! past that the list is not taken any more.
 
 use grebecleat_wire::pb;
 use serde::Deserialize;
@@ -58,8 +58,8 @@
 impl Names {
     /// `unix_ms` is the wall clock, by which the list tells when nodes started.
     ///
-    /// A whole list with an entry that makes no sense counts as changes, or the node behind that entry would pass
-    /// for gone.
+    /// A whole list with an entry that makes no sense counts as changes, or the node behind that entry would
+    /// pass for gone.
     pub fn read(&mut self, body: &[u8], unix_ms: f64) -> Result<Read, String> {
         let told: Told = serde_json::from_slice(body).map_err(|e| e.to_string())?;
         let all = told.targets.len();
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 heads and bodies, in both directions: pure functions on bytes.
 //!
-//! Begin with [`request`] and [`response`]: each is given all that has come so far and answers a whole message
-//! and its length, nothing (more must come), or a fault, after which the connection is of no further use. What
-//! two readers of one stream could take differently (both lengths, repeated or signed ones) is a fault, since it
-//! may hide a second message. Nothing here keeps more than it is given; heads and bodies are bounded.
+//! Begin with [`request`] and [`response`]: each is given all that has come so far and answers a whole
+//! message and its length, nothing (more must come), or a fault, after which the connection is of no further
+//! use. What two readers of one stream could take differently (both lengths, repeated or signed ones) is a
+//! fault, since it may hide a second message. Nothing here keeps more than it is given; heads and bodies are
+//! bounded.
 
 use std::borrow::Cow;
 use std::io::Write;
@@ -196,8 +197,8 @@
     version == 1 && !headers.has_token("connection", "close")
 }
 
-/// A node's or the list's answer, past interim heads. One without a length has no end that could be told from a
-/// break, and is a fault.
+/// A node's or the list's answer, past interim heads. One without a length has no end that could be told from
+/// a break, and is a fault.
 ///
 /// ```
 /// use grebecleat_platform::http::response;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,8 +1,9 @@
 //! The users' platform as one more route into the host: clients, nodes and list speak HTTP/1.1.
 //!
-//! Begin with [`run`], which owns the sockets and the loop around the host's `Desk`; every transfer's course is
-//! still decided by the one decision module. [`http`], [`clients`], [`nodes`] and [`discovery`] are pure
-//! translation, [`config`] reads what the platform tells at the start. The platform's words end at this package.
+//! Begin with [`run`], which owns the sockets and the loop around the host's `Desk`; every transfer's course
+//! is still decided by the one decision module. [`http`], [`clients`], [`nodes`] and [`discovery`] are pure
+//! translation, [`config`] reads what the platform tells at the start. The platform's words end at this
+//! package.
 
 pub mod clients;
 pub mod config;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1,14 +1,14 @@
 //! The sockets, and the loop of the one owner of the decisions.
 //!
-//! One thread owns the host's `Desk` and every connection's state. Each connection has one `may` coroutine, which
-//! reads and hands on what came; whole messages are taken apart by the owner, and what the desk puts into an
-//! outbox is written by the owner at once, without waiting: a leg that is decided is on the wire before anything
-//! else is heard, and whether its last byte was written is known without asking another thread. What the socket
-//! does not take at once is tried again at the next look.
+//! One thread owns the host's `Desk` and every connection's state. Each connection has one `may` coroutine,
+//! which reads and hands on what came; whole messages are taken apart by the owner, and what the desk puts
+//! into an outbox is written by the owner at once, without waiting: a leg that is decided is on the wire
+//! before anything else is heard, and whether its last byte was written is known without asking another
+//! thread. What the socket does not take at once is tried again at the next look.
 //!
-//! Bounds. Descriptors: [`Descriptors`], clients and nodes apart. Memory of a connection: its coroutine's stack,
-//! one message in, what is being written, and [`MOST_AHEAD`] read but not yet looked at; past that its reader
-//! waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
+//! Bounds. Descriptors: [`Descriptors`], clients and nodes apart. Memory of a connection: its coroutine's
+//! stack, one message in, what is being written, and [`MOST_AHEAD`] read but not yet looked at; past that its
+//! reader waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
 
 use crate::clients::{put_final, Wish, Words, SERVICE};
 use crate::config::Config;
@@ -55,7 +55,8 @@
 /// After a stall: time for the readers to bring what waits in the sockets.
 const CATCH_UP: Duration = ms(3);
 const SWEEP: Duration = ms(50);
-/// A caller that has said nothing, or not the whole of its first exchange, is closed so long after its coming.
+/// A caller that has said nothing, or not the whole of its first exchange, is closed so long after its
+/// coming.
 const FIRST_WORDS: Duration = ms(2400);
 /// The rest of a later exchange that has begun must come within this.
 const REST: Duration = ms(2000);
@@ -63,21 +64,22 @@
 const IDLE: Duration = ms(2000);
 /// Callers younger than this may just be about to speak.
 const YOUNG: Duration = ms(100);
-/// After an error, what its client still sends is dropped for so long and so much, or the error would be lost to
-/// a reset.
+/// After an error, what its client still sends is dropped for so long and so much, or the error would be lost
+/// to a reset.
 const DISCARD: (Duration, usize) = (ms(500), 256 << 10);
-/// After SIGTERM clients go on with the connections that they have, and the process is killed no sooner than the
-/// longest expiry, of which no more than the first counts, and the second. It serves until so long before that, and
-/// has answered by the fourth.
+/// After SIGTERM clients go on with the connections that they have, and the process is killed no sooner than
+/// the longest expiry, of which no more than the first counts, and the second. It serves until so long before
+/// that, and has answered by the fourth.
 const KILLED: (Duration, Duration) = (ms(3000), ms(700));
 const LAST_TAKEN: Duration = ms(450);
 const LAST_ANSWER: Duration = ms(200);
-/// The least and the most that a call to the list may wait there, and what it may take beyond. A watch that falls
-/// silent is found by that alone, and what it kept back counts as told soon after. Harm: more calls, mostly empty.
+/// The least and the most that a call to the list may wait there, and what it may take beyond. A watch that
+/// falls silent is found by that alone, and what it kept back counts as told soon after. Harm: more calls,
+/// mostly empty.
 const WATCH: (Duration, Duration) = (ms(1000), ms(2000));
 const LIST_ANSWER: Duration = ms(1000);
-/// A node's answer that has begun must go on within this. Guards against answers that are said to be longer than
-/// they are, whose connection stays open: without it such a leg holds its transfer until expiry.
+/// A node's answer that has begun must go on within this. Guards against answers that are said to be longer
+/// than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
 const REST_OF_ANSWER: Duration = ms(100);
 /// How long a client may take to read its answer.
@@ -484,16 +486,17 @@
             Note::Signal(signal_hook::consts::SIGHUP) => self.reload(),
             Note::Signal(_) if self.draining.is_none() => {
                 self.draining = Some(clock::now());
-                self.say("told to end: serving on until new connections cease");
+                self.say("told to end: serving on until shortly before it may be killed");
             }
             Note::Signal(_) => {}
         }
     }
 
     fn add(&mut self, conn: ConnId, role: Role, fd: RawFd, gate: Arc<Gate>, now: Duration) -> Arc<Outbox> {
-        let (rung, hung) = (self.rung.clone(), self.rung.clone());
-        let ring = move |rung: &Mutex<Vec<ConnId>>| rung.lock().unwrap_or_else(|e| e.into_inner()).push(conn);
-        let outbox = Arc::new(Outbox::new(move || ring(&rung), move || ring(&hung)));
+        let rung = self.rung.clone();
+        let ring = move || rung.lock().unwrap_or_else(|e| e.into_inner()).push(conn);
+        // Closing rings as well, and nobody sits in the socket.
+        let outbox = Arc::new(Outbox::new(ring, || ()));
         let new = Conn {
             role,
             fd,
@@ -664,9 +667,9 @@
         }
     }
 
-    /// Where more clients keep connections than may, those go that have been idle the longest: whoever asks again and
-    /// again is among the last. Guards against many who ask once and stay, for whom others are kept out.
-    /// Harm: with very many clients in turn each dials anew.
+    /// Where more clients keep connections than may, those go that have been idle the longest: whoever asks
+    /// again and again is among the last. Guards against many who ask once and stay, for whom others are kept
+    /// out. Harm: with very many clients in turn each dials anew.
     fn keep_few(&mut self) {
         let mut asked = 0usize;
         let idle = |(id, c): (&ConnId, &Conn)| match &c.role {
@@ -687,9 +690,9 @@
     // Nodes
 
     fn node_answers(&mut self, conn: ConnId, at: Duration) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
-        let Role::Node(doing) = &mut c.role else { return };
-        let (body, leaving) = match (http::response(&c.inward), &*doing) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let Role::Node(doing) = &c.role else { return };
+        let (body, leaving) = match (http::response(&c.inward), doing) {
             // Bytes that nothing waits for.
             (_, Doing::Nothing) => return self.lost(conn),
             (Ok(None), _) => return,
@@ -708,14 +711,17 @@
                 (body, leaving)
             }
         };
+        self.exchange_over(conn, body, leaving, at);
+    }
+
+    /// Tells the desk how an exchange with a node ended, and that the connection goes, where it does.
+    fn exchange_over(&mut self, conn: ConnId, body: Body, leaving: bool, at: Duration) {
+        let Some(Conn { role: Role::Node(doing), inward, .. }) = self.conns.get_mut(&conn) else { return };
         *doing = Doing::Nothing;
-        c.inward = Vec::new();
-        let mut frames = Vec::new();
-        if leaving {
-            // First, or the next leg would be given to it.
-            frames.push(frame(Body::GoingAway(pb::GoingAway {}), at));
-        }
-        frames.push(frame(body, at));
+        *inward = Vec::new();
+        // That it goes comes first, or the next leg would be given to it.
+        let going = leaving.then(|| frame(Body::GoingAway(pb::GoingAway {}), at));
+        let frames = going.into_iter().chain([frame(body, at)]).collect();
         self.inputs.push(Input::NodeFrames { conn, at, frames });
         if leaving {
             self.lost(conn);
@@ -729,20 +735,17 @@
 
     /// An answer that will never be whole: what it was for has run, and the connection is of no further use.
     fn spoilt(&mut self, conn: ConnId) {
-        let Some(Conn { role: Role::Node(doing), .. }) = self.conns.get_mut(&conn) else { return };
-        let at = clock::now();
-        let body = match std::mem::replace(doing, Doing::Nothing) {
+        let Some(Conn { role: Role::Node(doing), .. }) = self.conns.get(&conn) else { return };
+        let body = match *doing {
             Doing::Leg(leg) => Body::LegAnswer(nodes::spoilt(leg)),
             Doing::Probe(probe) => probed(probe, 502),
             Doing::Nothing => return self.lost(conn),
         };
-        let frames = vec![frame(Body::GoingAway(pb::GoingAway {}), at), frame(body, at)];
-        self.inputs.push(Input::NodeFrames { conn, at, frames });
-        self.lost(conn);
+        self.exchange_over(conn, body, true, clock::now());
     }
 
-    /// Without waiting: on this machine and near it a connection is up or refused at once, and what is neither
-    /// is looked at again.
+    /// Without waiting: on this machine and near it a connection is up or refused at once, and what is
+    /// neither is looked at again.
     fn dial(&mut self, conn: ConnId, address: SocketAddr, list: bool) {
         let now = clock::now();
         let until = now + self.config.settings.bounds.dial_timeout;
@@ -995,8 +998,8 @@
         Some(self.draining? + longest.min(KILLED.0) + KILLED.1)
     }
 
-    /// Whether answers now end their connections. Until then a host that was told to end serves on: its clients
-    /// would find nobody else there before the next start.
+    /// Whether answers now end their connections. Until then a host that was told to end serves on: its
+    /// clients would find nobody else there before the next start.
     fn closing(&self) -> bool {
         self.killed_at().is_some_and(|at| clock::now() + LAST_TAKEN >= at)
     }
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -47,7 +47,8 @@
 }
 
 impl Tally {
-    /// The part of a volume's pieces that were done in their SLO time, of those that began in a span of seconds.
+    /// The part of a volume's pieces that were done in their SLO time, of those that began in a span of
+    /// seconds.
     pub fn timely(&self, volume: usize, seconds: std::ops::Range<u64>) -> Option<f64> {
         let all = self.seconds.range((volume, seconds.start)..(volume, seconds.end.max(seconds.start)));
         let (all, timely) = all.fold((0, 0), |sum, (_, s)| (sum.0 + s.0, sum.1 + s.1));
--- a/crates/state/src/attending.rs
+++ b/crates/state/src/attending.rs
@@ -1,9 +1,9 @@
 //! What an operator's program that attends is told: everything at first, then what has changed.
 //!
-//! Called by the state service's loop: `note` with what has happened, `tell` with what is so now, which answers
-//! the frames for one that attends. Each is told the difference to what it was told before, so one that reads
-//! slowly is told less often and nothing twice. Memory: for each that attends what it was last told of nodes, and
-//! the last [`MOST_NOTES`] events.
+//! Called by the state service's loop: `note` with what has happened, `tell` with what is so now, which
+//! answers the frames for one that attends. Each is told the difference to what it was told before, so one
+//! that reads slowly is told less often and nothing twice. Memory: for each that attends what it was last
+//! told of nodes, and the last [`MOST_NOTES`] events.
 
 use crate::codec::{change_pb, entry_pb};
 use grebecleat_membership::drains::{Membership, Phase, Shown, ShownDrain};
--- a/crates/state/src/keeper.rs
+++ b/crates/state/src/keeper.rs
@@ -1,9 +1,9 @@
 //! The one thread of a process that writes its store.
 //!
-//! Commits block, and coroutines and owners of decisions must not. Whoever has something to keep hands it over
-//! with what to call once it is on the disk or not; what has come meanwhile goes into one commit. Where that
-//! fails, each is tried by itself, so that nobody falls with another's. Calls come in the order in which things
-//! were handed over.
+//! Commits block, and coroutines and owners of decisions must not. Whoever has something to keep hands it
+//! over with what to call once it is on the disk or not; what has come meanwhile goes into one commit. Where
+//! that fails, each is tried by itself, so that nobody falls with another's. Calls come in the order in which
+//! things were handed over.
 
 use crate::extents::Extents;
 use crate::store::{Keep, Kept, Store, StoreFault};
--- a/crates/state/src/serve.rs
+++ b/crates/state/src/serve.rs
@@ -4,9 +4,9 @@
 //! speak the same frames as everybody else (`plans.proto`). What the decisions want kept goes to the
 //! [`Keeper`], one commit for all of a step. Nothing is decided here but when to hang up on a peer.
 //!
-//! Bounds: [`MOST_CONNECTIONS`]; a reader hands over one frame at a time to a queue of [`QUEUE`], and waits when
-//! it is full; a writer's queue holds [`QUEUE`] frames of at most [`PART`] bytes or one record, and who leaves
-//! them unread is hung up on. Snapshots are written beside the store, by a thread of their own.
+//! Bounds: [`MOST_CONNECTIONS`]; a reader hands over one frame at a time to a queue of [`QUEUE`], and waits
+//! when it is full; a writer's queue holds [`QUEUE`] frames of at most [`PART`] bytes or one record, and who
+//! leaves them unread is hung up on. Snapshots are written beside the store, by a thread of their own.
 
 use crate::attending::{Attending, Notes, Present, SPACING};
 use crate::codec::{change_pb, changes_of, entry_pb};
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -10,9 +10,9 @@
 //! from an older page is seen at the next start, and told with its place, instead of served. All pages are
 //! looked at when it is opened, and nothing is written to a file in which something is wrong.
 //!
-//! After a commit that failed nobody knows whether it is on the disk. The file is opened again and asked; where
-//! even that fails, [`StoreFault::Unknown`] says so, and what is then there beyond what the caller was told is
-//! taken back with the next batch.
+//! After a commit that failed nobody knows whether it is on the disk. The file is opened again and asked;
+//! where even that fails, [`StoreFault::Unknown`] says so, and what is then there beyond what the caller was
+//! told is taken back with the next batch.
 //!
 //! Memory: what the caller keeps of it, and a cache of [`CACHE`] bytes.
 
@@ -444,7 +444,8 @@
     builder.set_check_integrity_on_open(true);
     Ok(match way {
         Way::File(path) => {
-            // A file is made beside its place, so that one whose making was cut off is never taken for a store.
+            // A file is made beside its place, so that one whose making was cut off is never taken for a
+            // store.
             if !path.exists() {
                 let making = path.with_extension("making");
                 let _ = std::fs::remove_file(&making);
--- a/crates/state/tests/faults.rs
+++ b/crates/state/tests/faults.rs
@@ -1,5 +1,5 @@
-//! The store on disks that die, fail, fill up and rot: after each start the state is the one before or the one
-//! after, nothing that was said to be kept is lost, the trail agrees with the state, and damage is told.
+//! The store on disks that die, fail, fill up and rot: after each start the state is the one before or the
+//! one after, nothing that was said to be kept is lost, the trail agrees with the state, and damage is told.
 
 mod common;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,8 @@
 //! What crosses the sockets, and the record of it.
 //!
 //! For: the messages between clients, hosts, nodes and the list ([`pb`]), their frames ([`frame`]), the
-//! estimate of what a frame waited on its way ([`delay`]), and trace files ([`trace`]); and what consoles and the
-//! control endpoint say to each other ([`console`]). It must never decide
+//! estimate of what a frame waited on its way ([`delay`]), and trace files ([`trace`]); and what consoles and
+//! the control endpoint say to each other ([`console`]). It must never decide
 //! anything about a transfer. Begin with `proto/grebecleat.proto`.
 
 pub mod clock;
--- a/src/control.rs
+++ b/src/control.rs
@@ -684,7 +684,8 @@
         self.bk.nodes.get_mut(&node).expect("looked up above").answers.below_reservation |= below;
     }
 
-    /// What has not gone by half of its time would come late if at all; its client still has time to ask again.
+    /// What has not gone by half of its time would come late if at all; its client still has time to ask
+    /// again.
     fn overheld(&self, x: &Xfer, next: Duration) -> bool {
         x.legs == 0 && self.bk.now + TICK + next >= x.taken + (x.x.expiry - x.taken) / 2
     }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -62,8 +62,8 @@
         })
     }
 
-    /// What is held and why, of at most so many lines of transfers that are worth the same; of each line the first
-    /// stands for all.
+    /// What is held and why, of at most so many lines of transfers that are worth the same; of each line the
+    /// first stands for all.
     pub fn held(&self, lines: usize) -> Vec<HeldFigures> {
         let mut all: BTreeMap<(VolumeId, Option<NodeId>, Bar), (usize, Duration)> = BTreeMap::new();
         let mut add = |volume, node, bar, n: usize, since: Duration| {
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Transfers that are held when the limit is lowered go at the new pace, or are given up in time; none is lost.
+/// Transfers that are held when the limit is lowered go at the new pace, or are given up in time; none is
+/// lost.
 #[test]
 fn what_is_held_when_a_limit_is_lowered_keeps_to_the_new_one() {
     let mut c = host(vec![stream(Repeat::Repeatable)], vec![limited(200.0, 200.0)], None);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -184,7 +184,8 @@
 
 #[test]
 fn errors_and_resets_keep_new_objects_away_but_not_transfers_whose_data_is_there() {
-    // What the node answers, and whether transfers still go where their data is: a port that is dead shuts it.
+    // What the node answers, and whether transfers still go where their data is: a port that is dead shuts
+    // it.
     for (bad, goes) in [(LegEnd::Error, true), (LegEnd::Reset, true), (LegEnd::NoConnection, false)] {
         let mut c = host(vec![stream(Repeat::Repeatable)], vec![plan(1000.0)], None);
         let new = |n, t| Event::Taken(Transfer { cell: None, ..xfer(n, ms(t + 1500)) });
