--- a/crates/state/src/words.rs
+++ b/crates/state/src/words.rs
@@ -105,8 +105,7 @@
 /// let plan = Change::Plan { name: "basic".into(), to: Some(to) };
 /// assert_eq!(change(&l, "plan basic rate=12 weight=3"), Ok(plan));
 /// let told = change(&l, "plan basic rat=12").unwrap_err().to_string();
-/// assert_eq!(told, "\"plan basic rat=12\": rat is not known here; expected some of rate, reservation, limit,
-/// \
+/// assert_eq!(told, "\"plan basic rat=12\": rat is not known here; expected some of rate, reservation, limit, \
 ///                   burst, slack, weight, price");
 /// ```
 pub fn change(ledger: &Ledger, line: &str) -> Result<Change, NoWords> {
@@ -253,8 +252,8 @@
 /// use grebecleat_state::words::{change, differences};
 /// let of = |line| change(&Ledger::default(), line).unwrap();
 /// let told = |now, was| differences(&[of(now)], &[of(was)]);
-/// assert_eq!(told("drain 3", "drain 3 queued within=1m"), ["drain 3: no longer queued no longer
-/// within=1m"]); assert_eq!(told("drain 3 empty", "drain 3"), ["drain 3: empty (was none)"]);
+/// assert_eq!(told("drain 3", "drain 3 queued within=1m"), ["drain 3: no longer queued no longer within=1m"]);
+/// assert_eq!(told("drain 3 empty", "drain 3"), ["drain 3: empty (was none)"]);
 /// ```
 pub fn differences(changes: &[Change], before: &[Change]) -> Vec<String> {
     let was = |s: &Subject| before.iter().find(|c| c.subject() == *s);
