An account of what each host gives up, by cause, stream type, paying bucket and age

Need: deferrals of the whole fleet were known as one sum; which bar defers, for whom, and how old the node's last answer was then, was not.

At debug level a host on the platform tells it each second and at its end, with what it took, sent and did and how its nodes stand; `grebecleat account LOGS` adds up the lines of many hosts by second and by cause.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -46,6 +46,19 @@
     /// Runs one host on the users' platform, as its variables and configuration say (LB_CONFIG), until
     /// SIGTERM has ended it; SIGHUP reads the configuration again.
     Platform,
+    /// Adds up what hosts on the platform gave up and why, by second, from their logs at debug level.
+    Account {
+        /// Logs of hosts (`grebecleat --log-level grebecleat_platform=debug platform`).
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+        /// Seconds in one row.
+        #[arg(long, default_value_t = 1)]
+        every: u64,
+        /// By how many parts of a cause's name: why, stream type, paying bucket, age of the node's last answer;
+        /// 0: all of them.
+        #[arg(long, default_value_t = 1)]
+        parts: usize,
+    },
     /// Runs the state service: keeps plans and volumes, and tells hosts what changes.
     StateService(StateArgs),
     /// Shows and changes plans and volumes while they are in service.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,7 +9,7 @@
 use grebecleat_audit::{Case, Verdict, RULES};
 use grebecleat_host::run as host;
 use grebecleat_plans::follow::{Follow, Start};
-use grebecleat_platform::{config::Config, run as platform};
+use grebecleat_platform::{account::Sums, config::Config, run as platform};
 use grebecleat_settings::{Kind, Settings};
 use grebecleat_standin::clients::Tally;
 use grebecleat_standin::{net, rehearse, serve};
@@ -54,6 +54,7 @@
     let ended = match args.command {
         Command::Run(a) => run(a),
         Command::Platform => on_platform(),
+        Command::Account { logs, every, parts } => account(&logs, every, parts),
         Command::StateService(a) => state_service(a),
         Command::Plans(a) => plans::run(a),
         Command::Check { file } => check(&file),
@@ -207,6 +208,20 @@
     Ok(())
 }
 
+fn account(logs: &[PathBuf], every: u64, parts: usize) -> Result<(), Stop> {
+    let (mut sums, mut lines) = (Sums::default(), 0usize);
+    for log in logs {
+        let text = std::fs::read(log).map_err(|e| bad(format!("{}: cannot read: {e}", log.display())))?;
+        let text = String::from_utf8_lossy(&text);
+        lines += text.lines().filter(|line| sums.read(line)).count();
+    }
+    if lines == 0 {
+        return Err(bad("no account in these logs; a host tells it at debug level".into()));
+    }
+    print!("{}", sums.table(every, parts));
+    Ok(())
+}
+
 fn state_service(a: StateArgs) -> Result<(), Stop> {
     let settings = Arc::new(load(&a.file)?);
     let Some(spec) = &settings.state else {
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -395,6 +395,11 @@
         self.plans.follow().expect("it follows a state service")
     }
 
+    /// The decisions, for people to look at.
+    pub fn control(&mut self) -> &mut Control {
+        &mut self.control
+    }
+
     pub fn counts(&self) -> Counts {
         self.counts
     }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -10,6 +10,7 @@
 //! stack, one message in, what is being written, and [`MOST_AHEAD`] read but not yet looked at; past that its
 //! reader waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
 
+use crate::account::Teller;
 use crate::clients::{put_final, Wish, Words, SERVICE};
 use crate::config::Config;
 use crate::discovery::{self, Names};
@@ -88,6 +89,8 @@
 const MORE_READ: usize = 60 << 10;
 /// An answer may hold more than this only while all that come in hold no more than their part of the memory.
 const SMALL_ANSWER: usize = 64 << 10;
+/// How often the account is told, at debug level; its last part comes with the end.
+const ACCOUNT: Duration = ms(1000);
 /// Lines of the log in one second; further ones are counted.
 const LINES: u32 = 20;
 
@@ -306,6 +309,8 @@
     sweep_at: Duration,
     draining: Option<Duration>,
     lines: (Duration, u32),
+    teller: Teller,
+    account_at: Duration,
 }
 
 /// Runs the host until SIGTERM has ended it. `started` gets the address it listens on.
@@ -374,6 +379,8 @@
             sweep_at: now,
             draining: None,
             lines: (now, 0),
+            teller: Teller::default(),
+            account_at: now,
             file,
             config,
         };
@@ -444,6 +451,7 @@
                 self.sweep();
             }
             if self.has_ended() {
+                self.tell_account();
                 return;
             }
         }
@@ -1033,6 +1041,18 @@
             self.make_room();
             self.room.bell.post();
         }
+        if now >= self.account_at {
+            self.account_at = now + ACCOUNT;
+            self.tell_account();
+        }
+    }
+
+    fn tell_account(&mut self) {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let (second, counts) = ((unix_ms() / 1000.0) as u64, self.desk.counts());
+            let kinds: Vec<String> = self.config.kinds.iter().map(|k| k.name.clone()).collect();
+            tracing::debug!("{}", self.teller.line(second, counts, self.desk.control(), &kinds));
+        }
     }
 
     fn has_ended(&self) -> bool {
--- a/src/control.rs
+++ b/src/control.rs
@@ -254,11 +254,11 @@
     }
 
     fn give_up(&mut self, id: XferId, wait: Duration) {
+        self.blame(id);
         let Some(x) = self.bk.xfers.get_mut(&id) else { return };
         let repeat = self.streams[x.x.stream_type.0].repeat;
         x.want = if may_defer(repeat, x.ran.is_some()) { Want::Deferred(wait) } else { Want::Abandoned };
-        self.bk.unhold(id);
-        self.bk.changed.push(id);
+        self.bk.moves(id);
     }
 
     fn measure(&mut self, id: XferId, node: NodeId, end: LegEnd, elapsed: Duration, told: Option<f64>) {
@@ -738,7 +738,7 @@
 
     fn send(&mut self, id: XferId, node: NodeId) {
         let (_, paid) = self.value(&self.bk.xfers[&id], Some(node));
-        self.bk.unhold(id);
+        self.bk.moves(id);
         let x = self.bk.xfers.get_mut(&id).expect("held, so known");
         let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
         let nd = self.bk.nodes.get_mut(&node).expect("looked up above");
@@ -758,7 +758,6 @@
         (x.want, x.legs, x.last, x.felt) = (Want::Out(node), x.legs + 1, Some(node), nd.out > 0.0);
         nd.leg_out(&x.x, self.bk.now);
         self.bk.busy.insert(node);
-        self.bk.changed.push(id);
     }
 
     /// Brings what is out, answered and timed into line with what is wanted.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,10 +2,11 @@
 //! storage node now, which are held, and which are turned away.
 //!
 //! [`control`] holds every decision on a transfer, [`window`] the search for a node's capacity. [`interface`]
-//! holds what goes in and out of it, [`figures`] what is shown of it; [`state`] the records it keeps;
+//! holds what goes in and out of it, [`figures`] and [`account`] what is shown of it; [`state`] the records it keeps;
 //! [`bucket`], [`filling`], [`held`], [`histogram`], [`lines`], [`ranking`] and [`spans`] are mechanical
 //! helpers whose numbers come from the caller.
 
+pub mod account;
 pub mod bucket;
 pub mod control;
 pub mod figures;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a host knows of its flows, volumes, nodes and transfers, and the book-keeping on it.
 //! What the figures mean, and what follows from them, is decided in `control.rs`.
 
+use crate::account::Account;
 use crate::bucket::TokenBucket;
 use crate::held::{Held, LineKey};
 use crate::histogram::Histogram;
@@ -325,6 +326,8 @@
     pub watch_at: Option<Duration>,
     pub watch_tries: u32,
     pub out: Vec<Action>,
+    /// For people alone.
+    pub account: Account,
 }
 
 impl Books {
@@ -381,6 +384,12 @@
         }
     }
 
+    /// Something new is wanted of a transfer, which is held no more.
+    pub fn moves(&mut self, id: XferId) {
+        self.unhold(id);
+        self.changed.push(id);
+    }
+
     /// Whether anything is held.
     pub fn holds(&self) -> bool {
         !self.floating.is_empty() || self.holding > 0
