The floor of the bound is shared by all hosts; new nodes get a part of what their place had

Lines at fault: `bound` gave each host three large transfers at each node whatever it had learnt, which with 1,383 ms of SLO time and a learned rate of a few units a second is all that ever acts; thirty hosts at a node are thirty floors. And `Node::new` gave a node in another's place no usage, so that `cold_part` was units / hosts for 18 s (here 1 unit in 2 s for all hosts together), whatever the host did at the node before.

A node that takes the place of another begins with half of what this host did there, since it may be a slower machine and the rule forgives nothing. The cold part is reckoned from the mean of what was done there and what is reserved there through this host: over all hosts neither is more than a node can do, so that the mean is not.

Guards also against a few hosts that pile up behind one slow node. Harm: one host that has a fast node to itself in a fleet of many uses less of it until it has learnt its rate.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
 const INTERVAL: Duration = Duration::from_millis(500); // long enough for a few answers a node
 const SMOOTH: f64 = 0.3; // a surge counts within three intervals
 const SLO_PART: f64 = 0.15; // what a node's queue may take of it; the rest is work
-const FLOOR_MEANS: f64 = 6.0; // three large transfers, each twice the mean
+const FLOOR_MEANS: (f64, f64) = (2.0, 6.0); // a large transfer for each host; three for all hosts together
 const MOST_OUT: f64 = 32.0; // the design's, in mean transfers
 const START_XFERS: f64 = 4.0; // a second: low, as a host knows nothing yet
 const BRAKE_LEAST: f64 = 0.02; // a crowd of hosts needs well below one transfer each
@@ -53,6 +53,7 @@
 const WATCH_AGAIN: Duration = Duration::from_millis(200); // doubled for each failed call
 const COLD_PART: f64 = 0.9; // with all hosts at it, just under what the rule lets the weakest start bear
 const COLD_HELD: f64 = 0.2; // the rest of the part fills
+const HEIR: f64 = 0.5; // what a node in another's place may be slower, and the rule forgives nothing
 const USAGE_SPAN: f64 = 30.0; // seconds; a host that sends seldom needs long to know how much
 const PER_UNIT_KEPT: f64 = 400.0; // answers, before they are halved
 const RETURN_SPREAD: Duration = Duration::from_millis(400); // well under the rules' spans
@@ -80,11 +81,11 @@
     }
 }
 
-/// Units that this host may have out at a node: the learned rate over part of the tightest SLO time,
-/// at least a few large transfers, at most so many mean ones.
-pub fn bound(rate: f64, tightest: Duration, mean_units: f64) -> f64 {
-    let mean = mean_units.max(0.1);
-    (rate * SLO_PART * secs(tightest)).max(FLOOR_MEANS * mean).min(MOST_OUT * mean)
+/// Units that this host may have out at a node: the learned rate over part of the tightest SLO time, at least
+/// a few large transfers, shared by all hosts (each one's own floor would add up), at most so many mean ones.
+pub fn bound(rate: f64, tightest: Duration, mean_units: f64, hosts: usize) -> f64 {
+    let (mean, floor) = (mean_units.max(0.1), (FLOOR_MEANS.1 / hosts.max(1) as f64).max(FLOOR_MEANS.0));
+    (rate * SLO_PART * secs(tightest)).max(floor * mean).min(MOST_OUT * mean)
 }
 
 /// Whether a leg may follow one that may have run (repeat rule). `ran` is where and when that was.
@@ -108,8 +109,8 @@
     !may_have_run || matches!(repeat, Repeat::Repeatable | Repeat::Keyed { group: RepeatGroup::All, .. })
 }
 
-/// What this host may send to a cold node in one span of the rule: its part of the units that are always
-/// borne, or of the least that a node can do by now, of which its own rate from before is its part.
+/// What this host may send to a cold node in one span of the rule: its part of the units always borne, or of
+/// the least that a node can do by now, by its own rate: all hosts' own rates are no more than a node can do.
 pub fn cold_part(rule: &ColdRule, own_rate: f64, age: Duration) -> f64 {
     let warm = (secs(age) / secs(rule.warm_within).max(1e-3)).min(1.0);
     let capacity = rule.starts_at + (1.0 - rule.starts_at) * warm;
@@ -375,8 +376,8 @@
         let first = self.bk.nodes.is_empty();
         for e in entries {
             let edges = (START_XFERS * self.units.mean, MOST_OUT * self.units.mean / secs(self.tightest));
-            let lags = Histogram::new(TICK, 1.5, 16);
-            let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len());
+            let (lags, before) = (Histogram::new(TICK, 1.5, 16), self.bk.usage_before(e.cell, HEIR));
+            let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len(), before);
             let nd = self.bk.nodes.entry(e.node).or_insert_with(new);
             self.bk.cells.entry(e.cell).or_default().insert(e.node);
             let came = nd.state != NodeState::Ready || nd.started != e.started;
@@ -407,7 +408,7 @@
         // What a host did there, not what it could do: of the latter all hosts' sum is no bound.
         for nd in self.bk.nodes.values_mut().filter(|nd| nd.cold.is_some()) {
             let age = self.bk.now.saturating_sub(nd.started.unwrap_or_default());
-            let part = cold_part(&self.cold, nd.usage.rate(), age);
+            let part = cold_part(&self.cold, (nd.usage.rate() + nd.reserved) / 2.0, age);
             // A full bucket and its refill together stay inside one span of the rule.
             let (span, depth) = (secs(self.cold.fall_within).max(1e-3), part * COLD_HELD);
             nd.cold.iter_mut().for_each(|b| b.retune((part - depth) / span, depth));
@@ -464,6 +465,7 @@
                 Ask { demand: f.demand, reservation, weight: self.plans[v.plan.0].weight }
             };
             let asks: Vec<Ask> = nd.flows.iter().map(ask).collect();
+            nd.reserved = asks.iter().map(|a| a.reservation).sum();
             for (f, (_, spare)) in nd.flows.values_mut().zip(fill(estimate, &asks)) {
                 f.spare.get_or_insert_with(|| TokenBucket::new(spare, spare, spare)).retune(spare, spare);
             }
@@ -472,8 +474,7 @@
         self.bk.usual_rate = heard.clone().sum::<f64>() / heard.count().max(1) as f64;
         self.tune_cold();
         self.bk.keys.sweep(now);
-        self.bk.forget_retired();
-        self.bk.forget_legs(self.budget.as_ref().map_or(INTERVAL, |rule| rule.window + INTERVAL));
+        self.bk.forget(self.budget.as_ref().map_or(INTERVAL, |rule| rule.window + INTERVAL));
         self.per_unit.halve_above(PER_UNIT_KEPT);
     }
 
@@ -537,7 +538,7 @@
     pub(crate) fn opens(&self, node: NodeId, units: f64) -> Option<Duration> {
         let nd = &self.bk.nodes[&node];
         let rate = if nd.rate > 0.0 { nd.rate } else { self.bk.usual_rate };
-        let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
+        let most = bound(rate, self.tightest, self.units.mean, self.cold.hosts) * nd.brake;
         // Many hosts with one transfer out each are too many for one node: below one, the bound paces.
         let gap = || self.expected(Some(node), units).mul_f64(units / most);
         match nd.state == NodeState::Ready {
@@ -664,7 +665,7 @@
     fn shed(&mut self, node: NodeId, next: Duration) {
         let (nd, now) = (&self.bk.nodes[&node], self.bk.now);
         let rate = if nd.rate > 0.0 { nd.rate } else { self.bk.usual_rate };
-        let most = bound(rate, self.tightest, self.units.mean) * nd.brake;
+        let most = bound(rate, self.tightest, self.units.mean, self.cold.hosts) * nd.brake;
         let rate = rate.max(most / secs(self.expected(Some(node), self.units.mean)));
         let (mut ahead, mut below, mut doomed) = (0.0, false, Vec::new());
         for id in self.ranked(nd.held.ids(), Some(node)) {
--- a/src/spans.rs
+++ b/src/spans.rs
@@ -40,7 +40,7 @@
 /// let mut u = Usage::default();
 /// assert_eq!(u.rate(), 0.0);
 /// (0..8).for_each(|_| u.add(3.0, 1.0, 4.0));
-/// assert_eq!(u.rate(), 3.0);
+/// assert_eq!((u.rate(), u.part(0.5).rate()), (3.0, 1.5));
 /// ```
 #[derive(Debug, Default)]
 pub struct Usage {
@@ -56,6 +56,11 @@
         }
     }
 
+    /// The same time with so large a part of the units.
+    pub fn part(&self, part: f64) -> Self {
+        Usage { units: self.units * part, seconds: self.seconds }
+    }
+
     pub fn rate(&self) -> f64 {
         if self.seconds > 0.0 {
             self.units / self.seconds
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,6 +121,8 @@
     pub answers: Answers,
     pub rate: f64,
     pub usage: Usage,
+    /// Units a second reserved here through this host.
+    pub reserved: f64,
     pub lags: Histogram,
     pub mix: Vec<f64>,
     pub brake: f64,
@@ -136,7 +138,7 @@
 
 impl Node {
     /// A node not yet heard of: gone until its entry is read.
-    pub fn new(e: &ListEntry, window: Window, lags: Histogram, streams: usize) -> Self {
+    pub fn new(e: &ListEntry, window: Window, lags: Histogram, streams: usize, usage: Usage) -> Self {
         Node {
             id: e.node,
             zone: e.zone,
@@ -153,7 +155,8 @@
             flows: BTreeMap::new(),
             answers: Answers::default(),
             rate: 0.0,
-            usage: Usage::default(),
+            usage,
+            reserved: 0.0,
             lags,
             mix: vec![0.0; streams],
             brake: 1.0,
@@ -352,6 +355,12 @@
         }
     }
 
+    /// So large a part of what this host did at the node of a cell that it used last.
+    pub fn usage_before(&self, cell: CellId, part: f64) -> Usage {
+        let there = self.cells.get(&cell).into_iter().flatten().filter_map(|n| self.nodes.get(n));
+        there.max_by_key(|nd| nd.sent).map_or_else(Usage::default, |nd| nd.usage.part(part))
+    }
+
     /// The node that has the data of a cell: of several, the one that started last.
     pub fn holder(&self, cell: CellId) -> Option<NodeId> {
         let there = self.cells.get(&cell)?.iter().filter_map(|n| Some((n, self.nodes.get(n)?)));
@@ -414,7 +423,7 @@
     }
 
     /// Forgets volumes that are served no more, once nothing of them is left.
-    pub fn forget_retired(&mut self) {
+    fn forget_retired(&mut self) {
         if self.retired.is_empty() {
             return;
         }
@@ -442,7 +451,9 @@
         }
     }
 
-    pub fn forget_legs(&mut self, span: Duration) {
+    /// Forgets counts older than the span, and volumes that are served no more.
+    pub fn forget(&mut self, span: Duration) {
+        self.forget_retired();
         self.taken.forget(span, self.now);
         self.further.forget(span, self.now);
     }
