--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -1,9 +1,9 @@
 //! Several processes of `grebecleat platform` on loopback, with nodes, list and clients that count what
 //! crosses. Verdicts come from counts of what came whole, never from how long something took.
 //!
-//! [`Fleet::start`] starts it; its parts are there to be troubled: [`Node::set`] (killed, silent to some hosts,
-//! answers lost, connections reset, cold after a start), [`List`] (late, slow, moved), [`Fleet::kill`] and
-//! [`Fleet::end`] for hosts. [`Fleet::stop`] ends the traffic and gives the [`Counts`].
+//! [`Fleet::start`] starts it; its parts are there to be troubled: a [`Node`] is killed and comes back cold, is
+//! cut from some hosts, loses or spoils answers, resets connections; the [`List`] is slow or moves; hosts end by
+//! [`Fleet::kill`] and [`Fleet::end`]. [`Fleet::stop`] ends the traffic and gives the [`Counts`].
 
 #![allow(dead_code)]
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,8 @@
 //! storage node now, which are held, and which are turned away.
 //!
 //! [`control`] holds every decision on a transfer, [`window`] the search for a node's capacity. [`interface`]
-//! holds what goes in and out of it, [`figures`] and [`account`] what is shown of it; [`state`] the records it keeps;
-//! [`bucket`], [`filling`], [`held`], [`histogram`], [`lines`], [`ranking`] and [`spans`] are mechanical
+//! holds what goes in and out of it, [`figures`] and [`account`] what is shown of it; [`state`] the records it
+//! keeps; [`bucket`], [`filling`], [`held`], [`histogram`], [`lines`], [`ranking`] and [`spans`] are mechanical
 //! helpers whose numbers come from the caller.
 
 pub mod account;
