The floor of the bound stays whole in small fleets; cut only where all floors add up

Line at fault: `bound`, where 6 / hosts gave four hosts one large transfer each, though four floors of three never add up to much.

Change: all hosts' floors together stay within the 32 mean transfers that the design lets one host have out, at least one large transfer each. What was done at a place before is looked up for nodes that are new alone, and no longer with every entry of every list.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
 const INTERVAL: Duration = Duration::from_millis(500); // long enough for a few answers a node
 const SMOOTH: f64 = 0.3; // a surge counts within three intervals
 const SLO_PART: f64 = 0.15; // what a node's queue may take of it; the rest is work
-const FLOOR_MEANS: (f64, f64) = (2.0, 6.0); // a large transfer for each host; three for all hosts together
+const FLOOR: (f64, f64) = (2.0, 6.0); // one and three large transfers, each twice the mean
 const MOST_OUT: f64 = 32.0; // the design's, in mean transfers
 const START_XFERS: f64 = 4.0; // a second: low, as a host knows nothing yet
 const BRAKE_LEAST: f64 = 0.02; // a crowd of hosts needs well below one transfer each
@@ -82,10 +82,10 @@
 }
 
 /// Units that this host may have out at a node: the learned rate over part of the tightest SLO time, at least
-/// a few large transfers, shared by all hosts (each one's own floor would add up), at most so many mean ones.
+/// a few large transfers (fewer where all hosts' floors would pass the most of one), at most so many in all.
 pub fn bound(rate: f64, tightest: Duration, mean_units: f64, hosts: usize) -> f64 {
-    let (mean, floor) = (mean_units.max(0.1), (FLOOR_MEANS.1 / hosts.max(1) as f64).max(FLOOR_MEANS.0));
-    (rate * SLO_PART * secs(tightest)).max(floor * mean).min(MOST_OUT * mean)
+    let (mean, part) = (mean_units.max(0.1), MOST_OUT / hosts.max(1) as f64);
+    (rate * SLO_PART * secs(tightest)).max(part.clamp(FLOOR.0, FLOOR.1) * mean).min(MOST_OUT * mean)
 }
 
 /// Whether a leg may follow one that may have run (repeat rule). `ran` is where and when that was.
@@ -376,7 +376,7 @@
         let first = self.bk.nodes.is_empty();
         for e in entries {
             let edges = (START_XFERS * self.units.mean, MOST_OUT * self.units.mean / secs(self.tightest));
-            let (lags, before) = (Histogram::new(TICK, 1.5, 16), self.bk.usage_before(e.cell, HEIR));
+            let (lags, before) = (Histogram::new(TICK, 1.5, 16), self.bk.usage_before(&e, HEIR));
             let new = || Node::new(&e, Window::new(edges.0, edges.1), lags, self.streams.len(), before);
             let nd = self.bk.nodes.entry(e.node).or_insert_with(new);
             self.bk.cells.entry(e.cell).or_default().insert(e.node);
--- a/src/state.rs
+++ b/src/state.rs
@@ -355,9 +355,12 @@
         }
     }
 
-    /// So large a part of what this host did at the node of a cell that it used last.
-    pub fn usage_before(&self, cell: CellId, part: f64) -> Usage {
-        let there = self.cells.get(&cell).into_iter().flatten().filter_map(|n| self.nodes.get(n));
+    /// For a node that is new to us: so large a part of what this host did at the node of its cell that it
+    /// used last. Lists mostly tell of nodes that are known, which keep their own.
+    pub fn usage_before(&self, e: &ListEntry, part: f64) -> Usage {
+        let new = !self.nodes.contains_key(&e.node);
+        let there =
+            self.cells.get(&e.cell).filter(|_| new).into_iter().flatten().filter_map(|n| self.nodes.get(n));
         there.max_by_key(|nd| nd.sent).map_or_else(Usage::default, |nd| nd.usage.part(part))
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -113,11 +113,12 @@
     }
 }
 
-/// Each host's own floor added up over three hundred was all that a node saw of the bound.
+/// Each host's own floor added up over hundreds of hosts; cut for four of them, it held back a host whose
+/// share was above the mean (a day of restarts on sockets: 0.79 in place of 0.89).
 #[test]
-fn the_floor_of_the_bound_is_shared_by_all_hosts_and_lets_a_large_transfer_go() {
+fn all_hosts_floors_stay_within_the_most_of_one_and_let_a_large_transfer_go() {
     // hosts, wanted units at a mean of 2
-    for (hosts, wanted) in [(0, 12.0), (1, 12.0), (2, 6.0), (3, 4.0), (300, 4.0)] {
+    for (hosts, wanted) in [(0, 12.0), (1, 12.0), (5, 12.0), (8, 8.0), (16, 4.0), (300, 4.0)] {
         assert_eq!(bound(0.0, ms(200), 2.0, hosts), wanted, "{hosts}");
     }
 }
