--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -2,7 +2,9 @@
 //!
 //! Verdicts come from what crossed the sockets: each node keeps every exchange that came whole.
 
-use grebecleat_platform::http;
+mod rig;
+
+use rig::{answer, ms, next_exchange};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -13,10 +15,6 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// What a node does with an exchange that came whole.
 #[derive(Clone)]
 enum Does {
@@ -80,22 +78,6 @@
     }
 }
 
-/// The next whole request as text.
-fn next_exchange(stream: &mut TcpStream, had: &mut Vec<u8>) -> Option<String> {
-    let mut buffer = [0; 4096];
-    loop {
-        if let Ok(Some((_, used))) = http::request(had) {
-            let text = String::from_utf8_lossy(&had[..used]).into_owned();
-            had.drain(..used);
-            return Some(text);
-        }
-        match stream.read(&mut buffer) {
-            Ok(n @ 1..) => had.extend_from_slice(&buffer[..n]),
-            _ => return None,
-        }
-    }
-}
-
 /// A list: the whole of it, and watches that wait until it changes.
 #[derive(Clone)]
 struct Discovery {
@@ -233,21 +215,6 @@
     command.spawn().unwrap()
 }
 
-/// Status, head and body of the next answer; None where the connection ends without one.
-fn answer(stream: &mut TcpStream) -> Option<(u16, String, Vec<u8>)> {
-    let (mut had, mut buffer) = (Vec::new(), [0; 4096]);
-    loop {
-        if let Ok(Some((r, used))) = http::response(&had) {
-            let head = String::from_utf8_lossy(&had[..used - r.body.len()]).into_owned();
-            return Some((r.status, head, r.body.to_vec()));
-        }
-        match stream.read(&mut buffer) {
-            Ok(n @ 1..) => had.extend_from_slice(&buffer[..n]),
-            _ => return None,
-        }
-    }
-}
-
 /// A request of a stream type for one piece of data.
 fn request(stream: &str, id: &str, shard: i64, key: u64, left: u64) -> String {
     let method = if stream == "read" { "GET" } else { "PUT" };
