--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -63,6 +63,12 @@
     StateService(StateArgs),
     /// Shows and changes plans and volumes while they are in service.
     Plans(PlansArgs),
+    /// Shows what a running host knows of the fleet: its peers, what it believes of nodes, its parts of limits.
+    Fleet {
+        /// Where the host listens.
+        #[arg(long)]
+        at: SocketAddr,
+    },
     /// Checks a settings file whole, and says what is wrong with it and where.
     Check { file: PathBuf },
     /// Plays a scripted day on this machine's loopback: list, nodes, hosts, clients; then the audit.
@@ -105,6 +111,9 @@
     /// Where the state service answers; overrides the settings.
     #[arg(long)]
     pub state: Option<SocketAddr>,
+    /// Where another host answers to its peers, as NAME=ADDRESS; overrides the settings. May be given again.
+    #[arg(long = "peer")]
+    pub peers: Vec<String>,
     /// Records every frame that crosses a socket.
     #[arg(long)]
     pub trace: Option<PathBuf>,
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,86 @@
+//! What one running host knows of the fleet, as it tells whoever watches it.
+
+use crate::Stop;
+use grebecleat_wire::pb::{self, frame::Body};
+use grebecleat_wire::{clock, frame, VERSION};
+use std::fmt::Write as _;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const MOST_FRAME: usize = 16 << 20;
+/// Figures come every second.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn figures(at: SocketAddr) -> io::Result<pb::Figures> {
+    let mut stream = TcpStream::connect_timeout(&at, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let me = pb::Hello {
+        version: VERSION,
+        role: pb::Role::Operator.into(),
+        name: "fleet".into(),
+        incarnation: u64::from(std::process::id()),
+        most_frame: MOST_FRAME as u32,
+    };
+    let mut bytes = Vec::new();
+    let sent_us = clock::micros(clock::now());
+    frame::write(&pb::Frame { sent_us, body: Some(Body::Hello(me)) }, &mut bytes);
+    stream.write_all(&bytes)?;
+    let mut reader = frame::Reader::new(MOST_FRAME);
+    loop {
+        match reader.next::<pb::Frame>().map_err(|e| io::Error::other(e.to_string()))?.and_then(|f| f.body) {
+            Some(Body::Figures(f)) => return Ok(*f),
+            Some(Body::Hello(them)) if them.role() != pb::Role::Host => {
+                return Err(io::Error::other("no host answers there"));
+            }
+            Some(_) => {}
+            None if reader.fill(&mut stream)? == 0 => return Err(io::Error::other("the host hung up")),
+            None => {}
+        }
+    }
+}
+
+/// The figures as they are printed.
+pub fn table(f: &pb::Figures) -> String {
+    let mut out = String::new();
+    let mut line = |text: String| writeln!(out, "{text}").expect("a String takes all");
+    if f.life == 0 {
+        line(format!("{}: tells its peers nothing; every decision is its own", f.host));
+        return out;
+    }
+    line(format!("{}: life {}, {} peers heard", f.host, f.life, f.peers.len()));
+    for p in &f.peers {
+        let age = Duration::from_micros(p.age_us).as_secs_f64();
+        line(format!("  peer {:<12} {age:>6.1} s old, tried {} nodes, {} badly", p.host, p.tried, p.badly));
+    }
+    for b in &f.beliefs {
+        let belief = match b.belief() {
+            pb::BeliefKind::AsToday => "by its own evidence",
+            pb::BeliefKind::OwnWay => "its own way there is bad",
+            pb::BeliefKind::Avoid => "avoided",
+            pb::BeliefKind::Look => "avoided by others, looked at by this host",
+        };
+        line(format!(
+            "  node {:<6} {:<9} {} hosts for it ({:.1}), {} against ({:.1}): {belief}",
+            b.node, b.verdict, b.well, b.well_weight, b.badly, b.badly_weight
+        ));
+    }
+    for p in &f.parts {
+        line(format!(
+            "  volume {:<6} {:>5.1}% of its limit: settled {:.1}% of {} hosts', lent {:.1}%, borrowed {:.1}%",
+            p.volume,
+            100.0 * p.part,
+            100.0 * p.settled,
+            p.sharers,
+            100.0 * p.lent,
+            100.0 * p.borrowed
+        ));
+    }
+    out
+}
+
+pub fn show(at: SocketAddr) -> Result<(), Stop> {
+    let f = figures(at).map_err(|e| Stop::Failed(format!("{at}: {e}")))?;
+    print!("{}", table(&f));
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `grebecleat` program: arguments, logs and exit codes. It has no logic of its own.
 
 mod args;
+mod fleet;
 mod logs;
 mod plans;
 
@@ -57,6 +58,7 @@
         Command::Account { logs, every, parts } => account(&logs, every, parts),
         Command::StateService(a) => state_service(a),
         Command::Plans(a) => plans::run(a),
+        Command::Fleet { at } => fleet::show(at),
         Command::Check { file } => check(&file),
         Command::Rehearse(a) => rehearsal(a),
         Command::Audit { dir, script } => audit(&dir, &script),
@@ -125,6 +127,16 @@
     Keeper::open(path, MOST_TRAIL).map_err(|e| Stop::Failed(format!("store {}: {e}", path.display())))
 }
 
+/// A host's place and where it answers.
+fn peer(text: &str, names: &[&str]) -> Result<(usize, SocketAddr), Stop> {
+    let read = || {
+        let (name, address) = text.split_once('=')?;
+        Some((names.iter().position(|n| *n == name)?, address.parse().ok()?))
+    };
+    let expected = "expected NAME=ADDRESS with one of";
+    read().ok_or_else(|| bad(format!("--peer: {expected} {}, found {text}", names.join(", "))))
+}
+
 fn run(a: HostArgs) -> Result<(), Stop> {
     let settings = Arc::new(load(&a.file)?);
     let names: Vec<&str> = settings.hosts.iter().map(|h| h.name.as_str()).collect();
@@ -141,8 +153,12 @@
     };
     let listen = here(a.listen, settings.hosts[host].listen, "--listen")?;
     let list = here(a.list, settings.list.address, "--list")?;
-    let others = settings.hosts.iter().enumerate().filter(|(i, _)| *i != host);
-    let peers = others.filter_map(|(i, h)| Some((grebecleat_host::run::peer(i), h.listen?))).collect();
+    let given: Vec<(usize, SocketAddr)> =
+        a.peers.iter().map(|p| peer(p, &names)).collect::<Result<_, _>>()?;
+    let at = |i: usize| given.iter().find(|g| g.0 == i).map(|g| g.1).or(settings.hosts[i].listen);
+    let others = (0..names.len()).filter(|i| *i != host);
+    let peers = others.filter_map(|i| Some((host::peer(i), at(i)?))).collect();
+    let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let seed = a.seed.unwrap_or_else(|| clock::now().as_nanos() as u64 ^ u64::from(std::process::id()) << 40);
     let me = net::hello(pb::Role::Host, names[host], seed);
     let (name, tracer) = (names[host].to_string(), tracer(a.trace, me)?);
@@ -174,6 +190,7 @@
         list,
         state,
         peers,
+        life: started.as_millis() as u64,
         tracer,
         remember: a.remember,
         seed,
--- /dev/null
+++ b/crates/cli/tests/peers.rs
@@ -0,0 +1,309 @@
+//! Hosts as processes that tell each other what they see and lend each other parts of limits, with faults
+//! between them. Verdicts come from what crossed to the nodes, as their process recorded it.
+
+use grebecleat_standin::links::Links;
+use grebecleat_standin::net::hello;
+use grebecleat_wire::pb::{self, frame::Body, record::Kind, Outcome};
+use grebecleat_wire::trace::read_file;
+use grebecleat_wire::{clock, frame};
+use std::collections::BTreeSet;
+use std::fs;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::sleep;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_grebecleat");
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// One volume with a limit through all hosts, of which each has even parts of 12 units a second.
+const LIMIT: f64 = 48.0;
+const BURST: f64 = 24.0;
+const SLACK: f64 = 12.0;
+const HOSTS: usize = 4;
+const SITE: &str = r#"
+zone(name = "a")
+stream_type(name = "read", slo = ms(300), expiry = ms(800), repeat = "repeatable", benefit = 2, unit_work = ms(2))
+plan(name = "capped", rate = 40, reservation = 4, limit = 48, limit_burst = 24, limit_slack = 12)
+for i in range(4):
+    node(id = i + 1, zone = "a", cores = 2, queue = 64)
+for i in range(4):
+    host(name = "h%d" % i)
+volume(id = 1, plan = "capped", cells = [1, 2, 3, 4])
+node_list(lag = ms(100))
+legs(most = 2)
+rules(answer_margin = ms(60), cold_units = 40)
+"#;
+const FLEET: &str = "fleet(every = ms(100), loan = ms(1500), margin = ms(250))\n";
+
+struct Started(Child, String);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(args: &[String], log: &std::path::Path) -> Started {
+    let log = fs::File::options().create(true).append(true).open(log).unwrap();
+    let mut command = Command::new(PROGRAM);
+    let mut child =
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let said = line.trim().strip_prefix("listening ").expect(&line).to_string();
+    Started(child, said)
+}
+
+struct Site {
+    folder: PathBuf,
+    script: String,
+    list: Started,
+    _nodes: Started,
+    links: Links,
+    hosts: Vec<Option<Started>>,
+}
+
+impl Site {
+    fn new(name: &str, fleet: &str) -> Site {
+        let folder = std::env::temp_dir().join(format!("grebecleat-peers-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let script = folder.join("site.star");
+        fs::write(&script, format!("{SITE}{fleet}")).unwrap();
+        let script = script.to_str().unwrap().to_string();
+        let args = |a: &[&str]| a.iter().map(|s| s.to_string()).collect::<Vec<_>>();
+        let list =
+            start(&args(&["list-service", &script, "--listen", "127.0.0.1:0"]), &folder.join("list.log"));
+        let trace = folder.join("nodes.trace").display().to_string();
+        let nodes =
+            start(&args(&["node", &script, "--list", &list.1, "--trace", &trace]), &folder.join("nodes.log"));
+        let links = Links::between((0..HOSTS).map(|h| format!("h{h}")).collect()).unwrap();
+        let mut site =
+            Site { folder, script, list, _nodes: nodes, links, hosts: (0..HOSTS).map(|_| None).collect() };
+        (0..HOSTS).for_each(|h| site.begin(h));
+        site
+    }
+
+    fn begin(&mut self, h: usize) {
+        let listen = self.hosts[h].take().map_or("127.0.0.1:0".into(), |h| h.1.clone());
+        let mut args: Vec<String> =
+            ["run", &self.script, "--host", &format!("h{h}"), "--listen", &listen, "--list", &self.list.1]
+                .iter()
+                .map(|s| s.to_string())
+                .collect();
+        for (peer, at) in self.links.addresses().iter().enumerate().filter(|(p, _)| *p != h) {
+            args.extend(["--peer".into(), format!("h{peer}={at}")]);
+        }
+        let host = start(&args, &self.folder.join(format!("h{h}.log")));
+        self.links.leads_to(h, host.1.parse().unwrap());
+        self.hosts[h] = Some(host);
+    }
+
+    fn signal(&self, h: usize, name: &str) {
+        let id = self.hosts[h].as_ref().unwrap().0.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+    }
+
+    /// Asks a host for units of the volume, so many a second, until told to end; those done.
+    fn ask(&self, h: usize, per_second: u64, ended: Arc<AtomicBool>) -> std::thread::JoinHandle<u64> {
+        let at: SocketAddr = self.hosts[h].as_ref().unwrap().1.parse().unwrap();
+        std::thread::spawn(move || {
+            let (mut done, mut n) = (0, 0u64);
+            let mut line: Option<(TcpStream, frame::Reader)> = None;
+            while !ended.load(Ordering::SeqCst) {
+                sleep(Duration::from_secs(1) / per_second as u32);
+                if line.is_none() {
+                    let Ok(mut s) = TcpStream::connect(at) else { continue };
+                    s.set_read_timeout(Some(ms(1))).unwrap();
+                    put(&mut s, Body::Hello(hello(pb::Role::Client, "c", 1)));
+                    line = Some((s, frame::Reader::new(1 << 20)));
+                }
+                let (s, reader) = line.as_mut().unwrap();
+                n += 1;
+                let id: Vec<u8> = format!("{h:04}{n:032}").into();
+                let (units, left_us, cell) = (1.0, 800_000, Some(1 + (n % 4) as u32));
+                put(
+                    s,
+                    Body::Take(pb::Take {
+                        id: id.into(),
+                        volume: 1,
+                        units,
+                        left_us,
+                        cell,
+                        ..Default::default()
+                    }),
+                );
+                let gone = match reader.fill(s) {
+                    Ok(0) => true,
+                    Err(e) => {
+                        !matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+                    }
+                    Ok(_) => false,
+                };
+                while let Ok(Some(f)) = reader.next::<pb::Frame>() {
+                    if let Some(Body::Final(f)) = f.body {
+                        done += u64::from(f.outcome() == Outcome::Done);
+                    }
+                }
+                if gone {
+                    line = None;
+                }
+            }
+            done
+        })
+    }
+
+    fn shows(&self, h: usize) -> String {
+        let at = &self.hosts[h].as_ref().unwrap().1;
+        let out = Command::new(PROGRAM).args(["fleet", "--at", at]).output().unwrap();
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8_lossy(&out.stdout).into_owned()
+    }
+
+    /// Waits until a host shows something.
+    fn until(&self, h: usize, what: &str) {
+        let mut said = String::new();
+        for _ in 0..20 {
+            said = self.shows(h);
+            if said.contains(what) {
+                return;
+            }
+        }
+        panic!("host {h} never shows {what:?}:\n{said}");
+    }
+
+    /// When units came to the nodes, from whichever host.
+    fn came(&self) -> Vec<(f64, f64)> {
+        let records = read_file(&self.folder.join("nodes.trace")).unwrap();
+        let legs = records.iter().filter(|r| r.kind() == Kind::In).filter_map(|r| {
+            let Some(Body::Leg(l)) = r.frame.as_ref().and_then(|f| f.body.as_ref()) else { return None };
+            Some((r.at_ns as f64 / 1e9, l.units))
+        });
+        let mut all: Vec<(f64, f64)> = legs.collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        all
+    }
+
+    /// By how much the most was, in any window, over what the limit and its slack let through.
+    fn over(&self) -> f64 {
+        let came = self.came();
+        // The largest of sum(i..=j) - LIMIT * (t_j - t_i), in one pass.
+        let (mut best, mut run) = (0.0f64, 0.0f64);
+        let mut last = came.first().map_or(0.0, |c| c.0);
+        for (at, units) in came {
+            run = (run - LIMIT * (at - last)).max(0.0) + units;
+            (best, last) = (best.max(run), at);
+        }
+        best - BURST - SLACK
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.hosts.clear();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn put(s: &mut TcpStream, body: Body) {
+    let mut bytes = Vec::new();
+    let sent_us = clock::micros(clock::now());
+    frame::write(&pb::Frame { sent_us, body: Some(body) }, &mut bytes);
+    let _ = s.write_all(&bytes);
+}
+
+/// All but one host hear nothing of it, and it nothing of them.
+fn alone_is(h: usize) -> BTreeSet<(usize, usize)> {
+    (0..HOSTS).filter(|o| *o != h).flat_map(|o| [(o, h), (h, o)]).collect()
+}
+
+/// A volume that is asked for through one host gets nearly its whole limit there, where even parts give a
+/// quarter; and never more over all hosts, while that host is cut off, stands still for longer than its loans,
+/// and is killed and comes back without knowing what it had.
+#[test]
+fn parts_of_a_limit_follow_demand_and_the_limit_holds_through_cuts_stops_and_kills() {
+    let _alone = alone();
+    let mut site = Site::new("parts", FLEET);
+    site.until(0, "3 peers heard");
+    let ended = Arc::new(AtomicBool::new(false));
+    let busy = site.ask(0, 120, ended.clone());
+    site.until(0, "borrowed 6"); // of the whole, in percent, where 65.6 is to be had
+    sleep(ms(2500));
+    let rate = |from: f64| {
+        let came: Vec<(f64, f64)> = site.came().into_iter().filter(|c| c.0 >= from).collect();
+        came.iter().map(|c| c.1).sum::<f64>() / (came.last().unwrap().0 - from)
+    };
+    let now = || clock::now().as_secs_f64();
+    let lent = rate(now() - 2.0);
+    assert!(lent > 0.6 * LIMIT, "{lent:.1} units a second of {LIMIT}, even parts give {}", LIMIT / 4.0);
+    // Cut off, while others begin to need what they lent.
+    site.links.cut(alone_is(0));
+    let others: Vec<_> = (1..HOSTS).map(|h| site.ask(h, 40, ended.clone())).collect();
+    sleep(ms(3000));
+    let said = site.shows(0);
+    assert!(said.contains("borrowed 0.0%") && said.contains(" 25.0% of its limit"), "{said}");
+    site.links.cut(BTreeSet::new());
+    sleep(ms(1500));
+    // Stands still for longer than its loans, with words and answers waiting for it.
+    site.signal(0, "STOP");
+    sleep(ms(2500));
+    site.signal(0, "CONT");
+    sleep(ms(1000));
+    // Dies with what it lent, twice; the second time its peers cannot say what they hold.
+    site.signal(1, "KILL");
+    sleep(ms(100));
+    site.begin(1);
+    sleep(ms(1500));
+    site.links.cut(alone_is(1));
+    site.signal(1, "KILL");
+    site.begin(1);
+    sleep(ms(500));
+    let said = site.shows(1);
+    assert!(!said.contains(" 25.0% of its limit"), "it cannot know what it lent:\n{said}");
+    sleep(ms(3000));
+    let said = site.shows(1);
+    assert!(said.contains(" 25.0% of its limit"), "what it lent has run out by now:\n{said}");
+    ended.store(true, Ordering::SeqCst);
+    assert!(busy.join().unwrap() > 0);
+    others.into_iter().for_each(|o| assert!(o.join().unwrap() > 0, "every host served"));
+    let over = site.over();
+    assert!(over <= 0.0, "{over:.1} units over the limit in some window");
+}
+
+/// Hosts that name no fleet, and one that hears nobody, serve as before.
+#[test]
+fn a_mixed_fleet_and_hosts_without_peers_serve_by_their_even_parts() {
+    let _alone = alone();
+    let mut site = Site::new("mixed", "");
+    assert!(site.shows(0).contains("tells its peers nothing"));
+    // Two of them are of a version that tells.
+    let with = site.folder.join("with.star");
+    fs::write(&with, format!("{SITE}{FLEET}")).unwrap();
+    site.script = with.to_str().unwrap().to_string();
+    for h in [2, 3] {
+        site.signal(h, "KILL");
+        site.begin(h);
+    }
+    site.until(2, "1 peers heard");
+    let ended = Arc::new(AtomicBool::new(false));
+    let asks: Vec<_> = (0..HOSTS).map(|h| site.ask(h, 30, ended.clone())).collect();
+    sleep(ms(4000));
+    ended.store(true, Ordering::SeqCst);
+    let done: Vec<u64> = asks.into_iter().map(|a| a.join().unwrap()).collect();
+    // Of 12 units a second each, for four seconds; the two that hear only each other wait for loans that no
+    // one holds, and then have their own.
+    assert!(done.iter().all(|d| *d >= 16), "{done:?}");
+    assert!(site.over() <= 0.0, "{:.1} over the limit", site.over());
+}
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -12,7 +12,8 @@
 //!   has not crossed. The decisions are told of a node that somebody wants empty as the list would tell of
 //!   one that drains.
 //!
-//! Which volumes are served, and on what terms, [`crate::following`] says: the settings, or a state service.
+//! Which volumes are served, and on what terms, [`crate::following`] says: the settings, or a state service;
+//! what of a limit this host may use, and which nodes all hosts find bad, [`crate::sharing`], where it is on.
 
 use crate::admission::{admit, Held, Turned};
 use crate::figures::{self, Service};
@@ -20,6 +21,7 @@
 use crate::listing::Listing;
 use crate::outbox::{LegNo, Outbox};
 use crate::pool::{Pool, Present, Step};
+use crate::sharing::Sharing;
 use crate::sights::Sights;
 use crate::stall::Stalls;
 use grebecleat::control::Control;
@@ -44,6 +46,8 @@
 const IDLE_BEAT: Duration = Duration::from_secs(1);
 /// Lines of the log that name one bad peer; after them it is only counted.
 const LINES_A_PEER: u32 = 3;
+/// Ends of loans that are looked at one by one after a stand-still.
+const LAPSES: usize = 256;
 /// Bytes of figures that a watcher may leave unread.
 const MOST_UNREAD: usize = 4 << 20;
 
@@ -108,8 +112,10 @@
     Remembered {
         list: pb::List,
     },
+    /// `waited`: on its way, as far as that is known.
     Word {
         from: PeerId,
+        waited: Duration,
         bytes: Vec<u8>,
     },
     /// Extents that the portal of this process knows to lie in each cell.
@@ -245,6 +251,8 @@
     /// Its place among the settings' hosts.
     me: usize,
     plans: Following,
+    /// None: this host decides by itself.
+    sharing: Option<Sharing>,
     /// Clients say on what terms their volumes are served.
     as_told: bool,
     /// A connection carries one exchange at a time and ends with one that is given up.
@@ -290,6 +298,15 @@
     counts: Counts,
 }
 
+/// Through which of the settings' hosts a volume works, as it is followed.
+fn sharers(plans: &Following, s: &Settings, volume: VolumeId) -> BTreeSet<grebecleat_fleet::HostNo> {
+    let names = plans.follow().and_then(|f| f.ledger().volume(volume.0)).map(|v| v.hosts.clone());
+    let place =
+        |name: &grebecleat_plans::changes::Name| s.hosts.iter().position(|h| h.name.as_str() == &**name);
+    let places = names.iter().flat_map(|n| n.iter()).filter_map(place);
+    places.map(|h| grebecleat_fleet::HostNo(h as u32)).collect()
+}
+
 fn xfer_id(id: &[u8]) -> Option<XferId> {
     id.try_into().map(XferId).ok()
 }
@@ -323,6 +340,7 @@
             control,
             me: 0,
             plans,
+            sharing: None,
             as_told: false,
             one_at_a_time: false,
             seed,
@@ -368,6 +386,15 @@
         self
     }
 
+    /// Tells its peers what it sees and has, and hears them. Called after [`Desk::following`].
+    pub fn sharing(mut self, now: Duration, peers: &[PeerId], life: u64) -> Self {
+        self.sharing = Sharing::of(now, &self.settings, self.me, peers, life, self.seed);
+        if let (Some(sharing), false) = (&mut self.sharing, self.plans.is_on()) {
+            sharing.declared(&self.settings);
+        }
+        self
+    }
+
     /// For a platform whose clients say with each transfer on what terms its volume is served, and whose
     /// nodes take one exchange at a time on a connection. A leg that is given up there takes its connection
     /// with it: what its node may yet answer must not be read as the next leg's, and a closed connection is
@@ -426,8 +453,11 @@
         let leg = self.times.first().map(|t| t.0);
         let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
         let figures = (!self.watchers.is_empty()).then_some(self.figures_at);
-        let wake =
-            [timer, leg, self.plans.wake_at(), figures].into_iter().flatten().fold(beat, Duration::min);
+        let words = self.sharing.as_ref().map(Sharing::wake_at);
+        let wake = [timer, leg, self.plans.wake_at(), figures, words]
+            .into_iter()
+            .flatten()
+            .fold(beat, Duration::min);
         self.wanted_wake = wake.max(self.now);
         self.wanted_wake
     }
@@ -435,8 +465,10 @@
     pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.now = now.max(self.now);
         self.counts.steps += 1;
+        self.lapse();
         inputs.into_iter().for_each(|i| self.hear(i));
         self.tend_plans();
+        self.tend_sharing();
         self.times_up();
         // However many timers a pause has let come due, the decisions are called once.
         let mut rung = None;
@@ -532,7 +564,12 @@
             Input::StateGone { conn } => self.plans.gone(conn, self.now),
             Input::Kept { number, done } => self.plans.kept(number, done),
             Input::Remembered { list } => self.entries(ListKind::Remembered, &list.entries, 0),
-            Input::Word { from, bytes } => self.events.push(Event::Told { from, bytes }),
+            Input::Word { from, waited, bytes } => {
+                // Empty: the host's own first word to itself.
+                let sharing = self.sharing.as_mut().filter(|_| !bytes.is_empty());
+                sharing.into_iter().for_each(|s| s.told(from, waited, &bytes));
+                self.events.push(Event::Told { from, bytes });
+            }
             Input::Holds { cells } => self.holds = Some(cells),
             Input::WatcherUp { conn, outbox } => {
                 self.service.anew();
@@ -607,6 +644,7 @@
             self.service.took(taken, &t);
         }
         self.held_bytes += t.data.len();
+        self.sharing.iter_mut().for_each(|s| s.took(t.volume, units));
         self.clients.get_mut(&conn).expect("heard from it").open.insert(id);
         let (cell, key) = (t.cell.map(CellId), t.key.map(KeyId));
         let stream_type = StreamTypeId(stream_type);
@@ -660,8 +698,16 @@
             next += 1;
             next
         };
+        let from = self.events.len();
         let out = self.plans.step(self.now, &mut self.events, number);
         self.next = next;
+        if let Some(sharing) = &mut self.sharing {
+            for event in &mut self.events[from..] {
+                if let Event::Volume { volume, terms } = event {
+                    *terms = sharing.volume(*volume, *terms, sharers(&self.plans, &self.settings, *volume));
+                }
+            }
+        }
         for o in out {
             self.out.push(match o {
                 Out::Dial { conn } => Output::DialState { conn },
@@ -673,20 +719,68 @@
             let wanted: BTreeSet<NodeId> = self.plans.drained().into_iter().map(NodeId).collect();
             let changed: Vec<NodeId> = wanted.symmetric_difference(&self.drained).copied().collect();
             self.drained = wanted;
-            self.wished(&changed);
+            self.wished(&changed, "wanted empty", |desk, node| desk.drained.contains(&node));
+            self.tell_nodes();
         }
     }
 
-    /// What a node counts as: what the list says, unless somebody wants it empty.
+    /// What was lent to this host and ran out while it stood still ended then, and not now: the decisions fill
+    /// their buckets by the time that has gone by, and would do it by a rate that others have long had again.
+    /// Before anything is heard, since what peers ask counts from now on.
+    fn lapse(&mut self) {
+        // Loans end one after the other; the last of them well within so many looks.
+        for _ in 0..LAPSES {
+            let Some(sharing) = self.sharing.as_mut().filter(|s| s.lapses_at() < self.now) else { return };
+            let (at, mut events) = (sharing.lapses_at(), Vec::new());
+            let out = sharing.step(at, &mut events);
+            self.carry(out);
+            if !events.is_empty() {
+                self.control.step(at, events).into_iter().for_each(|a| self.act(a));
+            }
+        }
+    }
+
+    /// Hears and tells peers, and tells the decisions what came of it.
+    fn tend_sharing(&mut self) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let out = sharing.step(self.now, &mut self.events);
+        self.carry(out);
+    }
+
+    fn carry(&mut self, out: crate::sharing::Out) {
+        for (to, bytes) in out.tell {
+            self.out.push(Output::Tell { to: Some(to), bytes });
+        }
+        out.notes.into_iter().for_each(|text| self.note(text));
+        if !out.changed.is_empty() {
+            self.wished(&out.changed, "avoided", Desk::avoids);
+        }
+    }
+
+    fn avoids(&self, node: NodeId) -> bool {
+        self.sharing.as_ref().is_some_and(|s| s.avoids(node))
+    }
+
+    /// The fleet judges those nodes that the list and the operators have in use.
+    fn tell_nodes(&mut self) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let used = |(node, k): (&NodeId, &crate::listing::Known)| {
+            let used = k.state == NodeState::Ready && !self.drained.contains(node);
+            used.then_some((node.0, k.start))
+        };
+        sharing.nodes(self.listing.nodes.iter().filter_map(used).collect());
+    }
+
+    /// What a node counts as: what the list says, unless somebody wants it empty or all find it bad.
     fn state_of(&self, node: NodeId, listed: NodeState) -> NodeState {
         match listed {
-            NodeState::Ready if self.drained.contains(&node) => NodeState::Draining,
+            NodeState::Ready if self.drained.contains(&node) || self.avoids(node) => NodeState::Draining,
             listed => listed,
         }
     }
 
     /// Somebody wants these nodes empty, or no longer: the decisions hear of it as if the list had told.
-    fn wished(&mut self, nodes: &[NodeId]) {
+    fn wished(&mut self, nodes: &[NodeId], how: &str, wished: impl Fn(&Self, NodeId) -> bool) {
         let entry = |node: &NodeId| {
             let k = self.listing.nodes.get(node)?;
             let (zone, cell, started) = (k.zone, k.cell, k.started);
@@ -694,9 +788,8 @@
         };
         let entries: Vec<ListEntry> = nodes.iter().filter_map(entry).collect();
         for e in &entries {
-            let what =
-                if self.drained.contains(&e.node) { "is wanted empty" } else { "is no longer wanted empty" };
-            self.note(format!("node {} {what}", e.node.0));
+            let not = if wished(self, e.node) { "" } else { "no longer " };
+            self.note(format!("node {} is {not}{how}", e.node.0));
         }
         let left: Vec<NodeId> =
             entries.iter().filter(|e| e.state != NodeState::Ready).map(|e| e.node).collect();
@@ -915,6 +1008,11 @@
             x.unsure |= matches!(end, LegEnd::TimeOut | LegEnd::Cancelled | LegEnd::Reset);
         }
         let told = answer.unwrap_or_default();
+        if let Some(sharing) = &mut self.sharing {
+            sharing.tried(node, end);
+            let x = self.xfers.get(&id).filter(|_| end == LegEnd::Done);
+            x.into_iter().for_each(|x| sharing.did(x.take.volume, x.take.units));
+        }
         if end == LegEnd::Done && !self.watchers.is_empty() {
             let units = self.xfers.get(&id).map_or(0.0, |x| x.take.units);
             self.service.done_at(node, units);
@@ -925,6 +1023,13 @@
             self.finish(id, pb::Outcome::Done, done);
         }
         let over = self.xfers.get(&id).is_none_or(|x| x.over);
+        let reported = told.reported.map(|percent| match (&self.sharing, self.xfers.get(&id)) {
+            (Some(sharing), Some(x)) => {
+                let rate = self.plans.rate(x.plan).max(1e-9);
+                percent.max(sharing.served(self.now, x.take.volume) / rate * 100.0)
+            }
+            _ => percent,
+        });
         self.events.push(Event::LegOver {
             id,
             leg: l.number,
@@ -932,7 +1037,7 @@
             end,
             elapsed,
             over,
-            reported: told.reported,
+            reported,
             others: told.others,
             busy: told.busy,
         });
@@ -1181,6 +1286,7 @@
         self.events.push(Event::List { kind, entries: read });
         left.into_iter().for_each(|node| self.take_back(node));
         self.list_changed = kind != ListKind::Remembered;
+        self.tell_nodes();
     }
 
     // Time and the end
@@ -1294,13 +1400,14 @@
             longest_us: clock::micros(self.longest),
             ..pb::Figures::default()
         };
+        let head = self.sharing.iter().fold(head, |head, s| s.figures(self.now, &self.settings, head));
         let starts = |node: NodeId| self.listing.nodes.get(&node).map_or(0, |k| k.start);
         let figures = self.service.tell(self.now, &self.control, starts, head);
         let unread: Vec<ConnId> =
             self.watchers.iter().filter(|(_, o)| o.bytes() > MOST_UNREAD).map(|w| *w.0).collect();
         unread.into_iter().for_each(|conn| self.throw_out(conn, "a watcher leaves its figures unread"));
         for outbox in self.watchers.values() {
-            outbox.put(frame(Body::Figures(figures.clone())));
+            outbox.put(frame(Body::Figures(Box::new(figures.clone()))));
         }
     }
 
@@ -1426,6 +1533,9 @@
         let mut r = Rig::with("");
         r.desk.act(Action::Tell { to: Some(PeerId(2)), bytes: b"hi".to_vec() });
         let told = Output::Tell { to: Some(PeerId(2)), bytes: b"hi".to_vec() };
-        assert_eq!(r.desk.step(ms(100_000), [Input::Word { from: PeerId(1), bytes: vec![] }]), [told]);
+        assert_eq!(
+            r.desk.step(ms(100_000), [Input::Word { from: PeerId(1), waited: ms(0), bytes: vec![] }]),
+            [told]
+        );
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,7 +3,7 @@
 //! For: feeding the decisions with what really happens and carrying out what they answer. All that can be
 //! stepped by a test or an emulator is free of sockets and clocks: [`desk`] (transfers, legs, connections as
 //! seen from the decisions), and beside it what this package must itself decide: [`admission`], [`pool`],
-//! [`stall`], [`sights`]; [`figures`] is what is shown. [`outbox`] is the seam to the sockets; [`run`] holds
+//! [`stall`], [`sights`], [`sharing`]; [`figures`] is what is shown. [`outbox`] is the seam to the sockets; [`run`] holds
 //! the sockets, on `may` coroutines. Nothing here may choose which transfer goes where: that is
 //! `grebecleat::control` alone. Begin with [`desk`].
 
@@ -23,5 +23,6 @@
 pub mod outbox;
 pub mod pool;
 pub mod run;
+pub mod sharing;
 pub mod sights;
 pub mod stall;
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -14,6 +14,7 @@
 use grebecleat_plans::follow::Start;
 use grebecleat_settings::{Bounds, Settings};
 use grebecleat_state::keeper::Keeper;
+use grebecleat_wire::delay::Delay;
 use grebecleat_wire::pb::{self, frame::Body};
 use grebecleat_wire::trace::Tracer;
 use grebecleat_wire::{clock, frame, VERSION};
@@ -36,6 +37,8 @@
 const ONE_WRITE: usize = 128 << 10;
 /// Inputs that go into one step, so that a flood cannot keep timers waiting.
 const ONE_STEP: usize = 4096;
+/// Words that wait for one peer; more are lost.
+const MOST_WORDS: usize = 8;
 /// After a stall: time for the readers to bring what waits in the sockets.
 const CATCH_UP: Duration = Duration::from_millis(5);
 /// Numbers below are the desk's own connections, above it the listener's.
@@ -56,6 +59,8 @@
     /// Where the state service answers, and what was kept of it; None: the settings alone count.
     pub state: Option<StateLink>,
     pub peers: Vec<(PeerId, SocketAddr)>,
+    /// A number that grows from start to start, as far as anybody here can know.
+    pub life: u64,
     pub tracer: Tracer,
     /// Where the last list is kept for the next start.
     pub remember: Option<PathBuf>,
@@ -77,6 +82,9 @@
     }
 }
 
+/// Words on their way to one peer: how many wait, and where they are put.
+type Talk = (Arc<AtomicUsize>, may::sync::mpsc::Sender<Vec<u8>>);
+
 #[derive(Clone)]
 struct Shared {
     options: Arc<Options>,
@@ -85,6 +93,7 @@
     clients: Arc<AtomicUsize>,
     accepted: Arc<AtomicU64>,
     closing: Arc<AtomicBool>,
+    talks: Arc<Mutex<BTreeMap<PeerId, Talk>>>,
 }
 
 impl Shared {
@@ -171,6 +180,7 @@
         clients: Arc::default(),
         accepted: Arc::new(AtomicU64::new(ACCEPTED)),
         closing: Arc::default(),
+        talks: Arc::default(),
     };
     if let Some(list) = shared.options.remember.as_deref().and_then(remembered) {
         let _ = to_owner.send(Input::Remembered { list });
@@ -237,9 +247,11 @@
     if let Some(link) = &shared.options.state {
         desk = desk.following(&shared.me.name, link.start.clone());
     }
+    let peers: Vec<PeerId> = shared.options.peers.iter().map(|p| p.0).collect();
+    desk = desk.sharing(clock::now(), &peers, shared.options.life);
     let (mut batch, mut alive) = (Vec::new(), true);
     // A first step, so that the decisions ask for the list without waiting for a client.
-    batch.push(Input::Word { from: PeerId(u32::MAX), bytes: Vec::new() });
+    batch.push(Input::Word { from: PeerId(u32::MAX), waited: Duration::ZERO, bytes: Vec::new() });
     while alive {
         let wait = desk.wake_at().saturating_sub(clock::now());
         if batch.is_empty() && !wait.is_zero() {
@@ -295,13 +307,7 @@
         }
         Output::Tell { to, bytes } => {
             let peers = shared.options.peers.iter().filter(|(p, _)| to.is_none_or(|to| to == *p));
-            for (_, address) in peers {
-                let (shared, address, bytes) = (shared.clone(), *address, bytes.clone());
-                // Words may be lost: a peer that cannot be reached at once hears nothing.
-                go!(move || {
-                    let _ = say(&shared, address, bytes);
-                });
-            }
+            peers.for_each(|(peer, address)| say(shared, *peer, *address, &bytes));
         }
         Output::Remember { bytes } => {
             if let Some(path) = shared.options.remember.clone() {
@@ -404,11 +410,14 @@
             let from = shared.options.settings.hosts.iter().position(|h| h.name == them.name);
             let from = PeerId(from.ok_or(format!("unknown host {}", them.name))? as u32);
             let tracer = shared.options.tracer.clone();
+            let mut delay = Delay::default();
             read_on(&mut stream, &mut reader, bounds.patience, |at, frames| {
                 tracer.read(conn.0, at, &frames);
                 for f in frames {
+                    // What lay in a socket while either side stood still is that much older.
+                    let waited = delay.waited(f.sent_us, at);
                     let Some(Body::Word(w)) = f.body else { return Err("a host sent no word".into()) };
-                    let _ = shared.to_owner.send(Input::Word { from, bytes: w.text.to_vec() });
+                    let _ = shared.to_owner.send(Input::Word { from, waited, bytes: w.text.to_vec() });
                 }
                 Ok(())
             })
@@ -422,18 +431,48 @@
     }
 }
 
-fn say(shared: &Shared, address: SocketAddr, text: Vec<u8>) -> Result<(), String> {
+/// Puts a word to a peer on its way. Words may be lost: one that cannot be written soon is of no use.
+fn say(shared: &Shared, peer: PeerId, address: SocketAddr, word: &[u8]) {
+    let mut talks = shared.talks.lock().unwrap_or_else(|e| e.into_inner());
+    if let Some((waiting, to)) = talks.get(&peer) {
+        if waiting.load(Ordering::Acquire) >= MOST_WORDS {
+            return;
+        }
+        waiting.fetch_add(1, Ordering::AcqRel);
+        if to.send(word.to_vec()).is_ok() {
+            return;
+        }
+    }
+    let (to, words) = may::sync::mpsc::channel();
+    let waiting = Arc::new(AtomicUsize::new(1));
+    let _ = to.send(word.to_vec());
+    talks.insert(peer, (waiting.clone(), to));
+    let shared = shared.clone();
+    go!(move || {
+        if let Err(why) = talk(&shared, address, &waiting, &words) {
+            tracing::debug!(%address, "no more words to this host: {why}");
+        }
+    });
+}
+
+/// One connection for all words to a peer, until there is none for a while, or it cannot be written to.
+fn talk(
+    shared: &Shared, address: SocketAddr, waiting: &AtomicUsize, words: &may::sync::mpsc::Receiver<Vec<u8>>,
+) -> Result<(), String> {
     let timeout = shared.bounds().dial_timeout;
     let mut stream = TcpStream::connect_timeout(&address, timeout).map_err(|e| e.to_string())?;
     let mut reader = frame::Reader::new(shared.bounds().most_frame);
     greet(&mut stream, &mut reader, &shared.me, timeout)?;
-    let word = pb::Frame {
-        sent_us: clock::micros(clock::now()),
-        body: Some(Body::Word(pb::Word { text: text.into() })),
-    };
-    let mut bytes = Vec::new();
-    frame::write(&word, &mut bytes);
-    stream.write_all(&bytes).map_err(|e| e.to_string())
+    stream.set_write_timeout(Some(shared.bounds().patience)).map_err(|e| e.to_string())?;
+    while let Ok(text) = words.recv_timeout(shared.bounds().idle) {
+        waiting.fetch_sub(1, Ordering::AcqRel);
+        let sent_us = clock::micros(clock::now());
+        let body = Some(Body::Word(pb::Word { text: text.into() }));
+        let mut bytes = Vec::new();
+        frame::write(&pb::Frame { sent_us, body }, &mut bytes);
+        stream.write_all(&bytes).map_err(|e| e.to_string())?;
+    }
+    Ok(())
 }
 
 /// Both sides say who they are. A peer of another version is told ours before we hang up.
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use bytes::Bytes;
+use grebecleat::interface::PeerId;
 use grebecleat_host::desk::{ConnId, Desk, Input, Output};
 use grebecleat_host::outbox::Outbox;
 use grebecleat_plans::changes::Asks;
@@ -46,6 +47,8 @@
     /// What it last asked there.
     pub asked: Option<pb::Follow>,
     pub keeps: Vec<(u64, Vec<Keep>)>,
+    /// Words to its peers.
+    pub words: Vec<Vec<u8>>,
 }
 
 pub const CLIENT: ConnId = ConnId(1 << 50);
@@ -57,6 +60,13 @@
         Rig::of(Desk::new(Arc::new(settings), 7))
     }
 
+    /// A desk that has one peer.
+    pub fn sharing(more: &str) -> Self {
+        let settings = Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}"));
+        let desk = Desk::new(Arc::new(settings.expect("good settings")), 7);
+        Rig::of(desk.sharing(ms(100_000), &[PeerId(1)], 1))
+    }
+
     /// A desk that follows a state service, and has kept nothing of it.
     pub fn following(more: &str) -> Self {
         let settings = Settings::read("desk.star".as_ref(), format!("{SETTINGS}{more}"));
@@ -87,6 +97,7 @@
             state: None,
             asked: None,
             keeps: Vec::new(),
+            words: Vec::new(),
         };
         rig.feed(vec![Input::Remembered {
             list: list(&[(1, pb::NodeState::Ready), (2, pb::NodeState::Ready)]),
@@ -110,6 +121,7 @@
                 Output::Ended => self.ended = true,
                 Output::DialState { conn } => self.state = Some(conn),
                 Output::Keep { number, keeps } => self.keeps.push((number, keeps)),
+                Output::Tell { bytes, .. } => self.words.push(bytes),
                 _ => {}
             }
         }
--- a/crates/host/tests/sockets.rs
+++ b/crates/host/tests/sockets.rs
@@ -51,6 +51,7 @@
         list,
         state: None,
         peers: Vec::new(),
+        life: 1,
         tracer: Tracer::default(),
         remember: None,
         seed: 3,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -244,6 +244,7 @@
         hosts: vec![grebecleat_settings::HostSpec { name: name.to_string(), zone: 0, listen: Some(listen) }],
         list: ListSpec { address: Some(discovery), rule: shared::list(p)?, lag: Duration::ZERO, fails: 0.0 },
         state: None,
+        fleet: None,
         units,
         caps: shared::caps(p)?,
         rules,
--- a/crates/settings/src/kinds.rs
+++ b/crates/settings/src/kinds.rs
@@ -1,5 +1,5 @@
-//! Kinds of trouble, by the names that the bench's journal writes, and those of the state service, which the
-//! bench does not know.
+//! Kinds of trouble, by the names that the bench's journal writes, and those of the state service and
+//! between hosts, which the bench does not know.
 
 /// What goes wrong in a rehearsal. Each struck node or host, and the strength, come from the script's seed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,10 +25,14 @@
     /// The state service is killed, and started again; or put back from a snapshot.
     StateCrash,
     StateRestored,
+    /// Hosts are cut off from all other hosts, or do not hear them but are heard; or from nodes.
+    HostCut,
+    HostDeaf,
+    WayCut,
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 19] = [
+    pub const ALL: [(&'static str, Kind); 22] = [
         ("fast_errors", Kind::FastErrors),
         ("answer_lost", Kind::AnswerLost),
         ("mass_restart", Kind::MassRestart),
@@ -48,6 +52,9 @@
         ("feed_late", Kind::FeedLate),
         ("state_crash", Kind::StateCrash),
         ("state_restored", Kind::StateRestored),
+        ("host_cut", Kind::HostCut),
+        ("host_deaf", Kind::HostDeaf),
+        ("way_cut", Kind::WayCut),
     ];
 
     pub fn name(self) -> &'static str {
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -99,6 +99,7 @@
     portal,
     target,
     state_service,
+    fleet,
     rehearsal,
     load_of,
     trouble,
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -99,6 +99,16 @@
     pub snapshot_every: Duration,
 }
 
+/// What hosts tell each other, and for how long they lend.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetSpec {
+    /// Between two rounds of words.
+    pub every: Duration,
+    pub loan: Duration,
+    /// By how much clocks may run apart in that time.
+    pub margin: Duration,
+}
+
 #[derive(Debug, Clone)]
 pub struct Rules {
     pub drain_grace: Duration,
@@ -210,6 +220,8 @@
     pub hosts: Vec<HostSpec>,
     pub list: ListSpec,
     pub state: Option<StateSpec>,
+    /// None: every host decides by itself.
+    pub fleet: Option<FleetSpec>,
     pub units: UnitFacts,
     pub caps: Caps,
     pub rules: Rules,
@@ -333,6 +345,8 @@
         let list = self.once("node_list", list);
         let follows = self.calls.iter().any(|c| c.what == "state_service");
         let state = follows.then(|| self.once("state_service", state));
+        let shares = self.calls.iter().any(|c| c.what == "fleet");
+        let fleet = shares.then(|| self.once("fleet", fleet));
         let units = self.once("units", units);
         let caps = self.once("legs", legs);
         let hosts_n = hosts.len();
@@ -373,6 +387,7 @@
             nodes,
             list,
             state,
+            fleet,
             units,
             caps,
             rules,
@@ -571,6 +586,27 @@
     }
 }
 
+fn fleet(f: &mut Fields) -> FleetSpec {
+    let every = f.span("every", Some(ms(200)), DAY);
+    let loan = f.span("loan", Some(ms(2000)), DAY);
+    let margin = f.span("margin", Some(ms(250)), DAY);
+    if every < ms(20) {
+        f.fault("every", format!("expected at least 20ms, found {every:?}"));
+    }
+    // A loan is asked for anew in its second half, and the answer must have rounds to come in.
+    if loan < every * 4 {
+        f.fault("loan", format!("expected at least four times every, {:?}, found {loan:?}", every * 4));
+    }
+    // Clocks of one machine lose less; of several, well under a hundredth.
+    if margin < loan / 100 {
+        f.fault(
+            "margin",
+            format!("expected at least a hundredth of loan, {:?}, found {margin:?}", loan / 100),
+        );
+    }
+    FleetSpec { every, loan, margin }
+}
+
 fn units(f: &mut Fields) -> UnitFacts {
     UnitFacts {
         mean: f.number("mean", Some(2.0), (0.01, 1e6)),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod disks;
 pub mod draw;
 pub mod initiator;
+pub mod links;
 pub mod list;
 pub mod net;
 pub mod node;
--- a/crates/standin/src/rehearse.rs
+++ b/crates/standin/src/rehearse.rs
@@ -7,6 +7,7 @@
 use crate::clients::{Clients, Progress, Tally};
 use crate::disks::{self, Disks};
 use crate::draw::{of_kinds, strikes, Strike};
+use crate::links::Links;
 use crate::net::hello;
 use crate::relay::Relay;
 use grebecleat_settings::{Kind, Settings};
@@ -24,6 +25,8 @@
 pub const MOST_TRACE: u64 = 512 << 20;
 /// From the first process's start to the script's start.
 const LEAD: Duration = Duration::from_millis(1500);
+/// And for each host beside.
+const START: Duration = Duration::from_millis(40);
 /// A drained host must end within this beyond the longest expiry.
 const END: Duration = Duration::from_secs(10);
 
@@ -88,6 +91,8 @@
     /// Where the state service listens, over its restarts, and what lies between it and each host.
     state: Option<SocketAddr>,
     relays: Vec<Relay>,
+    /// What lies between hosts, where they tell each other something.
+    links: Option<Links>,
     tracer: Tracer,
 }
 
@@ -144,8 +149,14 @@
         if let Some(relay) = self.relays.get(place) {
             args.extend(["--state".into(), relay.address.to_string()]);
         }
+        for (peer, at) in self.links.iter().flat_map(|l| l.addresses().iter().enumerate()) {
+            if peer != place {
+                args.extend(["--peer".into(), format!("{}={at}", self.o.settings.hosts[peer].name)]);
+            }
+        }
         let (child, said) = self.start(name, &args)?;
         let address = said.parse().map_err(io::Error::other)?;
+        self.links.iter().for_each(|l| l.leads_to(place, address));
         self.hosts.lock().unwrap_or_else(|e| e.into_inner())[place] = Some(address);
         Ok(child)
     }
@@ -223,6 +234,34 @@
         }
     }
 
+    /// Cuts hosts off from each other, or makes them deaf.
+    fn play_links(&self, strikes: &[Strike]) {
+        let Some(links) = &self.links else { return };
+        let mut steps: Vec<(Duration, &Strike)> = Vec::new();
+        for s in strikes.iter().filter(|s| matches!(s.kind, Kind::HostCut | Kind::HostDeaf)) {
+            steps.extend([(s.at, s), (s.at + s.len, s)]);
+        }
+        steps.sort_by_key(|s| s.0);
+        for (at, _) in &steps {
+            self.sleep_to(*at);
+            // All that holds now, since cuts overlap.
+            let on = |s: &&Strike| (s.at..s.at + s.len).contains(at);
+            let mut cut = std::collections::BTreeSet::new();
+            for s in strikes.iter().filter(on) {
+                for (a, b) in
+                    s.hosts.iter().flat_map(|a| (0..self.o.settings.hosts.len()).map(move |b| (*a, b)))
+                {
+                    match s.kind {
+                        Kind::HostCut if !s.hosts.contains(&b) => cut.extend([(a, b), (b, a)]),
+                        Kind::HostDeaf if a != b => _ = cut.insert((b, a)),
+                        _ => {}
+                    }
+                }
+            }
+            links.cut(cut);
+        }
+    }
+
     /// Changes plans as the script says; when, what, and what came of it.
     fn play_changes(&self) -> Vec<Played> {
         let mut all: Vec<_> = self.o.settings.rehearsal.iter().flat_map(|r| &r.changes).collect();
@@ -326,8 +365,14 @@
         Some(at) => o.settings.hosts.iter().map(|_| Relay::to(at)).collect::<io::Result<_>>()?,
         None => Vec::new(),
     };
-    let t0 = clock::now() + LEAD;
-    let mut stage = Stage { o: &o, t0, list: nowhere, hosts: hosts.clone(), portals, state, relays, tracer };
+    let links = match &o.settings.fleet {
+        Some(_) => Some(Links::between(o.settings.hosts.iter().map(|h| h.name.clone()).collect())?),
+        None => None,
+    };
+    // Processes start one after another.
+    let t0 = clock::now() + LEAD + START * o.settings.hosts.len() as u32;
+    let mut stage =
+        Stage { o: &o, t0, list: nowhere, hosts: hosts.clone(), portals, state, relays, links, tracer };
     let service = stage.state_service(0)?;
     let mut args = stage.script_args("list-service", "list");
     args.extend(["--listen".into(), "127.0.0.1:0".into()]);
@@ -348,6 +393,7 @@
         let service = scope.spawn(move || stage.play_state(service, strikes));
         let changes = scope.spawn(move || stage.play_changes());
         scope.spawn(move || stage.play_relays(strikes));
+        scope.spawn(move || stage.play_links(strikes));
         let players: Vec<_> = children
             .into_iter()
             .enumerate()
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -51,11 +51,21 @@
     }
 }
 
+/// Whether nothing crosses now between a host and a node.
+fn way_cut(stage: &Stage, strikes: &[Strike], now: Duration, node: u32, host: Option<&String>) -> bool {
+    let place = |name: &String| stage.settings.hosts.iter().position(|h| h.name == *name);
+    let Some(place) = host.and_then(place) else { return false };
+    let on = |s: &&Strike| s.kind == Kind::WayCut && (s.at..s.at + s.len).contains(&now);
+    strikes.iter().filter(on).any(|s| s.nodes.contains(&node) && s.hosts.contains(&place))
+}
+
 struct Seat {
     node: Node,
     address: SocketAddr,
     shut: Arc<AtomicBool>,
     lines: BTreeMap<u64, Line>,
+    /// Who is at the other end.
+    hosts: BTreeMap<u64, String>,
 }
 
 /// Runs nodes until the process ends. `ready` is called once all listen.
@@ -69,7 +79,7 @@
         let me = hello(pb::Role::Node, &format!("node-{}", spec.id), u64::from(spec.id));
         net::listen(listener, spec.id, me, stage.tracer.clone(), shut.clone(), to.clone());
         let node = Node::new(spec.clone(), stage.settings.clone(), stage.seed(), &strikes);
-        seats.insert(spec.id, Seat { node, address, shut, lines: BTreeMap::new() });
+        seats.insert(spec.id, Seat { node, address, shut, lines: BTreeMap::new(), hosts: BTreeMap::new() });
     }
     const LIST: u32 = u32::MAX;
     let me = hello(pb::Role::Node, "nodes", 1);
@@ -89,18 +99,25 @@
                     entries.for_each(|e| line.put(Body::Announce(pb::Announce { entry: Some(e) })));
                     list_line = Some(line);
                 }
-                Heard::Up { at, conn, line, .. } => {
+                Heard::Up { at, conn, line, them } => {
                     let seat = seats.get_mut(&at).expect("its own listener");
+                    seat.hosts.insert(conn, them.name);
                     if seat.node.life == Life::Down {
                         line.hang_up();
                     }
                     seat.lines.insert(conn, line);
                 }
                 Heard::Gone { at, conn } => {
-                    seats.get_mut(&at).into_iter().for_each(|s| _ = s.lines.remove(&conn));
+                    seats.get_mut(&at).into_iter().for_each(|s| {
+                        s.lines.remove(&conn);
+                        s.hosts.remove(&conn);
+                    });
                 }
                 Heard::Frame { at, conn, waited, body } => {
                     let Some(seat) = seats.get_mut(&at) else { continue };
+                    if way_cut(stage, &strikes, now, at, seat.hosts.get(&conn)) {
+                        continue;
+                    }
                     let mut to = Vec::new();
                     match body {
                         Body::Leg(leg) => {
@@ -124,7 +141,11 @@
             deeds.extend(to.into_iter().map(|d| (*id, d)));
         }
         for (id, deed) in deeds {
-            do_it(stage, seats.get_mut(&id).expect("a seat's own deed"), now, deed, &list_line);
+            let seat = seats.get_mut(&id).expect("a seat's own deed");
+            let to = if let Deed::Answer { conn, .. } = &deed { seat.hosts.get(conn) } else { None };
+            if !way_cut(stage, &strikes, now, id, to) {
+                do_it(stage, seat, now, deed, &list_line);
+            }
         }
     }
 }
--- a/crates/wire/build.rs
+++ b/crates/wire/build.rs
@@ -7,6 +7,8 @@
     prost_build::Config::new()
         .bytes(["."])
         .btree_map(["."])
+        // Many times as large as any other frame, and rare.
+        .boxed(".grebecleat.wire.v1.Frame.body.figures")
         .compile_fds(files)
         .expect("the messages become Rust");
 }
