--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,8 +1,9 @@
 //! What one running host knows of the fleet, as it tells whoever watches it.
 
 use crate::Stop;
+use grebecleat_standin::net::hello;
 use grebecleat_wire::pb::{self, frame::Body};
-use grebecleat_wire::{clock, frame, VERSION};
+use grebecleat_wire::{clock, frame};
 use std::fmt::Write as _;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -15,13 +16,7 @@
 fn figures(at: SocketAddr) -> io::Result<pb::Figures> {
     let mut stream = TcpStream::connect_timeout(&at, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
-    let me = pb::Hello {
-        version: VERSION,
-        role: pb::Role::Operator.into(),
-        name: "fleet".into(),
-        incarnation: u64::from(std::process::id()),
-        most_frame: MOST_FRAME as u32,
-    };
+    let me = hello(pb::Role::Operator, "fleet", u64::from(std::process::id()));
     let mut bytes = Vec::new();
     let sent_us = clock::micros(clock::now());
     frame::write(&pb::Frame { sent_us, body: Some(Body::Hello(me)) }, &mut bytes);
