Paths that end things: nothing read is dropped, nothing given up crosses, old lists are heard

Lines at fault, and what stands there now:

The reader now reads under the gate's lock, and `leave` closes only a connection of which nothing is read and unheard, and nothing waits in the socket.
Now idle connections close first, the listener when nobody has stirred for 100 ms and nobody waits in its queue, the process when nobody is owed anything.
Closing begins no sooner than 450 ms after SIGTERM, since new connections come for 400.
- desk.rs `unsend`: a leg of which a part was written was told as crossed when its client left, its transfer ended or its node was drained; run.rs `flush` wrote its rest whenever the node read again, even after the connection was given up.
It now takes its connection with it, and a closed outbox of a node is not written to any more.
- run.rs `flush`: a leg was written to a connection that its node had already ended, or that had bytes waiting of which one more answer would be read as the leg's.
It is looked at first; the leg goes to another connection, once, and the node is not blamed. desk.rs `serve`: a connection rests 10 ms after an answer, since a second one may come some milliseconds late.
- config.rs: names with spaces and commas were rewritten before they were compared with what clients send, and a field's name with a space in it ended the start.
A file of another host's name is not taken at SIGHUP.
- run.rs `advance`: a client that left while it waited to be accepted had its transfer sent on; the id of one that left was free while its leg was out.

Ruled out by reading: dials that come up after their node, time or transfer is gone (the desk closes what it does not know); key turns of withdrawn transfers (kept until the leg has ended); second SIGTERM; SIGHUP after SIGTERM.

--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -18,6 +18,11 @@
         Ok(Pairs(pairs))
     }
 
+    /// Paths and values as they are, with whatever signs are in them.
+    pub fn of(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
+        Pairs(pairs.into_iter().collect())
+    }
+
     pub fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
         match self.0.get(path).copied() {
             None | Some("" | "-") => Ok(None),
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -48,6 +48,10 @@
 const LINES_A_PEER: u32 = 3;
 /// Ends of loans that are looked at one by one after a stand-still.
 const LAPSES: usize = 256;
+/// An answer's connection, where it carries one exchange at a time, rests so long before the next leg: an
+/// answer that came twice is some milliseconds late, and would be taken for that leg's. Harm: where all
+/// connections to a node have just answered, a leg waits, or one more is dialled.
+const QUIET: Duration = Duration::from_millis(10);
 /// Bytes of figures that a watcher may leave unread.
 const MOST_UNREAD: usize = 4 << 20;
 
@@ -210,6 +214,8 @@
     conn: Option<ConnId>,
     sent: Duration,
     until: Duration,
+    /// Its connection had ended before it was given to it, and it has been given to another.
+    moved: bool,
 }
 
 #[derive(Debug)]
@@ -225,6 +231,7 @@
     outbox: Option<Arc<Outbox>>,
     legs: BTreeSet<LegNo>,
     idle_since: Duration,
+    rests_until: Duration,
     /// Its node takes nothing more on it.
     leaving: bool,
 }
@@ -271,6 +278,8 @@
     pools: BTreeMap<NodeId, NodePool>,
     /// Nodes whose pool may want something.
     touched: BTreeSet<NodeId>,
+    /// When connections that rest may be used, where a leg waits for them.
+    rests: BTreeSet<(Duration, NodeId)>,
     listing: Listing,
     /// Nodes that somebody wants empty, whatever the list says.
     drained: BTreeSet<NodeId>,
@@ -287,6 +296,9 @@
     longest: Duration,
     list_changed: bool,
     list: ListLink,
+    /// The list's connection from before it moved, which is heard until the new one has answered: what it
+    /// tells counts as told, and the new one may be long in coming.
+    former: Option<(ConnId, Arc<Outbox>)>,
     probes: HashMap<u64, (NodeId, ConnId)>,
     timers: BTreeSet<(Duration, u64)>,
     events: Vec<Event>,
@@ -356,9 +368,11 @@
             conns: BTreeMap::new(),
             pools: BTreeMap::new(),
             touched: BTreeSet::new(),
+            rests: BTreeSet::new(),
             listing: Listing::default(),
             list_changed: false,
             list: ListLink::default(),
+            former: None,
             probes: HashMap::new(),
             timers: BTreeSet::new(),
             events: Vec::new(),
@@ -431,6 +445,11 @@
         self.counts
     }
 
+    /// Whether anything of a transfer is open or out.
+    pub fn holds(&self, id: &[u8]) -> bool {
+        xfer_id(id).is_some_and(|id| self.xfers.contains_key(&id))
+    }
+
     /// Transfers open, legs out and bytes held now.
     pub fn held(&self) -> (usize, usize, usize) {
         (self.xfers.len(), self.legs.len(), self.held_bytes)
@@ -454,7 +473,8 @@
         let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
         let figures = (!self.watchers.is_empty()).then_some(self.figures_at);
         let words = self.sharing.as_ref().map(Sharing::wake_at);
-        let wake = [timer, leg, self.plans.wake_at(), figures, words]
+        let rest = self.rests.first().map(|r| r.0);
+        let wake = [timer, leg, rest, self.plans.wake_at(), figures, words]
             .into_iter()
             .flatten()
             .fold(beat, Duration::min);
@@ -470,6 +490,10 @@
         self.tend_plans();
         self.tend_sharing();
         self.times_up();
+        while let Some(&(at, node)) = self.rests.first().filter(|r| r.0 <= self.now) {
+            self.rests.remove(&(at, node));
+            self.serve(node);
+        }
         // However many timers a pause has let come due, the decisions are called once.
         let mut rung = None;
         while let Some(&(at, tag)) = self.timers.first().filter(|t| t.0 <= self.now) {
@@ -533,19 +557,33 @@
                 self.ask_list();
             }
             Input::ListFrames { conn, frames } => {
+                let (mine, former) = (self.list.conn == Some(conn), self.is_former(conn));
                 for f in frames {
                     match f.body {
-                        Some(Body::List(l)) if self.list.conn == Some(conn) => self.listed(l),
+                        Some(Body::List(l)) if mine || former => {
+                            if mine {
+                                self.list.answer_by = None;
+                                self.former.take().into_iter().for_each(|(_, o)| o.close());
+                            }
+                            self.listed(l);
+                        }
                         _ => self.complain(conn, "list sent something that is no list"),
                     }
                 }
             }
             Input::ListGone { conn } if self.list.conn == Some(conn) => self.list_lost("connection lost"),
+            Input::ListGone { conn } if self.is_former(conn) => self.former = None,
             Input::ListGone { .. } => {}
             // Not a failure: the decisions keep what they have, and the new one is dialled at once.
             Input::ListMoved => {
-                self.list.outbox.take().into_iter().for_each(|o| o.close());
-                self.list = ListLink::default();
+                let before = std::mem::take(&mut self.list);
+                match before.conn.zip(before.outbox) {
+                    Some(link) if self.former.is_none() => self.former = Some(link),
+                    // It has moved again before it was heard there.
+                    other => other.into_iter().for_each(|(_, o)| o.close()),
+                }
+                // How often another list has failed says nothing of this one: no changes, but an answer.
+                self.events.push(Event::List { kind: ListKind::Changes, entries: Vec::new() });
                 self.list.wanted.push(Body::Watch(pb::Watch { on: true }));
                 self.ask_list();
             }
@@ -907,7 +945,7 @@
         let number = x.legs;
         x.legs += 1;
         x.out.push(leg);
-        self.legs.insert(leg, LegOut { id, number, node, conn: None, sent: now, until });
+        self.legs.insert(leg, LegOut { id, number, node, conn: None, sent: now, until, moved: false });
         *self.out_at.entry(node).or_default() += 1;
         if x.over {
             return self.end_leg(leg, LegEnd::Moot, now, None);
@@ -935,9 +973,14 @@
         while let Some(leg) = pool.waiting.front().copied() {
             let up = pool.conns.iter().filter_map(|c| Some((c, self.conns.get(c)?)));
             let open = up.filter(|(_, c)| c.outbox.is_some() && !c.leaving && c.legs.len() < per);
+            let (rested, rest): (Vec<_>, Vec<_>) = open.partition(|(_, c)| c.rests_until <= self.now);
             // Of idle ones the last used: the others grow old enough to be closed.
-            let emptiest = open.min_by_key(|(_, c)| (c.legs.len(), Reverse(c.idle_since)));
-            let Some(conn) = emptiest.map(|(id, _)| *id) else { return };
+            let emptiest = rested.into_iter().min_by_key(|(_, c)| (c.legs.len(), Reverse(c.idle_since)));
+            let Some(conn) = emptiest.map(|(id, _)| *id) else {
+                let soonest = rest.into_iter().map(|(_, c)| c.rests_until).min();
+                self.rests.extend(soonest.map(|at| (at, node)));
+                return;
+            };
             pool.waiting.pop_front();
             let l = self.legs.get_mut(&leg).expect("waiting legs are known");
             l.conn = Some(conn);
@@ -970,11 +1013,17 @@
         }
     }
 
-    /// Takes a leg back if it has not crossed; whether it now never will.
+    /// Takes a leg back if it has not crossed; whether it now never will. One that is written in part takes
+    /// its connection with it, or its node would have the rest whenever it reads again.
     fn unsend(&mut self, leg: LegNo) -> bool {
         let Some(l) = self.legs.get(&leg) else { return false };
         let unsent = match l.conn.and_then(|c| self.conns.get(&c)).and_then(|c| c.outbox.as_ref()) {
-            Some(outbox) => outbox.revoke(leg),
+            Some(outbox) if outbox.revoke(leg) => true,
+            Some(outbox) if self.one_at_a_time && outbox.is_writing() => {
+                outbox.close();
+                true
+            }
+            Some(_) => false,
             None => true,
         };
         self.counts.unsent += u64::from(unsent);
@@ -994,6 +1043,9 @@
             Some(c) => {
                 c.legs.remove(&leg);
                 c.idle_since = self.now;
+                if self.one_at_a_time && answer.is_some() {
+                    c.rests_until = self.now + QUIET;
+                }
             }
             None => {
                 let pool = self.pools.get_mut(&l.node);
@@ -1042,9 +1094,10 @@
             busy: told.busy,
         });
         self.settle(id);
-        if self.one_at_a_time && matches!(end, LegEnd::TimeOut | LegEnd::Cancelled) {
-            l.conn.into_iter().for_each(|conn| self.node_conn_gone(conn));
-        }
+        let given_up = matches!(end, LegEnd::TimeOut | LegEnd::Cancelled);
+        let cut = |c: &NodeConn| given_up || c.outbox.as_ref().is_some_and(|o| o.is_closed());
+        let cut = l.conn.filter(|c| self.one_at_a_time && self.conns.get(c).is_some_and(cut));
+        cut.into_iter().for_each(|conn| self.node_conn_gone(conn));
         self.serve(node);
     }
 
@@ -1130,6 +1183,10 @@
             }
         }
         for leg in c.legs {
+            if self.one_at_a_time && c.outbox.as_ref().is_some_and(|o| o.is_held(leg)) && self.elsewhere(leg)
+            {
+                continue;
+            }
             let partly = |o: &Arc<Outbox>| self.one_at_a_time && o.is_writing();
             let unsent = c.outbox.as_ref().is_none_or(|o| o.revoke(leg) || partly(o));
             self.counts.unsent += u64::from(unsent);
@@ -1143,7 +1200,19 @@
         {
             self.events.push(Event::Probed { node: probe, end: LegEnd::Reset });
         }
-        self.touched.insert(node);
+        self.serve(node);
+    }
+
+    /// A leg that was given to a connection whose end we had yet to hear goes to another one, once: an end
+    /// under a connection that stood idle says nothing of its node.
+    fn elsewhere(&mut self, leg: LegNo) -> bool {
+        let Some(l) = self.legs.get_mut(&leg).filter(|l| !l.moved && l.until > self.now) else {
+            return false;
+        };
+        (l.moved, l.conn) = (true, None);
+        let node = l.node;
+        self.pools.get_mut(&node).into_iter().for_each(|p| p.waiting.push_front(leg));
+        true
     }
 
     /// Brings the connections of touched nodes towards what their pools want.
@@ -1153,7 +1222,11 @@
             let conns = || pool.conns.iter().filter_map(|c| self.conns.get(c));
             let up = conns().filter(|c| c.outbox.is_some()).count();
             let legs = conns().map(|c| c.legs.len()).sum::<usize>() + pool.waiting.len();
-            let present = Present { up, dialling: pool.conns.len() - up, legs, waiting: pool.waiting.len() };
+            let dialling = pool.conns.len() - up;
+            // Those that rest are of no use yet; but a leg alone waits for one of them.
+            let rest = conns().filter(|c| c.legs.is_empty() && c.rests_until > self.now).count();
+            let up = (up - rest).max(usize::from(up > 0));
+            let present = Present { up, dialling, legs, waiting: pool.waiting.len() };
             let address = self.listing.nodes.get(&node).and_then(|k| k.address);
             let waiting: Vec<LegNo> = pool.waiting.iter().copied().collect();
             match (pool.pool.wanted(self.now, present), address) {
@@ -1177,8 +1250,14 @@
 
     fn dial(&mut self, node: NodeId, address: SocketAddr) {
         let conn = ConnId(self.number());
-        let new =
-            NodeConn { node, outbox: None, legs: BTreeSet::new(), idle_since: self.now, leaving: false };
+        let new = NodeConn {
+            node,
+            outbox: None,
+            legs: BTreeSet::new(),
+            idle_since: self.now,
+            rests_until: Duration::ZERO,
+            leaving: false,
+        };
         self.conns.insert(conn, new);
         self.pools.get_mut(&node).into_iter().for_each(|p| p.conns.push(conn));
         self.out.push(Output::Dial { conn, node, address });
@@ -1249,8 +1328,11 @@
         self.events.push(Event::List { kind: ListKind::NotHad, entries: Vec::new() });
     }
 
+    fn is_former(&self, conn: ConnId) -> bool {
+        self.former.as_ref().is_some_and(|(c, _)| *c == conn)
+    }
+
     fn listed(&mut self, l: pb::List) {
-        self.list.answer_by = None;
         match l.kind() {
             pb::ListKind::Changes => self.entries(ListKind::Changes, &l.entries, l.revision),
             pb::ListKind::Whole => self.entries(ListKind::Whole, &l.entries, l.revision),
@@ -1282,6 +1364,10 @@
             if renewed {
                 self.pools.get_mut(&e.node).into_iter().for_each(|p| p.pool.renew());
             }
+            // What is open leads to a process that is no more.
+            if renewed || e.state == NodeState::Gone {
+                self.close_idle(e.node, self.now);
+            }
         }
         self.events.push(Event::List { kind, entries: read });
         left.into_iter().for_each(|node| self.take_back(node));
--- a/crates/host/src/outbox.rs
+++ b/crates/host/src/outbox.rs
@@ -103,6 +103,11 @@
         taken.is_some()
     }
 
+    /// A leg that has not gone to the socket.
+    pub fn is_held(&self, leg: LegNo) -> bool {
+        self.lock().legs.contains_key(&leg)
+    }
+
     /// The legs put before `before`, or whose time is up.
     pub fn stale(&self, before: Duration, now: Duration) -> Vec<LegNo> {
         let inner = self.lock();
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -37,6 +37,19 @@
     Fault { status: 400, what }
 }
 
+/// Whether a part of a path, as it stands or percent-encoded, is a name of the settings.
+fn is_in_path(name: &str, part: &str) -> bool {
+    name == part || percent_encoding::percent_decode_str(part).eq(name.bytes())
+}
+
+/// Whether a header's value is a name of the settings: what goes round a value is not kept there, and letters
+/// beyond ASCII are written in one way by some clients and in another by others.
+fn is_in_header(name: &str, value: &[u8]) -> bool {
+    let name = name.trim();
+    name.as_bytes() == value
+        || name.chars().all(|c| c <= '\u{ff}') && name.chars().map(|c| c as u8).eq(value.iter().copied())
+}
+
 /// Digits alone, so that no sign or space passes.
 fn whole(text: &str) -> Option<u64> {
     (!text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_digit()))
@@ -96,7 +109,7 @@
         let absent = Fault { status: 404, what: "a path that is not known here" };
         let mut parts = path.strip_prefix('/').ok_or(absent)?.split('/');
         let (first, last) = (parts.next().ok_or(absent)?, parts.next_back().ok_or(absent)?);
-        let stream_type = self.kinds.iter().position(|k| k.name == first).ok_or(absent)?;
+        let stream_type = self.kinds.iter().position(|k| is_in_path(&k.name, first)).ok_or(absent)?;
         let kind = &self.kinds[stream_type];
         let key = hex16(last).ok_or(bad("a path that does not end in 16 hex digits"))?;
         let write = r.method == "PUT";
@@ -106,7 +119,8 @@
         let h = &r.headers;
         let id = h.one("x-txn")?.filter(|id| !id.is_empty() && id.len() <= MOST_ID);
         let id = id.ok_or(bad("no X-Txn"))?;
-        let plan = h.one("x-qos-policy")?.and_then(|p| self.plans.iter().position(|known| known == p));
+        let plan = h.one_raw("x-qos-policy")?;
+        let plan = plan.and_then(|told| self.plans.iter().position(|known| is_in_header(known, told)));
         let plan = plan.ok_or(bad("X-Qos-Policy names no plan"))?;
         let left = h.one("x-remaining-ms")?.and_then(whole);
         let left = left.ok_or(bad("X-Remaining-Ms is no span"))?;
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -33,6 +33,10 @@
 /// Of the memory, what bodies of open transfers may hold.
 const BYTES_PART: usize = 8;
 
+/// Whatever the settings say of asking, what a silent list keeps back counts as told after this: watches and
+/// waits after failed calls are reckoned from no more.
+const SILENCE: Duration = ms(6000);
+
 /// How the file's descriptors are shared out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Descriptors {
@@ -76,9 +80,10 @@
 }
 
 /// An object's values by their paths, as the bench writes them.
-fn flatten(path: &str, value: &Value, to: &mut Vec<String>) {
+fn flatten(path: &str, value: &Value, to: &mut Vec<(String, String)>) {
     let plain = |v: &Value| match v {
-        Value::String(s) => s.replace([' ', ','], "_"),
+        // As it stands: a name is compared with what clients send.
+        Value::String(s) => s.clone(),
         Value::Null => "-".into(),
         v => v.to_string(),
     };
@@ -86,14 +91,14 @@
     match value {
         Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&under(name), v, to)),
         Value::Array(items) if items.iter().any(Value::is_object) => {
-            to.push(format!("{}={}", under("count"), items.len()));
+            to.push((under("count"), items.len().to_string()));
             items.iter().enumerate().for_each(|(n, v)| flatten(&under(&n.to_string()), v, to));
         }
         Value::Array(items) => {
             let all: Vec<String> = items.iter().map(plain).collect();
-            to.push(format!("{path}={}", all.join(",")));
+            to.push((path.to_string(), all.join(",")));
         }
-        v => to.push(format!("{path}={}", plain(v))),
+        v => to.push((path.to_string(), plain(v))),
     }
 }
 
@@ -164,9 +169,8 @@
             Some(Value::Object(_)) => flatten("", &doc.root["settings"], &mut pairs),
             _ => return Err(doc.fault("settings", "missing; expected an object")),
         }
-        let pairs = pairs.join(" ");
         let at = |what: String| doc.fault("settings", &what);
-        let p = Pairs::read(&pairs).map_err(at)?;
+        let p = Pairs::of(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
         let descriptors = Descriptors::of(sockets);
         let (kinds, settings) = settings(&name, listen, discovery, &p, memory, descriptors).map_err(at)?;
         let settings = Arc::new(settings);
@@ -242,7 +246,7 @@
         volumes: Vec::new(),
         nodes: Vec::new(),
         hosts: vec![grebecleat_settings::HostSpec { name: name.to_string(), zone: 0, listen: Some(listen) }],
-        list: ListSpec { address: Some(discovery), rule: shared::list(p)?, lag: Duration::ZERO, fails: 0.0 },
+        list: ListSpec { address: Some(discovery), rule: list_rule(p)?, lag: Duration::ZERO, fails: 0.0 },
         state: None,
         fleet: None,
         units,
@@ -256,6 +260,12 @@
     Ok((kinds, settings))
 }
 
+fn list_rule(p: &Pairs) -> Result<ListRule, String> {
+    let told = shared::list(p)?;
+    let ask_every = if told.ask_every.is_zero() { SILENCE } else { told.ask_every.min(SILENCE) };
+    Ok(ListRule { ask_every, ..told })
+}
+
 fn named(p: &Pairs, what: &str, n: usize) -> Result<String, String> {
     match p.word(&format!("{what}.{n}.name")) {
         "" => Err(format!("{what}.{n}.name: missing")),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -48,13 +48,18 @@
 
     /// The value of a header that stands once.
     pub fn one(&self, name: &'static str) -> Result<Option<&'b str>, Fault> {
+        let text = |v| std::str::from_utf8(v).map_err(|_| fault(400, "a header that is no text"));
+        self.one_raw(name)?.map(text).transpose()
+    }
+
+    /// The same, whatever it is written in.
+    pub fn one_raw(&self, name: &'static str) -> Result<Option<&'b [u8]>, Fault> {
         let mut all = self.all(name);
         let first = all.next();
-        if all.next().is_some() {
-            return Err(fault(400, "a header that must stand once stands twice"));
+        match all.next() {
+            None => Ok(first),
+            Some(_) => Err(fault(400, "a header that must stand once stands twice")),
         }
-        let text = |v| std::str::from_utf8(v).map_err(|_| fault(400, "a header that is no text"));
-        first.map(text).transpose()
     }
 
     fn has_token(&self, name: &'static str, token: &str) -> bool {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -23,17 +23,18 @@
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::{self, frame::Body};
 use may::go;
+use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::io::{self, Read};
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd, RawFd};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tracing::{info, warn};
 
@@ -77,6 +78,13 @@
 const KILLED: (Duration, Duration) = (ms(3000), ms(700));
 const LAST_TAKEN: Duration = ms(450);
 const LAST_ANSWER: Duration = ms(200);
+/// New connections come for 0.4 s after SIGTERM: with short expiries it takes until past that all the same.
+const NEW_ONES: Duration = ms(450);
+/// A client whose exchange crossed the close of its idle connection comes again within this; only then is
+/// the listener shut.
+const COMES_AGAIN: Duration = ms(100);
+/// What was accepted before the listener was shut has been heard of by then.
+const LAST_HEARD: Duration = ms(20);
 /// The least and the most that a call to the list may wait there, and what it may take beyond. A watch that
 /// falls silent is found by that alone, and what it kept back counts as told soon after. Harm: more calls,
 /// mostly empty.
@@ -119,32 +127,118 @@
     Signal(i32),
 }
 
-/// Between a connection's reader and the owner: how far ahead the reader is.
+/// Between a connection's reader and the owner: how far ahead the reader is. The reader takes bytes off the
+/// socket under this lock alone, so that the owner can close a connection of which it knows that nothing was
+/// read and not heard: what is still in the socket then crosses the close, as the platform allows, and what
+/// has been read is answered.
 struct Gate {
-    ahead: AtomicUsize,
-    closed: AtomicBool,
+    inner: Mutex<Reading>,
     bell: Semphore,
 }
 
+#[derive(Default)]
+struct Reading {
+    ahead: usize,
+    closed: bool,
+}
+
+enum Got {
+    Bytes(Vec<u8>),
+    /// Not now.
+    Nothing,
+    End,
+}
+
+/// What lies in a socket.
+#[derive(Debug, PartialEq)]
+enum Unread {
+    Nothing,
+    Bytes,
+    /// Its peer has ended it, or it has failed.
+    End,
+}
+
+fn unread(fd: RawFd) -> Unread {
+    let mut one = 0u8;
+    // SAFETY: the pointer is of one live byte; the caller owns the number.
+    let n = unsafe { libc::recv(fd, (&raw mut one).cast(), 1, libc::MSG_PEEK | libc::MSG_DONTWAIT) };
+    match n {
+        1.. => Unread::Bytes,
+        0 => Unread::End,
+        _ if io::Error::last_os_error().kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+        _ => Unread::End,
+    }
+}
+
 impl Gate {
     fn new() -> Arc<Self> {
-        Arc::new(Gate { ahead: AtomicUsize::new(0), closed: AtomicBool::new(false), bell: Semphore::new(0) })
+        Arc::new(Gate { inner: Mutex::default(), bell: Semphore::new(0) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Reading> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn read(&self, fd: RawFd, buffer: &mut [u8; ONE_READ]) -> Got {
+        let mut inner = self.lock();
+        if inner.closed {
+            return Got::End;
+        }
+        // SAFETY: the pointer and the length are of one live slice; the caller owns the number.
+        let n = unsafe { libc::recv(fd, buffer.as_mut_ptr().cast(), ONE_READ, libc::MSG_DONTWAIT) };
+        match usize::try_from(n) {
+            Ok(0) => Got::End,
+            Ok(n) => {
+                let mut bytes = buffer[..n].to_vec();
+                if n == ONE_READ {
+                    // Where much comes, many small notes would cost more than reading it.
+                    read_more(fd, &mut bytes);
+                }
+                inner.ahead += bytes.len();
+                Got::Bytes(bytes)
+            }
+            Err(_) => match io::Error::last_os_error().kind() {
+                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Got::Nothing,
+                _ => Got::End,
+            },
+        }
     }
 
     fn consumed(&self, n: usize) {
-        let before = self.ahead.fetch_sub(n, Ordering::AcqRel);
-        if before > MOST_AHEAD && before - n <= MOST_AHEAD {
+        let mut inner = self.lock();
+        let before = inner.ahead;
+        inner.ahead -= n;
+        if before > MOST_AHEAD && inner.ahead <= MOST_AHEAD {
+            drop(inner);
             self.bell.post();
         }
     }
 
+    /// Nothing has been read that the owner has not heard, and nothing waits in the socket: its end included.
+    fn is_quiet(&self, fd: RawFd) -> bool {
+        self.lock().ahead == 0 && unread(fd) == Unread::Nothing
+    }
+
     fn close(&self) {
-        self.closed.store(true, Ordering::Release);
+        self.lock().closed = true;
         self.bell.post();
     }
 
+    /// Closes it unless something of its peer's would be lost by that; whether it did.
+    fn close_unless_asked(&self, fd: RawFd) -> bool {
+        let mut inner = self.lock();
+        inner.closed |= inner.ahead == 0 && unread(fd) != Unread::Bytes;
+        if inner.closed {
+            drop(inner);
+            self.bell.post();
+            return true;
+        }
+        false
+    }
+
     fn wait_for_owner(&self) {
-        while self.ahead.load(Ordering::Acquire) > MOST_AHEAD && !self.closed.load(Ordering::Acquire) {
+        let must = |inner: MutexGuard<Reading>| inner.ahead > MOST_AHEAD && !inner.closed;
+        while must(self.lock()) {
             self.bell.wait();
         }
     }
@@ -158,21 +252,20 @@
     ended: AtomicBool,
 }
 
-fn read_on(mut stream: TcpStream, conn: ConnId, gate: &Gate, to_owner: &Sender<Note>) {
+fn read_on(stream: TcpStream, conn: ConnId, gate: &Gate, to_owner: &Sender<Note>) {
     let mut buffer = [0; ONE_READ];
-    while let Ok(n @ 1..) = stream.read(&mut buffer) {
-        gate.ahead.fetch_add(n, Ordering::AcqRel);
-        let mut bytes = buffer[..n].to_vec();
-        if n == ONE_READ {
-            // Where much comes, many small notes would cost more than reading it.
-            read_more(stream.as_raw_fd(), &mut bytes);
-            gate.ahead.fetch_add(bytes.len() - n, Ordering::AcqRel);
-        }
-        let read = Note::Read { conn, at: clock::now(), bytes };
-        if to_owner.send(read).is_err() {
-            break;
+    loop {
+        match gate.read(stream.as_raw_fd(), &mut buffer) {
+            Got::Nothing => _ = stream.wait_io(),
+            Got::End => break,
+            Got::Bytes(bytes) => {
+                let read = Note::Read { conn, at: clock::now(), bytes };
+                if to_owner.send(read).is_err() {
+                    break;
+                }
+                gate.wait_for_owner();
+            }
         }
-        gate.wait_for_owner();
     }
     let _ = to_owner.send(Note::Ended { conn, stream });
 }
@@ -224,10 +317,18 @@
     }
 }
 
+#[derive(Debug)]
+struct Asked {
+    /// The client's own.
+    id: String,
+    xfer: Bytes,
+    /// Whether the connection stays.
+    keep: bool,
+}
+
 #[derive(Debug)]
 struct Client {
-    /// The client's own id of its open exchange, and whether the connection stays.
-    open: Option<(String, bool)>,
+    open: Option<Asked>,
     spoke: bool,
     /// When what is begun began, or when it fell idle.
     since: Duration,
@@ -301,6 +402,8 @@
     blocked: BTreeSet<ConnId>,
     /// Transfers open, by the clients' own ids.
     ids: HashMap<String, ConnId>,
+    /// Of those, the ones whose client is gone or answered while a leg of them is out. The bound is the legs'.
+    left: Vec<(String, Bytes)>,
     taken: u64,
     discovery: SocketAddr,
     room: Arc<Room>,
@@ -311,6 +414,9 @@
     known: bool,
     sweep_at: Duration,
     draining: Option<Duration>,
+    /// When a client last came or said something, and when the listener was shut.
+    stirred: Duration,
+    shut: Option<Duration>,
     lines: (Duration, u32),
     teller: Teller,
     account_at: Duration,
@@ -372,6 +478,7 @@
             rung: Arc::default(),
             blocked: BTreeSet::new(),
             ids: HashMap::new(),
+            left: Vec::new(),
             taken: 0,
             discovery: config.discovery,
             room,
@@ -382,6 +489,8 @@
             known: false,
             sweep_at: now,
             draining: None,
+            stirred: now,
+            shut: None,
             lines: (now, 0),
             teller: Teller::default(),
             account_at: now,
@@ -473,6 +582,7 @@
         match note {
             Note::Accepted { conn, fd, gate } => {
                 let now = clock::now();
+                self.stirred = now;
                 let client = Client { open: None, spoke: false, since: now, discard: None };
                 let outbox = self.add(conn, Role::Client(client), fd, gate, now);
                 self.inputs.push(Input::ClientUp { conn, outbox });
@@ -527,8 +637,8 @@
     /// Lets go of a connection; its reader ends, and with it the descriptor.
     fn close(&mut self, conn: ConnId) {
         let Some(c) = self.conns.remove(&conn) else { return };
-        if let Role::Client(Client { open: Some((id, _)), .. }) = &c.role {
-            self.ids.remove(id);
+        if let Role::Client(Client { open: Some(Asked { id, xfer, .. }), .. }) = c.role {
+            forget(&mut self.ids, &mut self.left, &self.desk, id, xfer);
         }
         self.blocked.remove(&conn);
         // SAFETY: the number is its own until `Note::Ended` has brought the stream.
@@ -548,9 +658,20 @@
         self.close(conn);
     }
 
+    /// Ends a client's connection that only waits, unless the client has said something that is not heard yet:
+    /// closed now, its transfer would be lost. Then nothing is done, and the next look finds it.
+    fn leave(&mut self, conn: ConnId) {
+        if self.conns.get(&conn).is_some_and(|c| c.gate.close_unless_asked(c.fd)) {
+            self.lost(conn);
+        }
+    }
+
     fn read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
         c.gate.consumed(bytes.len());
+        if matches!(c.role, Role::Client(_)) {
+            self.stirred = at;
+        }
         match &mut c.role {
             Role::Client(Client { discard: Some((_, left)), .. }) => {
                 *left = left.saturating_sub(bytes.len());
@@ -619,6 +740,10 @@
                     self.flush(conn);
                 }
                 Wish::Take { id, mut take } => {
+                    // Who has waited for his turn to be accepted may be gone for long.
+                    if client.since <= c.opened && unread(c.fd) == Unread::End {
+                        return self.lost(conn);
+                    }
                     if self.ids.contains_key(&id) {
                         return self.turn_down(conn, Fault { status: 409, what: "an id that is open" });
                     }
@@ -629,7 +754,7 @@
                         take.left_us = take.left_us.min(clock::micros(left));
                     }
                     take.id = Bytes::from(format!("{:036x}", self.taken));
-                    client.open = Some((id.clone(), keep));
+                    client.open = Some(Asked { id: id.clone(), xfer: take.id.clone(), keep });
                     self.ids.insert(id, conn);
                     let frames = vec![frame(Body::Take(*take), at)];
                     self.inputs.push(Input::ClientFrames { conn, at, frames });
@@ -673,8 +798,11 @@
         // A few at a time: each costs a look at all.
         let few = 1 + self.room.most / 16;
         for ((kind, _), conn) in all.into_iter().take(few) {
-            if kind < most {
-                self.lost(conn);
+            match kind {
+                // An error was its last answer.
+                0 => self.lost(conn),
+                kind if kind < most => self.leave(conn),
+                _ => {}
             }
         }
     }
@@ -695,7 +823,7 @@
         let over = asked.saturating_sub(self.config.descriptors.kept);
         if over > 0 && self.draining.is_none() {
             idle.sort_unstable();
-            idle.into_iter().take(over).for_each(|(_, conn)| self.lost(conn));
+            idle.into_iter().take(over).for_each(|(_, conn)| self.leave(conn));
         }
     }
 
@@ -838,7 +966,10 @@
         c.inward = Vec::new();
         match told {
             Ok(read) => {
-                calls.revision = Some(read.revision);
+                // Versions only grow; one that does not is of a service that has lost its own, and what has
+                // changed since is nobody's to tell: the next call is for the whole list.
+                let back = calls.revision.is_some_and(|had| read.revision < had);
+                calls.revision = Some(read.revision).filter(|_| !back);
                 self.listed = true;
                 let frames = vec![frame(Body::List(read.list), clock::now())];
                 self.inputs.push(Input::ListFrames { conn, frames });
@@ -880,6 +1011,10 @@
     fn reload(&mut self) {
         let Some(file) = &self.file else { return };
         match Config::load(file) {
+            Ok(new) if new.name != self.config.name => {
+                let named = format!("configuration not taken: it is {}'s, the last good one stays", new.name);
+                self.say(&named);
+            }
             Ok(new) => {
                 if new.discovery != self.discovery {
                     self.discovery = new.discovery;
@@ -916,6 +1051,11 @@
     fn flush(&mut self, conn: ConnId) {
         loop {
             let Some(c) = self.conns.get_mut(&conn) else { return };
+            let client = matches!(c.role, Role::Client(_));
+            if !client && c.outbox.is_closed() {
+                // What is left of a leg that was given up must not cross any more.
+                return self.close(conn);
+            }
             while c.written < c.outward.len() {
                 let rest = &c.outward[c.written..];
                 let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
@@ -942,6 +1082,13 @@
                 }
             }
             c.outbox.wrote();
+            // Its node has ended it, or says more than it was asked for: a leg written now would be reset, or
+            // be taken to have that answer. It is still ours, and goes elsewhere.
+            if let (Role::Node(Doing::Nothing), false) = (&c.role, c.outbox.is_flushed()) {
+                if !c.gate.is_quiet(c.fd) {
+                    return self.lost(conn);
+                }
+            }
             let pulled = c.outbox.pull(clock::now, ONE_WRITE);
             if pulled.frames.is_empty() {
                 if pulled.closed {
@@ -962,14 +1109,15 @@
         let Some(c) = self.conns.get_mut(&conn) else { return };
         match (&mut c.role, body) {
             (Role::Client(client), Body::Final(told)) => {
-                let Some((id, keep)) = client.open.take() else { return };
-                let keep = keep && !ending;
+                let Some(Asked { id, xfer, keep }) = client.open.take() else { return };
+                // What it sent behind this one has been read, and is answered too.
+                let keep = keep && (!ending || !c.inward.is_empty());
                 let now = clock::now();
                 client.since = now;
                 if !keep {
                     client.discard = Some((now + DISCARD.0, DISCARD.1));
                 }
-                self.ids.remove(&id);
+                forget(&mut self.ids, &mut self.left, &self.desk, id, xfer);
                 put_final(&mut c.outward, &told, keep);
                 if keep && !c.inward.is_empty() {
                     // What waited behind it; the answer goes first, since it stands in the buffer.
@@ -1013,30 +1161,55 @@
     /// Whether answers now end their connections. Until then a host that was told to end serves on: its
     /// clients would find nobody else there before the next start.
     fn closing(&self) -> bool {
-        self.killed_at().is_some_and(|at| clock::now() + LAST_TAKEN >= at)
+        let at = self.killed_at().zip(self.draining);
+        at.is_some_and(|(killed, told)| {
+            clock::now() >= killed.saturating_sub(LAST_TAKEN).max(told + NEW_ONES)
+        })
+    }
+
+    /// Whether a client is still owed something: an answer, or a look at what it has said.
+    fn owes(&self, c: &Conn, now: Duration) -> bool {
+        let Role::Client(client) = &c.role else { return false };
+        if client.discard.is_some() {
+            return c.written < c.outward.len();
+        }
+        let begun = client.open.is_some() || c.written < c.outward.len() || !c.inward.is_empty();
+        begun || !client.spoke && now < c.opened + YOUNG || !c.gate.is_quiet(c.fd)
+    }
+
+    /// No more is taken once everybody who might still come has had the time, and nobody is in the
+    /// listener's queue: whoever is there would be reset with what he has sent.
+    fn shut_listener(&mut self, now: Duration) {
+        let late = self.killed_at().is_some_and(|at| now + LAST_ANSWER >= at);
+        if self.shut.is_some() || !late && (now < self.stirred + COMES_AGAIN || waits(self.listener)) {
+            return;
+        }
+        self.shut = Some(now);
+        self.room.ended.store(true, Ordering::Release);
+        // SAFETY: the listener lives in its coroutine until it sees this.
+        unsafe { libc::shutdown(self.listener, libc::SHUT_RDWR) };
+        self.room.bell.post();
     }
 
     fn sweep(&mut self) {
         let now = clock::now();
         self.sweep_at = now + SWEEP;
         let closing = self.closing();
-        if closing && !self.room.ended.swap(true, Ordering::AcqRel) {
-            // SAFETY: the listener lives in its coroutine until it sees this.
-            unsafe { libc::shutdown(self.listener, libc::SHUT_RDWR) };
-            self.room.bell.post();
-        }
-        let (mut lost, mut slow, mut spoilt) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut lost, mut idle) = (Vec::new(), Vec::new());
+        let (mut slow, mut spoilt) = (Vec::new(), Vec::new());
         for (id, c) in &self.conns {
             match end_of(c) {
                 End::Hang(at) if now >= at => lost.push(*id),
+                End::Silent(at) if now >= at || closing && now >= c.opened + YOUNG => idle.push(*id),
                 // A host that was told to end keeps what it has: its clients get no other connection here.
-                End::Idle(at) if closing || now >= at && self.draining.is_none() => lost.push(*id),
+                End::Idle(at) if closing || now >= at && self.draining.is_none() => idle.push(*id),
                 End::Complain(at) if now >= at => slow.push(*id),
                 End::Spoilt(at) if now >= at => spoilt.push(*id),
                 _ => {}
             }
         }
         lost.into_iter().for_each(|conn| self.lost(conn));
+        idle.into_iter().for_each(|conn| self.leave(conn));
         self.keep_few();
         spoilt.into_iter().for_each(|conn| self.spoilt(conn));
         let late = Fault { status: 408, what: "the rest did not come" };
@@ -1045,6 +1218,16 @@
             self.make_room();
             self.room.bell.post();
         }
+        if closing {
+            self.shut_listener(now);
+        }
+        self.left.retain(|(id, xfer)| {
+            let out = self.desk.holds(xfer);
+            if !out {
+                self.ids.remove(id);
+            }
+            out
+        });
         if now >= self.account_at {
             self.account_at = now + ACCOUNT;
             self.tell_account();
@@ -1060,18 +1243,25 @@
     }
 
     fn has_ended(&self) -> bool {
-        let busy = |c: &Conn| match &c.role {
-            Role::Client(client) => client.open.is_some() || c.written < c.outward.len(),
-            _ => false,
-        };
-        self.closing() && self.inputs.is_empty() && !self.conns.values().any(busy)
+        let now = clock::now();
+        let heard = self.shut.is_some_and(|at| now >= at + LAST_HEARD);
+        heard && self.inputs.is_empty() && !self.conns.values().any(|c| self.owes(c, now))
     }
 }
 
+/// Whether somebody is in a listener's queue.
+fn waits(listener: RawFd) -> bool {
+    let mut polled = libc::pollfd { fd: listener, events: libc::POLLIN, revents: 0 };
+    // SAFETY: the pointer is of one live value.
+    unsafe { libc::poll(&raw mut polled, 1, 0) > 0 }
+}
+
 /// When a connection that only waits has waited long enough.
 enum End {
     Never,
     Hang(Duration),
+    /// It has never said anything.
+    Silent(Duration),
     Idle(Duration),
     Complain(Duration),
     Spoilt(Duration),
@@ -1083,7 +1273,7 @@
         Role::Client(Client { open: Some(_), .. }) | Role::Node(_) => End::Never,
         Role::Client(client) if c.written < c.outward.len() => End::Hang(client.since + READING),
         Role::Client(Client { discard: Some((until, _)), .. }) => End::Hang(*until),
-        Role::Client(Client { spoke: false, .. }) => End::Hang(c.opened + FIRST_WORDS),
+        Role::Client(Client { spoke: false, .. }) => End::Silent(c.opened + FIRST_WORDS),
         Role::Client(client) if c.inward.is_empty() => End::Idle(client.since + IDLE),
         // Until a first exchange has ended, its time counts from the caller's coming.
         Role::Client(client) if client.since <= c.opened => End::Complain(c.opened + FIRST_WORDS),
@@ -1092,6 +1282,18 @@
     }
 }
 
+/// A client's id is free once nothing of its transfer is out: until then a node could meet the id of a leg
+/// that it has, and take it for a second copy.
+fn forget(
+    ids: &mut HashMap<String, ConnId>, left: &mut Vec<(String, Bytes)>, desk: &Desk, id: String, xfer: Bytes,
+) {
+    if desk.holds(&xfer) {
+        left.push((id, xfer));
+    } else {
+        ids.remove(&id);
+    }
+}
+
 fn probed(probe: u64, status: u16) -> Body {
     let result = if status == 200 { pb::Result::Ok } else { pb::Result::Error };
     Body::Probed(pb::Probed { probe, result: result.into() })
