--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -37,17 +37,24 @@
     Fault { status: 400, what }
 }
 
-/// Whether a part of a path, as it stands or percent-encoded, is a name of the settings.
-fn is_in_path(name: &str, part: &str) -> bool {
-    name == part || percent_encoding::percent_decode_str(part).eq(name.bytes())
+/// The place of the name that was told among the settings'. Settings may have been through the simulator's
+/// wire, where spaces and commas are rewritten: that counts only where no name is told as it stands.
+fn place<'n>(names: impl Iterator<Item = &'n str> + Clone, told: &[String]) -> Option<usize> {
+    let is = |name: &str| told.iter().any(|t| t == name.trim());
+    let rewritten = |name: &str| told.iter().any(|t| t.replace([' ', ','], "_") == name);
+    names.clone().position(is).or_else(|| names.clone().position(rewritten))
 }
 
-/// Whether a header's value is a name of the settings: what goes round a value is not kept there, and letters
-/// beyond ASCII are written in one way by some clients and in another by others.
-fn is_in_header(name: &str, value: &[u8]) -> bool {
-    let name = name.trim();
-    name.as_bytes() == value
-        || name.chars().all(|c| c <= '\u{ff}') && name.chars().map(|c| c as u8).eq(value.iter().copied())
+/// A part of a path, as it stands and percent-decoded.
+fn in_path(part: &str) -> Vec<String> {
+    let decoded = percent_encoding::percent_decode_str(part).decode_utf8();
+    [part.to_string()].into_iter().chain(decoded.map(|d| d.into_owned())).collect()
+}
+
+/// A header's value: some clients write letters beyond ASCII in one way, and some in another.
+fn in_header(value: &[u8]) -> Vec<String> {
+    let latin = value.iter().map(|b| char::from(*b)).collect();
+    String::from_utf8(value.to_vec()).into_iter().chain([latin]).collect()
 }
 
 /// Digits alone, so that no sign or space passes.
@@ -109,7 +116,8 @@
         let absent = Fault { status: 404, what: "a path that is not known here" };
         let mut parts = path.strip_prefix('/').ok_or(absent)?.split('/');
         let (first, last) = (parts.next().ok_or(absent)?, parts.next_back().ok_or(absent)?);
-        let stream_type = self.kinds.iter().position(|k| is_in_path(&k.name, first)).ok_or(absent)?;
+        let stream_type = place(self.kinds.iter().map(|k| k.name.as_str()), &in_path(first));
+        let stream_type = stream_type.ok_or(absent)?;
         let kind = &self.kinds[stream_type];
         let key = hex16(last).ok_or(bad("a path that does not end in 16 hex digits"))?;
         let write = r.method == "PUT";
@@ -120,7 +128,7 @@
         let id = h.one("x-txn")?.filter(|id| !id.is_empty() && id.len() <= MOST_ID);
         let id = id.ok_or(bad("no X-Txn"))?;
         let plan = h.one_raw("x-qos-policy")?;
-        let plan = plan.and_then(|told| self.plans.iter().position(|known| is_in_header(known, told)));
+        let plan = plan.and_then(|told| place(self.plans.iter().map(String::as_str), &in_header(told)));
         let plan = plan.ok_or(bad("X-Qos-Policy names no plan"))?;
         let left = h.one("x-remaining-ms")?.and_then(whole);
         let left = left.ok_or(bad("X-Remaining-Ms is no span"))?;
@@ -214,6 +222,38 @@
         assert!(matches!(read(&new), Ok(Wish::Take { take, .. }) if take.cell.is_none()));
     }
 
+    #[test]
+    fn names_are_the_settings_own_whatever_signs_are_in_them() {
+        let kind = |name: &str| Kind { name: name.into(), keyed: false, write: None };
+        let names = ["map read", "a,b", "gr\u{f6}\u{df}e", "a=b", "plain", "over_wire_"];
+        let w = Words {
+            kinds: names.iter().map(|n| kind(n)).collect(),
+            plans: names.iter().map(|n| n.to_string()).collect(),
+            largest: 6.0,
+        };
+        let cases: [(&str, &[u8], usize); 9] = [
+            ("map%20read", b"map read", 0),
+            ("a,b", b"a,b", 1),
+            ("a%2Cb", b"  a,b ", 1),
+            ("gr%C3%B6%C3%9Fe", "gr\u{f6}\u{df}e".as_bytes(), 2),
+            ("gr\u{f6}\u{df}e", b"gr\xf6\xdfe", 2),
+            ("a=b", b"a=b", 3),
+            ("a%3db", b"a=b", 3),
+            ("plain", b"plain", 4),
+            ("over%20wire,", b"over wire,", 5),
+        ];
+        for (path, plan, place) in cases {
+            let (before, after) = GOOD.split_once("gold").unwrap();
+            let before = before.replace("/row/", &format!("/{path}/"));
+            let whole = [before.as_bytes(), plan, after.as_bytes()].concat();
+            let Ok(Wish::Take { take: t, .. }) = w.read(&http::request(&whole).unwrap().unwrap().0) else {
+                panic!("{path}")
+            };
+            assert_eq!((t.stream_type as usize, t.plan), (place, Some(place as u32)), "{path}");
+            assert!(t.piece.starts_with(format!("PUT /{path}/").as_bytes()), "it passes on unchanged");
+        }
+    }
+
     #[test]
     fn what_makes_no_sense_is_a_clients_fault() {
         let cases = [
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -316,6 +316,37 @@
         assert_eq!((c.kinds[1].keyed, c.kinds[1].write, c.kinds[0].write), (true, Some(true), Some(false)));
     }
 
+    #[test]
+    fn names_and_fields_of_any_kind_are_taken_as_they_stand() {
+        let mut v = whole();
+        v["settings"]["profiles"][0]["name"] = json!("map read, a=b");
+        v["settings"]["plans"][0]["name"] = json!("gr\u{f6}\u{df}e L");
+        v["settings"]["a field, with = signs"] = json!({"and more": [1, {"b c": "d e"}], "none": null});
+        v["settings"]["profiles"][1]["idempotency"] = json!("some new word");
+        v["settings"]["profiles"][1].as_object_mut().unwrap().remove("key-scope");
+        let c = read(&v).unwrap();
+        assert_eq!(
+            (c.kinds[0].name.as_str(), c.settings.plans[0].name.as_str()),
+            ("map read, a=b", "gr\u{f6}\u{df}e L")
+        );
+        assert_eq!(
+            c.settings.streams[1].facts.repeat,
+            Repeat::Unrepeatable,
+            "what is not known is not repeated"
+        );
+    }
+
+    #[test]
+    fn waits_for_the_list_stay_within_what_counts_as_told() {
+        for (told, kept) in
+            [(json!(9000), ms(6000)), (json!(2500), ms(2500)), (json!(0), ms(6000)), (json!(null), ms(6000))]
+        {
+            let mut v = whole();
+            v["settings"]["rules"]["ask-every-ms"] = told;
+            assert_eq!(read(&v).unwrap().settings.list.rule.ask_every, kept);
+        }
+    }
+
     #[test]
     fn a_fault_names_the_file_and_the_path() {
         let cases: [(&str, Value, &str); 9] = [
