Dials to a process that is no more, a watch asked for twice, answers lost to a reset at the end

- desk.rs `entries`: a dial that was under way when the list told of another process at that node was used for it; it is forgotten, and closed when it comes up.
- desk.rs `ask_list`: the decisions' retry after a failure came behind the list's move, asked for a second watch, and its two seconds of patience ended the watch that stood (2 s of waiting by itself).
One that stands is not asked for again.
- run.rs `owes`: the process does not end while an answered client's connection has something unread, which would turn the close into a reset that can take the answer along.
Each of the first two has its test in crates/host/tests/ends.rs, shown to fail with the fix out; the third is by reading alone.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -1285,6 +1285,17 @@
         }
     }
 
+    /// What a dial to a process that is no more still brings up is closed: it is nobody's.
+    fn forget_dials(&mut self, node: NodeId) {
+        let Some(pool) = self.pools.get_mut(&node) else { return };
+        let (dials, up) =
+            pool.conns.iter().partition(|c| self.conns.get(c).is_some_and(|c| c.outbox.is_none()));
+        pool.conns = up;
+        let dials: Vec<ConnId> = dials;
+        dials.into_iter().for_each(|conn| _ = self.conns.remove(&conn));
+        self.touched.insert(node);
+    }
+
     fn probe(&mut self, node: NodeId) {
         let conns = self.pools.get(&node).map(|p| p.conns.clone()).unwrap_or_default();
         let probe = self.number();
@@ -1312,7 +1323,10 @@
         };
         for body in self.list.wanted.drain(..) {
             if let Body::Watch(w) = &body {
-                self.list.watching = w.on;
+                // One that stands needs no second: its answer may be longer in coming than that of a call.
+                if std::mem::replace(&mut self.list.watching, w.on) && w.on {
+                    continue;
+                }
             }
             outbox.put(frame(body));
             self.list.answer_by = Some(self.now + self.settings.bounds.patience);
@@ -1363,6 +1377,7 @@
             }
             if renewed {
                 self.pools.get_mut(&e.node).into_iter().for_each(|p| p.pool.renew());
+                self.forget_dials(e.node);
             }
             // What is open leads to a process that is no more.
             if renewed || e.state == NodeState::Gone {
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -64,7 +64,7 @@
 
     /// A desk whose connections to nodes carry one leg at a time, and end with one that is given up.
     pub fn one_at_a_time(more: &str) -> Self {
-        let one = "bounds(legs_per_connection = 1, linger = s(10), dial_timeout = s(10))";
+        let one = "bounds(legs_per_connection = 1, linger = s(10), dial_timeout = s(10), patience = s(2))";
         let settings = Settings::read("desk.star".as_ref(), format!("{SETTINGS}{one}\n{more}"));
         Rig::of(Desk::new(Arc::new(settings.expect("good settings")), 7).one_at_a_time())
     }
--- a/crates/host/tests/ends.rs
+++ b/crates/host/tests/ends.rs
@@ -164,6 +164,50 @@
     }
 }
 
+/// A dial is up after its transfer, its node or the process it was meant for is gone: no leg goes there.
+#[test]
+fn a_dial_that_is_up_late_carries_nothing_to_what_it_was_not_meant_for() {
+    type Case = (&'static str, fn(&mut Rig), bool);
+    let renewed = |r: &mut Rig| {
+        let mut told = list(&[(1, Ready), (2, Ready)]);
+        told.entries[0].start = 2;
+        r.feed(vec![Input::Remembered { list: told }]);
+    };
+    let cases: [Case; 4] = [
+        ("its transfer is over", |r| r.withdraw(1), false),
+        ("its node drains", |r| r.listed(&[(1, Draining), (2, Ready)]), false),
+        ("its node is gone", |r| r.listed(&[(2, Ready)]), false),
+        ("another process is there", renewed, true),
+    ];
+    for (what, end, closed) in cases {
+        let mut r = Rig::one_at_a_time("");
+        r.take(1, 1);
+        let late = r.dialled[0].0;
+        end(&mut r);
+        if closed {
+            r.wait(ms(500)); // a node that came back is sent to after a while
+            r.take(2, 1);
+            assert_eq!(r.dialled.len(), 2, "{what}: another dial");
+        }
+        let outbox = r.outbox(late);
+        r.feed(vec![Input::NodeUp { conn: late, outbox }]);
+        assert_eq!((r.legs(late).len(), r.boxes[&late].is_closed()), (0, closed), "{what}");
+    }
+}
+
+#[test]
+fn a_watch_that_stands_is_not_asked_for_again() {
+    let mut r = Rig::one_at_a_time("");
+    let conn = r.list_up();
+    r.feed(vec![Input::ListGone { conn }]);
+    // The decisions will ask again; the list moves first, and is asked at once.
+    r.feed(vec![Input::ListMoved]);
+    let conn = r.list_up();
+    r.list_tells(conn, Whole, &[(1, Ready), (2, Ready)]);
+    r.wait(ms(2900));
+    assert!(!r.boxes[&conn].is_closed(), "it stands: whoever carries it knows how long a call may take");
+}
+
 /// A client's id must not be free while its leg is out: its transfer is held until then.
 #[test]
 fn a_transfer_whose_client_left_is_held_until_its_leg_has_ended() {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1163,7 +1163,8 @@
     fn owes(&self, c: &Conn, now: Duration) -> bool {
         let Role::Client(client) = &c.role else { return false };
         if client.discard.is_some() {
-            return c.written < c.outward.len();
+            // Ended with something unread, its connection would be reset, and the answer with it.
+            return c.written < c.outward.len() || unread(c.fd) == Unread::Bytes;
         }
         let begun = client.open.is_some() || c.written < c.outward.len() || !c.inward.is_empty();
         begun || !client.spoke && now < c.opened + YOUNG || !c.gate.is_quiet(c.fd)
