--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1338,7 +1338,7 @@
                 gate.consumed(5);
             }
             if ends {
-                drop(client);
+                client.shutdown(std::net::Shutdown::Both).unwrap();
             }
             let idle = says == hears;
             assert_eq!(gate.is_quiet(fd), idle && !ends);
