No answer to half a leg; a repeat crosses while the leg before it is remembered

- run.rs `node_answers`: an answer on a connection whose leg had not been written whole was taken for that leg's (200 and all); it was made for another.
Only a node's no is believed then; anything else ends the connection, and the leg never ran.
The same for what cannot be read (`spoilt`).
Test with a node that takes little: an_answer_to_a_leg_that_has_not_come_whole.
- control.rs `measure` reckoned when a leg was sent from the time it took, off which the host takes its own stand-stills: a keyed leg could be repeated after its node had forgotten it, by as long as the host had stood still.
It is now the moment it went.
Test in tests/rules.rs.
- config.rs: a repeat may wait up to the dial's time (at least 250 ms) after it was decided, and then crossed after the span within which nodes throw away repeats.
That wait and two looks are taken off the span.

--- a/crates/cli/tests/ends.rs
+++ b/crates/cli/tests/ends.rs
@@ -37,6 +37,25 @@
     (node, list, live)
 }
 
+/// A host with one node that takes little until it reads.
+fn one_narrow() -> (TcpListener, Discovery, Live) {
+    let node = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    node.set_recv_buffer_size(4096).unwrap();
+    node.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    node.listen(8).unwrap();
+    let node: TcpListener = node.into();
+    let list = discovery(json!([target_at("s-1", node.local_addr().unwrap(), 0, "ready")]));
+    let live = Live::start(&list, 256);
+    (node, list, live)
+}
+
+/// An unrepeatable transfer of more than such a node takes.
+fn large(id: &str) -> String {
+    let small = request("once", id, 0, 7, 2900);
+    let head = small.replace("Content-Length: 2", "Content-Length: 60000");
+    head.replace("\r\n\r\nhi", "\r\n\r\n") + &"x".repeat(60_000)
+}
+
 fn id_of(text: &str) -> &str {
     text.split("X-Txn: ").nth(1).unwrap().split("\r\n").next().unwrap()
 }
@@ -46,17 +65,9 @@
 /// The node takes so little that a part of the leg stays with the host.
 #[test]
 fn a_leg_written_in_part_never_comes_whole_after_its_client_left() {
-    let node = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    node.set_recv_buffer_size(4096).unwrap();
-    node.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    node.listen(8).unwrap();
-    let node: TcpListener = node.into();
-    let list = discovery(json!([target_at("s-1", node.local_addr().unwrap(), 0, "ready")]));
-    let live = Live::start(&list, 256);
+    let (node, _list, live) = one_narrow();
     let mut client = live.connect();
-    let small = request("once", "t", 0, 7, 2900);
-    let large = small.replace("Content-Length: 2", "Content-Length: 60000").replace("\r\n\r\nhi", "\r\n\r\n");
-    send(&mut client, &format!("{large}{}", "x".repeat(60_000)));
+    send(&mut client, &large("t"));
     let (mut came, _) = node.accept().unwrap();
     assert_eq!(came.peek(&mut [0; 1]).unwrap(), 1);
     leaves(client);
@@ -69,6 +80,38 @@
     assert_eq!(live.ask(&request("once", "u", 5, 7, 2900)), Some(503), "it is of use still");
 }
 
+/// A leg that has not come whole has not run: whatever is said on its connection was made for another, and it
+/// goes to the node anew.
+#[test]
+fn an_answer_to_a_leg_that_has_not_come_whole_is_not_its_answer() {
+    for (said, status) in [("200 OK", 200), ("500 No", 200), ("503 No\r\nX-Turned-Away: 1", 200)] {
+        let (node, _list, live) = one_narrow();
+        let mut client = live.connect();
+        send(&mut client, &large("t"));
+        let (mut first, _) = node.accept().unwrap();
+        assert_eq!(first.peek(&mut [0; 1]).unwrap(), 1);
+        send(&mut first, &format!("HTTP/1.1 {said}\r\nContent-Length: 5\r\n\r\nearly"));
+        // It goes anew, on another connection; or its client has that for an answer.
+        client.set_nonblocking(true).unwrap();
+        node.set_nonblocking(true).unwrap();
+        let mut second = loop {
+            match node.accept() {
+                Ok((second, _)) => break second,
+                Err(_) => assert!(client.peek(&mut [0; 1]).is_err(), "{said}: it was answered"),
+            }
+            std::thread::yield_now();
+        };
+        client.set_nonblocking(false).unwrap();
+        second.set_nonblocking(false).unwrap();
+        let mut had = Vec::new();
+        let text = rig::next_exchange(&mut second, &mut had).expect("it comes whole");
+        assert_eq!(id_of(&text), "t");
+        send(&mut second, GOOD);
+        let (told, _, body) = answer(&mut client).unwrap();
+        assert_eq!((told, &body[..]), (status, &b"good"[..]), "{said}");
+    }
+}
+
 /// They wait in the listener's queue while the host stands still, and have left when it looks.
 #[test]
 fn who_left_before_being_accepted_is_not_sent_on() {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -33,6 +33,10 @@
 /// Of the memory, what bodies of open transfers may hold.
 const BYTES_PART: usize = 8;
 
+/// How long a leg may wait here before it is taken back.
+const LINGER: Duration = ms(250);
+/// Two looks at what waits, every 25 ms.
+const CROSSING_MARGIN: Duration = ms(50);
 /// Whatever the settings say of asking, what a silent list keeps back counts as told after this: watches and
 /// waits after failed calls are reckoned from no more.
 const SILENCE: Duration = ms(6000);
@@ -190,7 +194,15 @@
     }
     let writes: Vec<&str> = p.word("family-info.writes").split(',').collect();
     let (mut kinds, mut streams) = (Vec::new(), Vec::new());
-    for (n, facts) in facts.into_iter().enumerate() {
+    let dial_timeout = p.time("caps.dial-timeout-ms")?;
+    let dial_timeout = if dial_timeout.is_zero() { ms(250) } else { dial_timeout };
+    // A leg that follows one that may have run must have crossed while that one is remembered, and it may wait
+    // for its connection after it was decided.
+    let crossing = dial_timeout.max(LINGER) + CROSSING_MARGIN;
+    for (n, mut facts) in facts.into_iter().enumerate() {
+        if let Repeat::Keyed { remembered, .. } = &mut facts.repeat {
+            *remembered = remembered.saturating_sub(crossing);
+        }
         let name = named(p, "profiles", n)?;
         let expiry = p.time(&format!("profiles.{n}.deadline-ms"))?;
         if expiry.is_zero() {
@@ -216,7 +228,6 @@
     };
     let idle = p.time("caps.conn-idle-ms")?;
     let idle = if idle.is_zero() { Duration::from_secs(10) } else { idle };
-    let dial_timeout = p.time("caps.dial-timeout-ms")?;
     let rules = Rules {
         drain_grace: p.time("rules.drain-grace-ms")?,
         cold: shared::cold(p)?,
@@ -233,9 +244,9 @@
         legs_per_connection: 1,
         connections_per_node: descriptors.nodes,
         node_connections: descriptors.nodes,
-        dial_timeout: if dial_timeout.is_zero() { ms(250) } else { dial_timeout },
+        dial_timeout,
         idle: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
-        linger: ms(250),
+        linger: LINGER,
         patience: ms(2000),
     };
     let settings = Settings {
@@ -336,6 +347,16 @@
         );
     }
 
+    #[test]
+    fn what_follows_a_leg_that_may_have_run_has_crossed_while_that_is_remembered() {
+        for (dial, left) in [(json!(100), 1200), (json!(null), 1200), (json!(700), 750), (json!(2000), 0)] {
+            let mut v = whole();
+            v["settings"]["caps"]["dial-timeout-ms"] = dial;
+            let repeat = read(&v).unwrap().settings.streams[1].facts.repeat;
+            assert_eq!(repeat, Repeat::Keyed { group: RepeatGroup::Cell, remembered: ms(left) });
+        }
+    }
+
     #[test]
     fn waits_for_the_list_stay_within_what_counts_as_told() {
         for (told, kept) in
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -834,6 +834,12 @@
             }
             (Ok(Some((r, used))), doing) => {
                 let partly = c.written < c.outward.len();
+                // What answers a leg that has not come whole is made for another, but for a node's no.
+                let no =
+                    matches!(doing, Doing::Leg(leg) if nodes::answer(*leg, &r).result() == pb::Result::Full);
+                if partly && !no {
+                    return self.lost(conn);
+                }
                 let leaving = !r.keep || used < c.inward.len() || partly;
                 let body = match doing {
                     Doing::Probe(probe) => probed(*probe, r.status),
@@ -867,7 +873,11 @@
 
     /// An answer that will never be whole: what it was for has run, and the connection is of no further use.
     fn spoilt(&mut self, conn: ConnId) {
-        let Some(Conn { role: Role::Node(doing), .. }) = self.conns.get(&conn) else { return };
+        let Some(c) = self.conns.get(&conn) else { return };
+        let Role::Node(doing) = &c.role else { return };
+        if c.written < c.outward.len() {
+            return self.lost(conn); // it has not come whole, so it has not run
+        }
         let body = match *doing {
             Doing::Leg(leg) => Body::LegAnswer(nodes::spoilt(leg)),
             Doing::Probe(probe) => probed(probe, 502),
--- a/src/control.rs
+++ b/src/control.rs
@@ -268,7 +268,7 @@
         let v = self.bk.volumes.get_mut(&x.x.volume).expect("made when taken");
         let base = self.plans[v.plan.0].base_rate;
         v.reported = told.map(|percent| (percent / 100.0 * base, now)).or(v.reported);
-        nd.leg_over(&x.x);
+        let sent = nd.leg_over(&x.x).unwrap_or(now.saturating_sub(elapsed));
         self.bk.stirred.insert(node);
         // A limit counts what crosses, when it crosses. What was never sent gives its units back; what found
         // no connection draws them again when it goes, or units drawn long before would add to a full
@@ -280,7 +280,7 @@
         }
         let never_ran = matches!(end, LegEnd::Full | LegEnd::NoConnection | LegEnd::Moot);
         if !never_ran && end != LegEnd::Done && x.ran.is_none() {
-            x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent: now.saturating_sub(elapsed) });
+            x.ran = Some(Ran { zone: nd.zone, cell: nd.cell, sent });
         }
         // What fails fast looks idle and would draw all that may go anywhere. Some bad answers in a row keep
         // new objects away; dead ports and full queues also shut the node's ease, while errors may spare
--- a/src/state.rs
+++ b/src/state.rs
@@ -179,11 +179,12 @@
         self.sent = now;
     }
 
-    pub fn leg_over(&mut self, x: &Transfer) {
-        if self.legs.remove(&x.id).is_some() {
-            self.out -= x.units;
-            self.flows.entry(x.volume).or_default().out -= x.units;
-        }
+    /// When the leg went, if it was out.
+    pub fn leg_over(&mut self, x: &Transfer) -> Option<Duration> {
+        let sent = self.legs.remove(&x.id)?;
+        self.out -= x.units;
+        self.flows.entry(x.volume).or_default().out -= x.units;
+        Some(sent)
     }
 
     /// Moves the ease at so much a second for the time since it last moved, of which an answer speaks for
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,6 +35,21 @@
     assert!(answers > 40, "{answers} of 60 answered by us; the node answered none");
 }
 
+/// A host that stood still takes that off a leg's time, which says nothing of when it was sent.
+#[test]
+fn what_was_sent_long_ago_is_not_remembered_however_little_time_the_leg_is_held_to_have_taken() {
+    for (took, again) in [(100, true), (1600, false)] {
+        let mut c = host(vec![stream(KEYED)], vec![plan(1.0)], None);
+        let (sent, ..) = at(&mut c, 1010, vec![Event::Taken(xfer(1, ms(9000)))]);
+        assert_eq!(sent.len(), 1);
+        let (mut sent, ..) = at(&mut c, 1010 + took, vec![over(1, 1, LegEnd::Error, ms(20), false)]);
+        for t in (1020 + took..1100 + took).step_by(10) {
+            sent.extend(at(&mut c, t, vec![Event::Timer { tag: TimerTag(1) }]).0);
+        }
+        assert_eq!(sent.len(), usize::from(again), "after {took} ms of 1500");
+    }
+}
+
 #[test]
 fn repeats_follow_the_kind_of_stream_type() {
     let ran = Some(Ran { zone: ZoneId(0), cell: CellId(1), sent: ms(1000) });
