A read that a signal interrupted is done again before waiting

run.rs Gate::read took it for nothing there, and what had come would have waited for the next word. By reading; a read that does not wait is not known to be interrupted.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -196,7 +196,12 @@
                 Got::Bytes(bytes)
             }
             Err(_) => match io::Error::last_os_error().kind() {
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Got::Nothing,
+                io::ErrorKind::WouldBlock => Got::Nothing,
+                // To wait now would be to wait for what has been told already.
+                io::ErrorKind::Interrupted => {
+                    drop(inner);
+                    self.read(fd, buffer)
+                }
                 _ => Got::End,
             },
         }
