Rereading: an answer is made once, names are looked up letter by letter first, ids are a set

run.rs node_answers made each answer twice, its body copied each time, to tell a node's no in a case that is rare; clients.rs built up to four texts for each transfer before it compared names. Behaviour stays; the tests of both pass unchanged.

--- a/crates/host/tests/ends.rs
+++ b/crates/host/tests/ends.rs
@@ -1,5 +1,5 @@
-//! Legs, connections and lists that end while something is still owed: where a connection carries one leg at a
-//! time, and where the list moves.
+//! Legs, connections and lists that end while something is still owed: where a connection carries one leg at
+//! a time, and where the list moves.
 
 mod common;
 use common::*;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -38,11 +38,17 @@
 }
 
 /// The place of the name that was told among the settings'. Settings may have been through the simulator's
-/// wire, where spaces and commas are rewritten: that counts only where no name is told as it stands.
-fn place<'n>(names: impl Iterator<Item = &'n str> + Clone, told: &[String]) -> Option<usize> {
-    let is = |name: &str| told.iter().any(|t| t == name.trim());
-    let rewritten = |name: &str| told.iter().any(|t| t.replace([' ', ','], "_") == name);
-    names.clone().position(is).or_else(|| names.clone().position(rewritten))
+/// wire, where spaces and commas are rewritten: that counts only where no name is told as it stands. The
+/// other ways to read it are looked at only where it is none of the names letter by letter.
+fn place<'n>(
+    names: impl Iterator<Item = &'n str> + Clone, plain: &[u8], read: impl FnOnce() -> Vec<String>,
+) -> Option<usize> {
+    names.clone().position(|name| name.as_bytes() == plain).or_else(|| {
+        let told = read();
+        let is = |name: &str| told.iter().any(|t| t == name.trim());
+        let rewritten = |name: &str| told.iter().any(|t| t.replace([' ', ','], "_") == name);
+        names.clone().position(is).or_else(|| names.clone().position(rewritten))
+    })
 }
 
 /// A part of a path, as it stands and percent-decoded.
@@ -116,7 +122,8 @@
         let absent = Fault { status: 404, what: "a path that is not known here" };
         let mut parts = path.strip_prefix('/').ok_or(absent)?.split('/');
         let (first, last) = (parts.next().ok_or(absent)?, parts.next_back().ok_or(absent)?);
-        let stream_type = place(self.kinds.iter().map(|k| k.name.as_str()), &in_path(first));
+        let kinds = self.kinds.iter().map(|k| k.name.as_str());
+        let stream_type = place(kinds, first.as_bytes(), || in_path(first));
         let stream_type = stream_type.ok_or(absent)?;
         let kind = &self.kinds[stream_type];
         let key = hex16(last).ok_or(bad("a path that does not end in 16 hex digits"))?;
@@ -128,7 +135,8 @@
         let id = h.one("x-txn")?.filter(|id| !id.is_empty() && id.len() <= MOST_ID);
         let id = id.ok_or(bad("no X-Txn"))?;
         let plan = h.one_raw("x-qos-policy")?;
-        let plan = plan.and_then(|told| place(self.plans.iter().map(String::as_str), &in_header(told)));
+        let plans = self.plans.iter().map(String::as_str);
+        let plan = plan.and_then(|told| place(plans, told, || in_header(told)));
         let plan = plan.ok_or(bad("X-Qos-Policy names no plan"))?;
         let left = h.one("x-remaining-ms")?.and_then(whole);
         let left = left.ok_or(bad("X-Remaining-Ms is no span"))?;
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -196,8 +196,8 @@
     let (mut kinds, mut streams) = (Vec::new(), Vec::new());
     let dial_timeout = p.time("caps.dial-timeout-ms")?;
     let dial_timeout = if dial_timeout.is_zero() { ms(250) } else { dial_timeout };
-    // A leg that follows one that may have run must have crossed while that one is remembered, and it may wait
-    // for its connection after it was decided.
+    // A leg that follows one that may have run must have crossed while that one is remembered, and it may
+    // wait for its connection after it was decided.
     let crossing = dial_timeout.max(LINGER) + CROSSING_MARGIN;
     for (n, mut facts) in facts.into_iter().enumerate() {
         if let Repeat::Keyed { remembered, .. } = &mut facts.repeat {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -27,7 +27,7 @@
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd, RawFd};
@@ -89,8 +89,8 @@
 /// than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
 const REST_OF_ANSWER: Duration = ms(100);
-/// Bytes to a node that the system may hold for it. What is there can't be taken back when a client leaves, and
-/// goes out whenever the node reads again; what is here can. Harm: a large transfer takes several writes.
+/// Bytes to a node that the system may hold for it. What is there can't be taken back when a client leaves,
+/// and goes out whenever the node reads again; what is here can. Harm: a large transfer takes several writes.
 const UNSENT: usize = 16 << 10;
 /// How long a client may take to read its answer.
 const READING: Duration = ms(5000);
@@ -404,8 +404,9 @@
     /// Connections whose sockets did not take all.
     blocked: BTreeSet<ConnId>,
     /// Transfers open, by the clients' own ids.
-    ids: HashMap<String, ConnId>,
-    /// Of those, the ones whose client is gone or answered while a leg of them is out. The bound is the legs'.
+    ids: HashSet<String>,
+    /// Of those, the ones whose client is gone or answered while a leg of them is out. The bound is the
+    /// legs'.
     left: Vec<(String, Bytes)>,
     taken: u64,
     discovery: SocketAddr,
@@ -479,7 +480,7 @@
             inputs: Vec::new(),
             rung: Arc::default(),
             blocked: BTreeSet::new(),
-            ids: HashMap::new(),
+            ids: HashSet::new(),
             left: Vec::new(),
             taken: 0,
             discovery: config.discovery,
@@ -658,8 +659,8 @@
         self.close(conn);
     }
 
-    /// Ends a client's connection that only waits, unless the client has said something that is not heard yet:
-    /// closed now, its transfer would be lost. Then nothing is done, and the next look finds it.
+    /// Ends a client's connection that only waits, unless the client has said something that is not heard
+    /// yet: closed now, its transfer would be lost. Then nothing is done, and the next look finds it.
     fn leave(&mut self, conn: ConnId) {
         if self.conns.get(&conn).is_some_and(|c| c.gate.close_unless_asked(c.fd)) {
             self.lost(conn);
@@ -741,7 +742,7 @@
                     if client.since <= c.opened && unread(c.fd) == Unread::End {
                         return self.lost(conn);
                     }
-                    if self.ids.contains_key(&id) {
+                    if self.ids.contains(&id) {
                         return self.turn_down(conn, Fault { status: 409, what: "an id that is open" });
                     }
                     drained(&mut c.inward, used);
@@ -752,7 +753,7 @@
                     }
                     take.id = Bytes::from(format!("{:036x}", self.taken));
                     client.open = Some(Asked { id: id.clone(), xfer: take.id.clone(), keep });
-                    self.ids.insert(id, conn);
+                    self.ids.insert(id);
                     let frames = vec![frame(Body::Take(*take), at)];
                     self.inputs.push(Input::ClientFrames { conn, at, frames });
                     return;
@@ -839,18 +840,16 @@
             }
             (Ok(Some((r, used))), doing) => {
                 let partly = c.written < c.outward.len();
-                // What answers a leg that has not come whole is made for another, but for a node's no.
-                let no =
-                    matches!(doing, Doing::Leg(leg) if nodes::answer(*leg, &r).result() == pb::Result::Full);
-                if partly && !no {
-                    return self.lost(conn);
-                }
                 let leaving = !r.keep || used < c.inward.len() || partly;
                 let body = match doing {
                     Doing::Probe(probe) => probed(*probe, r.status),
                     Doing::Leg(leg) => Body::LegAnswer(nodes::answer(*leg, &r)),
                     Doing::Nothing => return,
                 };
+                // What answers a leg that has not come whole is made for another, but for a node's no.
+                if partly && !matches!(&body, Body::LegAnswer(a) if a.result() == pb::Result::Full) {
+                    return self.lost(conn);
+                }
                 (body, leaving)
             }
         };
@@ -1294,9 +1293,7 @@
 
 /// A client's id is free once nothing of its transfer is out: until then a node could meet the id of a leg
 /// that it has, and take it for a second copy.
-fn forget(
-    ids: &mut HashMap<String, ConnId>, left: &mut Vec<(String, Bytes)>, desk: &Desk, id: String, xfer: Bytes,
-) {
+fn forget(ids: &mut HashSet<String>, left: &mut Vec<(String, Bytes)>, desk: &Desk, id: String, xfer: Bytes) {
     if desk.holds(&xfer) {
         left.push((id, xfer));
     } else {
