--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -285,11 +285,11 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use serde_json::json;
 
-    fn whole() -> Value {
+    pub(crate) fn whole() -> Value {
         json!({
             "name": "n3", "listen": "127.0.0.4:3000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
