--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1358,7 +1358,8 @@
     /// What a node says or ends before a leg is written is seen, though its reader has not brought it yet.
     #[test]
     fn no_leg_is_written_to_a_connection_whose_node_has_something_to_say() {
-        let cases: [(&str, fn(&mut UnixStream), bool); 3] = [
+        type Case = (&'static str, fn(&mut UnixStream), bool);
+        let cases: [Case; 3] = [
             ("nothing", |_| (), true),
             ("a second answer", |s| s.write_all(b"HTTP/1.1 200 OK\r\n").unwrap(), false),
             ("its end", |s| s.shutdown(std::net::Shutdown::Write).unwrap(), false),
