A full cold bucket lapses, so hosts stay spread before a cold node after a quiet time

Seen: with nothing asked for some seconds after a start was told, and then by all hosts at once, 30 hosts sent 30 transfers in one span of the rule after six seconds of quiet, 20 hosts 20 after four, and hosts started anew just then 32; the settings allow 10 and chance 8.3 more. Cause: `TokenBucket::indebted` (bucket.rs) spread hosts by a first debt alone. Once it was paid (`refill`), every bucket stood at its depth, and each lets one transfer into debt: as many go at once as there are hosts.

Ruled out: a smaller depth (any full bucket lets one go), and keeping the debt for longer (as many hosts have paid it after as much longer). No host can tell its own quiet from that of all, so what it saves has to end.

Change: a bucket that is full loses one mean transfer, as if it had been sent. In a quiet time its content then runs through the whole of a transfer again and again, at a place of its own: in any window after it, what is held and what fills come to the host's part in the mean, for one host or many, whatever the depth.

Harm: a host that seldom wants a cold node finds its bucket full less often, and its transfer may wait up to the bucket's filling.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -20,17 +20,31 @@
     rate: f64,
     depth: f64,
     held: f64,
+    /// What goes unused once it is full; none stays so.
+    lapse: f64,
 }
 
 impl TokenBucket {
     pub fn new(rate: f64, depth: f64, held: f64) -> Self {
         let (rate, depth) = (finite(rate), finite(depth));
-        TokenBucket { rate, depth, held: finite(held).min(depth) }
+        TokenBucket { rate, depth, held: finite(held).min(depth), lapse: 0.0 }
     }
 
-    /// Without a rate yet, and in debt.
-    pub fn indebted(units: f64) -> Self {
-        TokenBucket { rate: 0.0, depth: 0.0, held: -units.abs() }
+    /// Without a rate yet, and in debt by a part of the units named. Whenever it is full it loses those
+    /// units, as if they had been taken: what many such buckets hold after a quiet time stays spread.
+    ///
+    /// ```
+    /// use grebecleat::bucket::TokenBucket;
+    /// let mut tok = TokenBucket::lapsing(4.0, 0.25);
+    /// tok.retune(2.0, 5.0);
+    /// tok.refill(2.0);
+    /// assert_eq!(tok.held(), 3.0);
+    /// tok.refill(1.0);
+    /// assert_eq!(tok.held(), 1.0);
+    /// ```
+    pub fn lapsing(units: f64, owed: f64) -> Self {
+        let units = finite(units);
+        TokenBucket { rate: 0.0, depth: 0.0, held: -units * finite(owed), lapse: units }
     }
 
     /// A new rate and depth; what is held stays, cut to the depth.
@@ -41,7 +55,10 @@
     }
 
     pub fn refill(&mut self, seconds: f64) {
-        self.held = (self.held + self.rate * seconds).min(self.depth);
+        self.held += self.rate * seconds;
+        if self.held >= self.depth {
+            self.held = self.depth - self.lapse;
+        }
     }
 
     pub fn take(&mut self, units: f64) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -51,7 +51,7 @@
 const EASE_AGAIN: (f64, f64, f64) = (0.04, 0.2, 0.2); // a second: least, most, and for a transfer a second
 const LEAST_PART: f64 = 0.15; // quantile that stands for work without a queue
 const WATCH_AGAIN: Duration = Duration::from_millis(200); // doubled for each failed call
-const COLD_PART: f64 = 0.9; // with all hosts at it, just under what the rule lets the weakest start bear
+const COLD_PART: f64 = 0.9; // of what the rule allows: the rest, and the chance it forgives, are for luck
 const COLD_HELD: f64 = 0.2; // the rest of the part fills
 const HEIR: f64 = 0.5; // what a node in another's place may be slower, and the rule forgives nothing
 const USAGE_SPAN: f64 = 30.0; // seconds; a host that sends seldom needs long to know how much
@@ -114,8 +114,8 @@
 pub fn cold_part(rule: &ColdRule, own_rate: f64, age: Duration) -> f64 {
     let warm = (secs(age) / secs(rule.warm_within).max(1e-3)).min(1.0);
     let capacity = rule.starts_at + (1.0 - rule.starts_at) * warm;
-    let able = COLD_PART * rule.multiple * capacity * own_rate * secs(rule.fall_within);
-    able.max(rule.units / rule.hosts.max(1) as f64)
+    let able = rule.multiple * capacity * own_rate * secs(rule.fall_within);
+    COLD_PART * able.max(rule.units / rule.hosts.max(1) as f64)
 }
 
 /// How far one late answer is believed, by the part that is late at the node or at all of the host's nodes.
@@ -389,9 +389,9 @@
                     now + RETURN_SPREAD.mul_f64(f64::from(u8::from(!first)) * self.rng.random::<f64>());
                 nd.cold = None;
                 if e.started.is_some_and(|s| now < s + self.cold.warm_within) {
-                    // A bucket passes one transfer into debt, and many hosts' first ones at once push a node
-                    // over. A random first debt spreads them as the parts pay. Harm: few hosts wait.
-                    nd.cold = Some(TokenBucket::indebted(self.units.mean * self.rng.random::<f64>()));
+                    // A bucket passes one transfer into debt; many hosts' at once push a node over. A random
+                    // debt spreads them, a lapse of what is full keeps them so. Harm: few hosts wait.
+                    nd.cold = Some(TokenBucket::lapsing(self.units.mean, self.rng.random()));
                     self.bk.log(format!("node {} came back cold", e.node.0));
                 }
             }
