Tests live in test files: 24 modules of unit tests moved beside what they test

Each `mod tests { ... }` at the end of a source file is now `mod tests;` with its body in `<module>/tests.rs`. The tests themselves were built and listed, not run, for this commit.

--- /dev/null
+++ b/crates/host/src/outbox/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn leg(n: u64) -> pb::Frame {
+    pb::Frame { sent_us: 0, body: Some(Body::Leg(pb::Leg { leg: n, left_us: 1, ..Default::default() })) }
+}
+
+fn legs_of(p: &Pulled) -> Vec<(u64, u64)> {
+    let each = p.frames.iter().filter_map(|f| match &f.body {
+        Some(Body::Leg(m)) => Some((m.leg, m.left_us)),
+        _ => None,
+    });
+    each.collect()
+}
+
+#[test]
+fn a_leg_is_either_written_or_taken_back() {
+    let out = Outbox::new(|| (), || ());
+    (1..=4).for_each(|n| out.put_leg(LegNo(n), leg(n), ms(n), ms(100)));
+    assert!(out.revoke(LegNo(2)) && !out.revoke(LegNo(2)));
+    assert_eq!(out.stale(ms(2), ms(50)), [LegNo(1)]);
+    assert!(out.revoke(LegNo(1)));
+    assert_eq!(legs_of(&out.pull(|| ms(60), 1)), [(3, 40_000)]);
+    assert!(!out.revoke(LegNo(3)), "it went to the socket");
+    // The rest's time comes while the socket has no room.
+    assert_eq!(legs_of(&out.pull(|| ms(100), 1000)), []);
+    assert_eq!(out.stale(ms(0), ms(100)), [LegNo(4)]);
+    assert!(out.revoke(LegNo(4)));
+    assert_eq!((out.bytes(), legs_of(&out.pull(|| ms(101), 1000)).len()), (0, 0));
+    assert!(out.is_flushed());
+}
--- /dev/null
+++ b/crates/standin/src/relay/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+#[test]
+fn it_carries_is_late_and_is_cut() {
+    let echo = TcpListener::bind("127.0.0.1:0").unwrap();
+    let relay = Relay::to(echo.local_addr().unwrap()).unwrap();
+    std::thread::spawn(move || {
+        for mut s in echo.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut b = [0; 64];
+                while let Ok(n) = s.read(&mut b) {
+                    if n == 0 || s.write_all(&b[..n]).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let mut c = TcpStream::connect(relay.address).unwrap();
+    let mut b = [0; 5];
+    c.write_all(b"hello").unwrap();
+    c.read_exact(&mut b).unwrap();
+    assert_eq!(&b, b"hello");
+    relay.late(Duration::from_millis(100));
+    let begun = Instant::now();
+    c.write_all(b"again").unwrap();
+    c.read_exact(&mut b).unwrap();
+    assert!(begun.elapsed() >= Duration::from_millis(200), "late both ways");
+    relay.cut(true);
+    assert!(matches!(c.read(&mut b), Ok(0) | Err(_)));
+    relay.cut(false);
+    relay.late(Duration::ZERO);
+    let mut c = TcpStream::connect(relay.address).unwrap();
+    c.write_all(b"later").unwrap();
+    c.read_exact(&mut b).unwrap();
+}
--- /dev/null
+++ b/crates/state/src/extents/tests.rs
@@ -0,0 +1,44 @@
+use super::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// In any order, near and far apart, moved again: it answers as an ordered map does, and its counts and
+/// runs are right.
+#[test]
+fn it_answers_as_an_ordered_map_does() {
+    for seed in 0..120 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let (mut e, mut plain) = (Extents::default(), BTreeMap::new());
+        let spread = [40, 3000, 1 << 20, u64::MAX][seed as usize % 4];
+        let cells = rng.random_range(1..4);
+        let mut at = rng.random_range(0..spread);
+        for _ in 0..3000 {
+            at = match rng.random_range(0..10) {
+                0 => rng.random_range(0..spread),
+                1 => at.saturating_sub(1),
+                _ => at.saturating_add(1).min(spread),
+            };
+            let cell = rng.random_range(0..cells) / (1 + rng.random_range(0..2));
+            e.insert(at, cell);
+            plain.insert(at, cell);
+            let near = at.saturating_add(rng.random_range(0..5)).saturating_sub(2);
+            assert_eq!(e.get(near), plain.get(&near).copied(), "seed {seed}");
+        }
+        assert_eq!(e.len(), plain.len() as u64);
+        let runs: Vec<_> = e.iter().collect();
+        assert_eq!(runs.len(), e.runs());
+        let all: Vec<(u64, u32)> =
+            runs.iter().flat_map(|(from, n, cell)| (0..*n).map(move |i| (from + i, *cell))).collect();
+        assert!(all.into_iter().eq(plain.into_iter()), "seed {seed}");
+        assert!(e.chunks.values().all(|c| !c.is_empty() && c.len() <= MOST));
+    }
+}
+
+#[test]
+fn descending_and_alternating_extents_keep_to_few_chunks() {
+    let down: Extents = (0..100_000u64).rev().map(|n| (n, 1)).collect();
+    assert_eq!((down.len(), down.runs(), down.chunks.len()), (100_000, 1, 1));
+    let by_turns: Extents = (0..100_000u64).map(|n| (n, (n % 2) as u32)).collect();
+    assert_eq!(by_turns.runs(), 100_000);
+    assert!(by_turns.chunks.len() < 2 * 100_000 / (MOST / 2), "{} chunks", by_turns.chunks.len());
+}
--- /dev/null
+++ b/crates/target/src/pressure/tests.rs
@@ -0,0 +1,94 @@
+use super::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+const FIGURES: Figures = Figures { first: 16.0, most: 64.0, most_each: 32 };
+
+fn sum(p: &Pressure) -> u32 {
+    p.sessions.values().map(|s| s.told).sum()
+}
+
+#[test]
+fn deferrals_of_one_moment_count_once_and_done_commands_open_it_again() {
+    let (mut p, a) = (Pressure::new(FIGURES), SessionNo(1));
+    (0..16).for_each(|_| p.opened(a));
+    let deferred = Ended::Deferred { come_back: ms(500) };
+    (0..10).for_each(|i| p.closed(ms(1000 + i), a, deferred));
+    assert!((p.budget() - 11.2).abs() < 1e-9, "{}", p.budget());
+    p.closed(ms(1500), a, deferred);
+    assert!(p.budget() < 8.0);
+    let low = p.budget();
+    for t in 2000..2200 {
+        (0..20).for_each(|_| p.opened(a));
+        (0..20).for_each(|_| p.closed(ms(t), a, Ended::Done));
+    }
+    assert!(p.budget() > low * 2.0 && p.budget() <= 64.0);
+}
+
+#[test]
+fn an_unused_budget_does_not_grow() {
+    let (mut p, a) = (Pressure::new(FIGURES), SessionNo(1));
+    for t in 0..1000 {
+        p.opened(a);
+        p.closed(ms(t), a, Ended::Done);
+    }
+    assert_eq!(p.budget(), 16.0);
+}
+
+#[test]
+fn a_greedy_session_leaves_the_others_their_part() {
+    let (mut p, greedy, modest) = (Pressure::new(FIGURES), SessionNo(1), SessionNo(2));
+    p.join(modest);
+    for round in 0..6 {
+        for _ in 0..32 {
+            p.opened(greedy);
+        }
+        (0..3).for_each(|_| p.opened(modest));
+        p.step();
+        (0..32).for_each(|_| p.closed(ms(round), greedy, Ended::Other));
+        (0..3).for_each(|_| p.closed(ms(round), modest, Ended::Other));
+    }
+    let told = |s: SessionNo| p.sessions[&s].told;
+    assert!(told(modest) >= 4 && told(greedy) >= 10, "{} {}", told(modest), told(greedy));
+    assert!(sum(&p) <= 16);
+}
+
+#[test]
+fn windows_never_pass_the_budget_but_for_the_one_that_each_keeps() {
+    for seed in 0..300 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut p = Pressure::new(FIGURES);
+        for t in 0..200 {
+            let s = SessionNo(rng.random_range(0..30));
+            match rng.random_range(0..6) {
+                0 => p.join(s),
+                1 => p.leave(s),
+                2 => p.closed(ms(t), s, Ended::Deferred { come_back: ms(3) }),
+                3 => p.closed(ms(t), s, Ended::Done),
+                _ => p.opened(s),
+            }
+            p.step();
+            let n = p.sessions.len() as u32;
+            assert!(p.sessions.values().all(|s| (1..=32).contains(&s.told)));
+            assert!(sum(&p) <= (p.budget().floor() as u32).max(n) + n, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn fair_shares_are_whole_and_nobody_gets_more_than_it_asks() {
+    for seed in 0..500 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let asks: Vec<u32> = (0..rng.random_range(1..12)).map(|_| rng.random_range(0..20)).collect();
+        let whole = rng.random_range(0..100);
+        let given = fair(whole, &asks);
+        assert_eq!(given.iter().sum::<u32>(), whole.min(asks.iter().sum()), "{whole} {asks:?}");
+        assert!(given.iter().zip(&asks).all(|(g, a)| g <= a));
+        // Who got less than it asks got no less than anyone, but for the one that could not be halved.
+        let short = given.iter().zip(&asks).filter(|(g, a)| g < a).map(|(g, _)| *g).min();
+        assert!(short.is_none_or(|s| given.iter().all(|g| *g <= s + 1)), "{whole} {asks:?} {given:?}");
+    }
+}
--- a/crates/target/src/versions.rs
+++ b/crates/target/src/versions.rs
@@ -83,48 +83,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::{Rng, SeedableRng};
-    use rand_pcg::Pcg64Mcg;
-
-    /// Starts, clocks that step either way, ceilings kept late or never: no version is given twice or after a
-    /// higher one.
-    #[test]
-    fn versions_grow_over_starts_whatever_the_clock_does() {
-        for seed in 0..300 {
-            let mut rng = Pcg64Mcg::seed_from_u64(seed);
-            let (mut durable, mut last) = (0, 0);
-            for _ in 0..20 {
-                let mut v = Versions::new(durable, rng.random_range(0..1 << 50));
-                let mut asked = Vec::new();
-                for _ in 0..rng.random_range(0..200) {
-                    match rng.random_range(0..5) {
-                        0 => asked.extend(v.wants()),
-                        1 if !asked.is_empty() => {
-                            durable = durable.max(asked.remove(0));
-                            v.kept(durable);
-                        }
-                        2 if rng.random_range(0..9) == 0 => {
-                            v.learn(rng.random_range(0..1 << 52));
-                        }
-                        _ => {
-                            if let Some(n) = v.next() {
-                                assert!(n > last && n < durable, "seed {seed}: {n} after {last}");
-                                last = n;
-                            }
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    #[test]
-    fn a_version_near_the_end_is_not_believed() {
-        let mut v = Versions::new(0, 10);
-        assert!(!v.learn(u64::MAX) && v.learn(20));
-        v.wants().into_iter().for_each(|c| v.kept(c));
-        assert_eq!(v.next(), Some(21));
-    }
-}
+mod tests;
