No leg is written once its client's end has come, however far behind the owner is

A client that closes has gone, and its first or further attempt must not begin later. What the owner has heard was covered (crates/host/tests/ends.rs); what it has yet to hear was not: `Host::flush` (platform/src/run.rs) wrote whatever lay in a node's outbox, while the client's end lay in its socket, or as `Note::Ended` behind everything else in the owner's queue. The sum of waits had no bound: a batch is 512 notes and one step, a stand-still or a flood is as long as it is, and a dial that comes up in that time gets its leg at once.

Ruled out by reading: a reader at its bound of bytes (`Gate::wait_for_owner`) goes on once its owner has heard them, and more than 16 KiB behind an open exchange loses the connection, so an end behind them is seen with no more than the owner's delay; a dial that comes up after and a repeat whose wait ends after are the desk's and are taken back when the client's end is heard.

Change: just before a leg is pulled, the client's socket is looked at (`nobody_waits`), also for an end behind unread bytes. Nothing lies between the look and the write, so no bound of the owner's delay is needed. Cost: one look at a socket for each leg.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -450,6 +450,13 @@
         xfer_id(id).is_some_and(|id| self.xfers.contains_key(&id))
     }
 
+    /// The clients of the legs that wait to be written on a node's connection.
+    pub fn clients_at(&self, conn: ConnId) -> impl Iterator<Item = ConnId> + '_ {
+        let c = self.conns.get(&conn).and_then(|c| Some((c.outbox.as_ref()?, &c.legs)));
+        let waiting = c.into_iter().flat_map(|(o, legs)| legs.iter().filter(move |leg| o.is_held(**leg)));
+        waiting.filter_map(|leg| Some(self.xfers.get(&self.legs.get(leg)?.id)?.client))
+    }
+
     /// Transfers open, legs out and bytes held now.
     pub fn held(&self) -> (usize, usize, usize) {
         (self.xfers.len(), self.legs.len(), self.held_bytes)
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -168,6 +168,19 @@
     }
 }
 
+/// Whether its peer has ended it, also behind bytes that nobody has read yet.
+fn has_left(fd: RawFd) -> bool {
+    match unread(fd) {
+        Unread::Nothing => false,
+        Unread::End => true,
+        Unread::Bytes => {
+            let mut polled = libc::pollfd { fd, events: libc::POLLRDHUP, revents: 0 };
+            // SAFETY: the pointer is of one live record.
+            unsafe { libc::poll(&raw mut polled, 1, 0) > 0 && polled.revents & libc::POLLRDHUP != 0 }
+        }
+    }
+}
+
 impl Gate {
     fn new() -> Arc<Self> {
         Arc::new(Gate { inner: Mutex::default(), bell: Semphore::new(0) })
@@ -1098,6 +1111,10 @@
                     return self.lost(conn);
                 }
             }
+            if self.nobody_waits(conn) {
+                return;
+            }
+            let Some(c) = self.conns.get_mut(&conn) else { return };
             let pulled = c.outbox.pull(clock::now, ONE_WRITE);
             if pulled.frames.is_empty() {
                 if pulled.closed {
@@ -1113,6 +1130,21 @@
         }
     }
 
+    /// Whether a leg lies in a node's outbox whose client has gone: its end may lie in the socket, or with its
+    /// reader, behind all that the owner has yet to hear. Nobody waits for the leg's answer, and it stays
+    /// where the desk takes it back.
+    ///
+    /// So no leg begins later than its client's end has come to this machine, however long the owner is busy,
+    /// a dial took or a repeat waited: the look is made at the last instant, and nothing lies between it and
+    /// the write. Guards as well against legs of a client that was hung up on. Harm: a look at the client's
+    /// socket for each leg.
+    fn nobody_waits(&mut self, conn: ConnId) -> bool {
+        let left = |client: &ConnId| self.conns.get(client).is_none_or(|c| has_left(c.fd));
+        let Some(client) = self.desk.clients_at(conn).find(left) else { return false };
+        self.lost(client);
+        true
+    }
+
     fn put(&mut self, conn: ConnId, body: Body) {
         let ending = self.closing();
         let Some(c) = self.conns.get_mut(&conn) else { return };
