On the host's own wire, too, no leg is written once its client withdrew it or ended

A client's end or cancel was known to its reader, and then waited behind everything else in the owner's queue (`own` in host/run.rs hears up to 4,096 inputs, decides, and hears on): meanwhile the writer of a node's connection pulled the leg (`Outbox::pull`), also of transfers decided in that very step. The delay has no bound of its own in a flood.

Change: a client's reader notes in the client's own outbox what was withdrawn (`Outbox::said`; an end closes that outbox already), and a leg whose client no longer waits stays where the owner takes it back (`Waiting::is_wanted`). The portal's client inside the process says it the same way, so an iSCSI abort or a dropped session, which become withdrawals, are covered from the moment the portal sends them. What is noted is forgotten when the owner has heard it: as many ids as withdrawals lie in its queue.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -632,6 +632,7 @@
         match f.body {
             Some(Body::Take(t)) => self.take(conn, at, waited, t),
             Some(Body::Withdraw(w)) => {
+                client.outbox.heard(&w.id);
                 let id = xfer_id(&w.id).filter(|id| self.xfers.get(id).is_some_and(|x| x.client == conn));
                 if let Some(id) = id {
                     self.counts.withdrawn += 1;
@@ -1013,10 +1014,11 @@
                 offset: t.offset,
                 version: t.version,
             };
+            let client = self.clients.get(&x.client).map(|c| c.outbox.clone());
             let c = self.conns.get_mut(&conn).expect("found above");
             c.legs.insert(leg);
             let outbox = c.outbox.as_ref().expect("found up");
-            outbox.put_leg(leg, frame(Body::Leg(message)), self.now, l.until);
+            outbox.put_leg_of(leg, frame(Body::Leg(message)), self.now, l.until, client);
         }
     }
 
--- a/crates/host/src/outbox.rs
+++ b/crates/host/src/outbox.rs
@@ -3,14 +3,17 @@
 //! The owner of the decisions puts frames in; the connection's writer takes them out when the socket has
 //! room. A leg stays revocable until its writer took it: whoever revokes it is told truly whether it crossed.
 //! Without this a leg could cross seconds after its node was told to drain, or its client was answered.
+//! Nor is it written once its client's reader has seen that the client withdrew it or ended, however much the
+//! owner has to hear before that: the reader notes it in the client's own outbox, and the writer looks there.
 //! Memory: what is inside is bounded by the legs a connection carries and, for clients, by `bytes`, which the
 //! owner compares with its bound on unread answers.
 
+use bytes::Bytes;
 use grebecleat_wire::frame::HEADER;
 use grebecleat_wire::pb::{self, frame::Body};
 use prost::Message;
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Mutex, MutexGuard};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// A leg's number, by this host; never used twice.
@@ -31,6 +34,18 @@
     size: usize,
     put: Duration,
     until: Duration,
+    /// Where its client's answers go.
+    client: Option<Arc<Outbox>>,
+}
+
+impl Waiting {
+    fn is_wanted(&self, now: Duration) -> bool {
+        let id = match &self.frame.body {
+            Some(Body::Leg(m)) => &m.id,
+            _ => return now < self.until,
+        };
+        now < self.until && self.client.as_ref().is_none_or(|c| c.waits_for(id))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -40,6 +55,8 @@
     bytes: usize,
     writing: bool,
     closed: bool,
+    /// Withdrawn by the client, and not yet heard of by the owner.
+    withdrawn: HashSet<Bytes>,
 }
 
 /// What a writer is to write now.
@@ -86,15 +103,41 @@
 
     /// A leg, which is not written from `until` on.
     pub fn put_leg(&self, leg: LegNo, frame: pb::Frame, now: Duration, until: Duration) {
+        self.put_leg_of(leg, frame, now, until, None);
+    }
+
+    /// The same, and not once its client is known to have left it.
+    pub fn put_leg_of(
+        &self, leg: LegNo, frame: pb::Frame, now: Duration, until: Duration, client: Option<Arc<Outbox>>,
+    ) {
         let size = frame_size(&frame);
         let mut inner = self.lock();
         inner.bytes += size;
         inner.line.push_back(Item::Leg(leg));
-        inner.legs.insert(leg, Waiting { frame, size, put: now, until });
+        inner.legs.insert(leg, Waiting { frame, size, put: now, until, client });
         drop(inner);
         (self.wake)();
     }
 
+    /// What a client says as it is read, before its owner hears it.
+    pub fn said(&self, frames: &[pb::Frame]) {
+        for f in frames {
+            if let Some(Body::Withdraw(w)) = &f.body {
+                self.lock().withdrawn.insert(w.id.clone());
+            }
+        }
+    }
+
+    /// The owner has heard that the client withdrew it, and takes its legs back by itself from now on.
+    pub fn heard(&self, id: &Bytes) {
+        self.lock().withdrawn.remove(id);
+    }
+
+    fn waits_for(&self, id: &Bytes) -> bool {
+        let inner = self.lock();
+        !inner.closed && !inner.withdrawn.contains(id)
+    }
+
     /// Takes a leg back; whether it had not yet gone to the socket, and now never will.
     pub fn revoke(&self, leg: LegNo) -> bool {
         let mut inner = self.lock();
@@ -115,7 +158,7 @@
     }
 
     /// What goes to the socket now, at most about `most` bytes. From here on it counts as crossed; legs whose
-    /// time is up stay out, and are for the owner's next look.
+    /// time is up, or whose client has left, stay out, and are for the owner's next look.
     pub fn pull(&self, clock: impl FnOnce() -> Duration, most: usize) -> Pulled {
         let mut inner = self.lock();
         let now = clock();
@@ -131,7 +174,7 @@
                 }
                 Some(Item::Leg(leg)) => match inner.legs.remove(&leg) {
                     None => {}
-                    Some(w) if w.until <= now => {
+                    Some(w) if !w.is_wanted(now) => {
                         late.push_back(Item::Leg(leg));
                         inner.legs.insert(leg, w);
                     }
--- a/crates/host/src/outbox/tests.rs
+++ b/crates/host/src/outbox/tests.rs
@@ -32,3 +32,36 @@
     assert_eq!((out.bytes(), legs_of(&out.pull(|| ms(101), 1000)).len()), (0, 0));
     assert!(out.is_flushed());
 }
+
+/// The owner may have much to hear before it hears of a client's end; the writer does not wait for that.
+#[test]
+fn a_leg_is_not_written_once_its_client_has_withdrawn_it_or_ended() {
+    type Case = (&'static str, fn(&Outbox), bool);
+    let id = bytes::Bytes::from_static(b"an id");
+    let withdraws = |outbox: &Outbox| {
+        let id = bytes::Bytes::from_static(b"an id");
+        outbox.said(&[pb::Frame { sent_us: 0, body: Some(Body::Withdraw(pb::Withdraw { id })) }]);
+    };
+    let other = |outbox: &Outbox| {
+        let id = bytes::Bytes::from_static(b"another");
+        outbox.said(&[pb::Frame { sent_us: 0, body: Some(Body::Withdraw(pb::Withdraw { id })) }]);
+    };
+    let cases: [Case; 4] = [
+        ("it waits", |_| (), true),
+        ("it withdraws another", other, true),
+        ("it withdraws it", withdraws, false),
+        ("it ends", Outbox::close, false),
+    ];
+    for (what, does, written) in cases {
+        let client = Arc::new(Outbox::new(|| (), || ()));
+        let out = Outbox::new(|| (), || ());
+        let body = pb::Leg { leg: 1, id: id.clone(), ..Default::default() };
+        let leg = pb::Frame { sent_us: 0, body: Some(Body::Leg(body)) };
+        out.put_leg_of(LegNo(1), leg, ms(1), ms(100), Some(client.clone()));
+        does(&client);
+        assert_eq!(legs_of(&out.pull(|| ms(2), 1000)).len(), usize::from(written), "{what}");
+        assert_eq!(out.revoke(LegNo(1)), !written, "{what}: it never ran");
+        client.heard(&id);
+        assert!(client.lock().withdrawn.len() <= 1, "{what}");
+    }
+}
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -125,6 +125,7 @@
         let sent_us = clock::micros(at);
         let frames: Vec<_> = bodies.into_iter().map(|b| pb::Frame { sent_us, body: Some(b) }).collect();
         self.tracer.read(self.conn.0, at, &frames);
+        self.outbox.said(&frames);
         let _ = self.to_owner.send(Input::ClientFrames { conn: self.conn, at, frames });
     }
 
@@ -525,6 +526,7 @@
     let _ = shared.to_owner.send(up(outbox.clone()));
     let ended = read_on(&mut stream, &mut reader, shared.bounds().patience, |at, read| {
         tracer.read(conn.0, at, &read);
+        outbox.said(&read);
         shared.to_owner.send(frames(at, read)).map_err(|_| "the host has ended".to_string())
     });
     outbox.close();
