Beside a dial that is late another is made, and its wait is no word on the node

`Pool::wanted` (pool.rs) makes as many dials at a time as connections are up, so with none up it makes one; when that one takes a second and a half, all that a host has for the node waits behind it, and what came of it was counted from the decision (`LegOut::sent`, desk.rs): late answers that the node had no part in.

Change, where a connection carries one exchange: a dial that takes longer than a tenth of the tightest SLO time no longer counts against the next, two such at most, and none where a dial has failed since one came up (a node that is silent or gone is not dialled more often for it, but once). The time of a leg begins when it is given a connection.

Tests: `beside_a_late_dial_another_is_made_unless_dials_have_failed`, `a_leg_does_not_wait_for_a_late_dial_alone` (1 dial where 3 are wanted with the late ones counted as before).

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -52,6 +52,9 @@
 /// answer that came twice is some milliseconds late, and would be taken for that leg's. Harm: where all
 /// connections to a node have just answered, a leg waits, or one more is dialled.
 const QUIET: Duration = Duration::from_millis(10);
+/// Of the tightest SLO time: what a handshake may take before another is begun beside it. Two of them in turn
+/// are about what the decisions let a leg be late before they doubt its node.
+const HANDSHAKE: f64 = 0.1;
 /// Bytes of figures that a watcher may leave unread.
 const MOST_UNREAD: usize = 4 << 20;
 
@@ -230,6 +233,7 @@
     node: NodeId,
     outbox: Option<Arc<Outbox>>,
     legs: BTreeSet<LegNo>,
+    dialled: Duration,
     idle_since: Duration,
     rests_until: Duration,
     /// Its node takes nothing more on it.
@@ -278,8 +282,10 @@
     pools: BTreeMap<NodeId, NodePool>,
     /// Nodes whose pool may want something.
     touched: BTreeSet<NodeId>,
-    /// When connections that rest may be used, where a leg waits for them.
-    rests: BTreeSet<(Duration, NodeId)>,
+    /// When a connection that rests may be used where a leg waits for it, or a dial there is late.
+    looks: BTreeSet<(Duration, NodeId)>,
+    /// A dial that takes longer is late.
+    handshake: Duration,
     listing: Listing,
     /// Nodes that somebody wants empty, whatever the list says.
     drained: BTreeSet<NodeId>,
@@ -339,6 +345,8 @@
         );
         let plans = Following::declared(s);
         let longest = s.streams.iter().map(|x| x.expiry).max().unwrap_or_default();
+        let tightest = s.streams.iter().map(|x| x.facts.slo).min().unwrap_or_default();
+        let handshake = tightest.mul_f64(HANDSHAKE).max(QUIET);
         Desk {
             drained: BTreeSet::new(),
             out_at: HashMap::new(),
@@ -368,7 +376,8 @@
             conns: BTreeMap::new(),
             pools: BTreeMap::new(),
             touched: BTreeSet::new(),
-            rests: BTreeSet::new(),
+            looks: BTreeSet::new(),
+            handshake,
             listing: Listing::default(),
             list_changed: false,
             list: ListLink::default(),
@@ -480,7 +489,7 @@
         let beat = self.now + if self.xfers.is_empty() && self.draining.is_none() { IDLE_BEAT } else { BEAT };
         let figures = (!self.watchers.is_empty()).then_some(self.figures_at);
         let words = self.sharing.as_ref().map(Sharing::wake_at);
-        let rest = self.rests.first().map(|r| r.0);
+        let rest = self.looks.first().map(|r| r.0);
         let wake = [timer, leg, rest, self.plans.wake_at(), figures, words]
             .into_iter()
             .flatten()
@@ -497,8 +506,8 @@
         self.tend_plans();
         self.tend_sharing();
         self.times_up();
-        while let Some(&(at, node)) = self.rests.first().filter(|r| r.0 <= self.now) {
-            self.rests.remove(&(at, node));
+        while let Some(&(at, node)) = self.looks.first().filter(|r| r.0 <= self.now) {
+            self.looks.remove(&(at, node));
             self.serve(node);
         }
         // However many timers a pause has let come due, the decisions are called once.
@@ -986,12 +995,14 @@
             let emptiest = rested.into_iter().min_by_key(|(_, c)| (c.legs.len(), Reverse(c.idle_since)));
             let Some(conn) = emptiest.map(|(id, _)| *id) else {
                 let soonest = rest.into_iter().map(|(_, c)| c.rests_until).min();
-                self.rests.extend(soonest.map(|at| (at, node)));
+                self.looks.extend(soonest.map(|at| (at, node)));
                 return;
             };
             pool.waiting.pop_front();
             let l = self.legs.get_mut(&leg).expect("waiting legs are known");
             l.conn = Some(conn);
+            // What it waited for a connection is no word on what its node can do.
+            l.sent = self.now;
             let x = &self.xfers[&l.id];
             let (t, plan) = (&x.take, x.plan);
             let message = pb::Leg {
@@ -1235,7 +1246,9 @@
             // Those that rest are of no use yet; but a leg alone waits for one of them.
             let rest = conns().filter(|c| c.legs.is_empty() && c.rests_until > self.now).count();
             let up = (up - rest).max(usize::from(up > 0));
-            let present = Present { up, dialling, legs, waiting: pool.waiting.len() };
+            let is_late = |c: &&NodeConn| c.outbox.is_none() && c.dialled + self.handshake <= self.now;
+            let late = if self.one_at_a_time { conns().filter(is_late).count() } else { 0 };
+            let present = Present { up, dialling, late, legs, waiting: pool.waiting.len() };
             let address = self.listing.nodes.get(&node).and_then(|k| k.address);
             let waiting: Vec<LegNo> = pool.waiting.iter().copied().collect();
             match (pool.pool.wanted(self.now, present), address) {
@@ -1263,11 +1276,15 @@
             node,
             outbox: None,
             legs: BTreeSet::new(),
+            dialled: self.now,
             idle_since: self.now,
             rests_until: Duration::ZERO,
             leaving: false,
         };
         self.conns.insert(conn, new);
+        if self.one_at_a_time {
+            self.looks.insert((self.now + self.handshake, node));
+        }
         self.pools.get_mut(&node).into_iter().for_each(|p| p.conns.push(conn));
         self.out.push(Output::Dial { conn, node, address });
     }
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -12,6 +12,8 @@
 
 const FIRST_WAIT: Duration = Duration::from_millis(20);
 const MOST_WAIT: Duration = Duration::from_millis(500);
+/// Dials that are late, beside which another is made.
+const MOST_LATE: usize = 2;
 
 /// What one look at the pool asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +29,8 @@
 pub struct Present {
     pub up: usize,
     pub dialling: usize,
+    /// Dials, of these, that take longer than a handshake should.
+    pub late: usize,
     pub legs: usize,
     pub waiting: usize,
 }
@@ -51,9 +55,15 @@
         match p {
             Present { waiting: 0, .. } => Step::Nothing,
             // As many dials at a time as are up, so that legs don't queue behind one another's handshakes,
-            // and no more: a node that just came up must not see every host's whole pool at once.
-            Present { dialling, up, waiting, .. }
-                if up + dialling < want && dialling < waiting.min(up.max(1)) && now >= self.not_before =>
+            // and no more: a node that just came up must not see every host's whole pool at once. One that is
+            // late is no word on the others: behind a lone late dial all that a host had for a node waited.
+            // Where dials have failed, it is not the dial: no other is made beside it. Harm: a node that falls
+            // silent is dialled up to three times by each host that has something for it, once.
+            Present { dialling, late, up, waiting, .. }
+                if up + dialling - late < want
+                    && dialling - late < waiting.min(up.max(1))
+                    && (late == 0 || late <= MOST_LATE && self.bad == 0)
+                    && now >= self.not_before =>
             {
                 Step::Dial
             }
--- a/crates/host/src/pool/tests.rs
+++ b/crates/host/src/pool/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn as_many_dials_as_legs_wait_and_connections_are_up() {
     let (now, pool) = (Duration::from_secs(10), Pool::new(1, 8, 1));
-    let look = |up, dialling, waiting| Present { up, dialling, legs: up + waiting, waiting };
+    let look = |up, dialling, waiting| Present { up, dialling, late: 0, legs: up + waiting, waiting };
     let cases = [
         (look(0, 0, 5), Step::Dial),
         (look(0, 1, 5), Step::Nothing),
@@ -22,7 +22,7 @@
 fn one_dial_at_a_time_and_fewer_after_failures() {
     let now = Duration::from_secs(10);
     let mut pool = Pool::new(10, 2, 1);
-    let look = |up, dialling, legs, waiting| Present { up, dialling, legs, waiting };
+    let look = |up, dialling, legs, waiting| Present { up, dialling, late: 0, legs, waiting };
     let cases = [
         (look(0, 0, 0, 0), Step::Nothing),
         (look(0, 0, 1, 1), Step::Dial),
@@ -41,3 +41,30 @@
     (0..50).for_each(|_| pool.failed(now));
     assert_eq!(pool.wanted(now + MOST_WAIT, look(0, 0, 1, 1)), Step::Dial);
 }
+
+/// Legs waited for a second and a half behind one dial, and its node was taken to be slow.
+#[test]
+fn beside_a_late_dial_another_is_made_unless_dials_have_failed() {
+    let now = Duration::from_secs(10);
+    let look = |up, dialling, late, waiting| Present { up, dialling, late, legs: up + waiting, waiting };
+    // what there is, whether a dial had failed before, what is done
+    let cases = [
+        (look(0, 1, 0, 1), false, Step::Nothing),
+        (look(0, 1, 1, 1), false, Step::Dial),
+        (look(0, 2, 1, 1), false, Step::Nothing),
+        (look(0, 2, 2, 5), false, Step::Dial),
+        (look(0, 3, 3, 5), false, Step::Nothing),
+        (look(0, 1, 1, 0), false, Step::Nothing),
+        (look(2, 3, 1, 5), false, Step::Nothing),
+        (look(3, 3, 1, 5), false, Step::Dial),
+        (look(0, 1, 1, 5), true, Step::Nothing),
+        (look(3, 1, 0, 5), true, Step::Dial),
+    ];
+    for (present, failed, step) in cases {
+        let mut pool = Pool::new(1, 8, 1);
+        if failed {
+            pool.failed(now - MOST_WAIT);
+        }
+        assert_eq!(pool.wanted(now, present), step, "{present:?}, failed before: {failed}");
+    }
+}
--- a/crates/host/tests/ends.rs
+++ b/crates/host/tests/ends.rs
@@ -220,3 +220,35 @@
     r.frames(conn, Body::LegAnswer(pb::LegAnswer { leg, ..Default::default() }));
     assert!(!r.desk.holds(&[1; 36]));
 }
+
+/// A third of the connections came up late, and whatever a host had for their nodes waited behind one dial.
+#[test]
+fn a_leg_does_not_wait_for_a_late_dial_alone() {
+    let mut r = Rig::one_at_a_time("");
+    r.take(1, 1);
+    r.wait(ms(15));
+    assert_eq!(r.dialled.len(), 1, "a handshake takes its time");
+    r.wait(ms(10));
+    r.wait(ms(25));
+    assert_eq!(r.dialled.len(), 3, "one beside each that is late");
+    r.wait(ms(100));
+    assert_eq!(r.dialled.len(), 3, "and no more: it may be the node");
+    let conn = r.connect();
+    assert_eq!((r.legs(conn).len(), r.finals()), (1, vec![]));
+    // The first comes up after all, and serves the next.
+    let late = r.dialled[0].0;
+    let outbox = r.outbox(late);
+    r.feed(vec![Input::NodeUp { conn: late, outbox }]);
+    r.take(2, 1);
+    assert_eq!((r.legs(late).len(), r.dialled.len()), (1, 3));
+    // Where a dial has failed nothing says that another would do better.
+    let mut r = Rig::one_at_a_time("");
+    r.take(1, 1);
+    let conn = r.dialled[0].0;
+    r.feed(vec![Input::NodeGone { conn }]);
+    r.take(2, 1);
+    r.wait(ms(30));
+    let dials = r.dialled.len();
+    r.wait(ms(200));
+    assert_eq!(r.dialled.len(), dials, "one at a time");
+}
