A leg that waits for its connection is not late at its node, as the decisions count it

Cause: the decisions count a leg as overdue by the time since they decided it (`listen`, control.rs), and a lone overdue leg takes the node's ease.

Change: one event more, `Crosses`: from when a leg is on its way. The desk tells it of a leg that has no connection yet, for the time in which as many dials as it may make at a time have had theirs (after that it may well be the node), and again when the leg gets its connection.

Test: `a_leg_counts_as_late_from_when_it_is_on_its_way`; without the event's handling the leg that crosses later cuts the node.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -20,7 +20,7 @@
 use crate::following::{Following, Out, Standing};
 use crate::listing::Listing;
 use crate::outbox::{LegNo, Outbox};
-use crate::pool::{Pool, Present, Step};
+use crate::pool::{Pool, Present, Step, MOST_LATE};
 use crate::sharing::Sharing;
 use crate::sights::Sights;
 use crate::stall::Stalls;
@@ -980,6 +980,11 @@
         });
         pool.waiting.push_back(leg);
         self.serve(node);
+        if self.one_at_a_time && self.legs.get(&leg).is_some_and(|l| l.conn.is_none()) {
+            // Until as many dials as may be made at a time have had theirs, it is the dial and not the node.
+            let at = now + self.handshake * (MOST_LATE as u32 + 1);
+            self.events.push(Event::Crosses { id, node, at });
+        }
     }
 
     /// Gives waiting legs of a node to connections with room, the emptiest first.
@@ -1002,7 +1007,9 @@
             let l = self.legs.get_mut(&leg).expect("waiting legs are known");
             l.conn = Some(conn);
             // What it waited for a connection is no word on what its node can do.
-            l.sent = self.now;
+            if std::mem::replace(&mut l.sent, self.now) < self.now {
+                self.events.push(Event::Crosses { id: l.id, node, at: self.now });
+            }
             let x = &self.xfers[&l.id];
             let (t, plan) = (&x.take, x.plan);
             let message = pb::Leg {
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -13,7 +13,7 @@
 const FIRST_WAIT: Duration = Duration::from_millis(20);
 const MOST_WAIT: Duration = Duration::from_millis(500);
 /// Dials that are late, beside which another is made.
-const MOST_LATE: usize = 2;
+pub const MOST_LATE: usize = 2;
 
 /// What one look at the pool asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -198,6 +198,8 @@
                 self.measure(id, node, end, elapsed, reported);
                 self.leg_over(id, node, end, over);
             }
+            // A connection that comes up late is no word on its node.
+            Event::Crosses { id, node, at } => self.bk.crosses(id, node, at),
             Event::Withdrawn { id } => self.bk.close(id),
             Event::Plan { plan, facts } => {
                 self.plans.resize(self.plans.len().max(plan.0 + 1), Plan::default());
@@ -211,9 +213,7 @@
             }
             // What is out stays out, and its end is heard; what is held would wait for nothing.
             Event::Volume { volume, terms: None } => {
-                let held = self.bk.xfers.iter().filter(|(_, x)| x.x.volume == volume && x.want == Want::Held);
-                let held: Vec<XferId> = held.map(|(id, _)| *id).collect();
-                held.into_iter().for_each(|id| self.give_up(id, COME_BACK));
+                self.bk.held_of(volume).into_iter().for_each(|id| self.give_up(id, COME_BACK));
                 self.bk.retired.insert(volume);
             }
             Event::List { kind, entries } => self.follow(kind, entries),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -216,6 +216,13 @@
         /// Busy part of the node's cores, where it is reported.
         busy: Option<f64>,
     },
+    /// A leg is on its way to its node from then on, and not from when it was decided: it waited for a
+    /// connection, or waits for one that should be up by then.
+    Crosses {
+        id: XferId,
+        node: NodeId,
+        at: Duration,
+    },
     Withdrawn {
         id: XferId,
     },
--- a/src/state.rs
+++ b/src/state.rs
@@ -403,6 +403,18 @@
         self.changed.push(id);
     }
 
+    /// What is held of a volume.
+    pub fn held_of(&self, volume: VolumeId) -> Vec<XferId> {
+        let held = self.xfers.iter().filter(|(_, x)| x.x.volume == volume && x.want == Want::Held);
+        held.map(|(id, _)| *id).collect()
+    }
+
+    /// A leg that is out counts as sent then.
+    pub fn crosses(&mut self, id: XferId, node: NodeId, at: Duration) {
+        let sent = self.nodes.get_mut(&node).and_then(|nd| nd.legs.get_mut(&id));
+        sent.into_iter().for_each(|sent| *sent = at);
+    }
+
     /// Whether anything is held.
     pub fn holds(&self) -> bool {
         !self.floating.is_empty() || self.holding > 0
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -459,3 +459,26 @@
     assert_eq!(sent.iter().map(|s| s.0).collect::<Vec<_>>(), [id(1), id(3)]);
     assert!(matches!(given_up[..], [(x, now)] if x == id(2) && (1900..2000).contains(&now)), "{given_up:?}");
 }
+
+/// Its connection came up late: no word on the node, which a host that hears little would cut for it. Once it
+/// is on its way it counts as any other.
+#[test]
+fn a_leg_counts_as_late_from_when_it_is_on_its_way() {
+    let ease = |c: &Control| c.nodes().find(|n| n.node == NodeId(1)).unwrap().ease;
+    for (told, crosses_at, cut) in [(false, 0, true), (true, 5000, false), (true, 2310, true)] {
+        let mut c = host(vec![stream(Repeat::Repeatable)], vec![plan(100.0)], None);
+        for t in (1010..2010).step_by(100) {
+            let n = (t / 100) as u8;
+            let (sent, ..) = at(&mut c, t, vec![Event::Taken(xfer(n, ms(t + 900)))]);
+            at(&mut c, t + 5, sent.iter().map(|(x, _)| over(x.0[0], 1, LegEnd::Done, ms(5), true)).collect());
+        }
+        let (sent, ..) = at(&mut c, 2300, vec![Event::Taken(xfer(200, ms(9000)))]);
+        assert_eq!(sent.len(), 1);
+        let crosses = Event::Crosses { id: id(200), node: NodeId(1), at: ms(crosses_at) };
+        at(&mut c, 2300, if told { vec![crosses] } else { vec![] });
+        (2310..2500).step_by(10).for_each(|t| _ = at(&mut c, t, vec![]));
+        assert_eq!(ease(&c) < 1.0, cut, "told {told}, at {crosses_at}");
+        // What never crossed ends without harm.
+        at(&mut c, 2500, vec![over(200, 1, LegEnd::Moot, ms(200), false)]);
+    }
+}
