Rename what keeps a transfer from going: bar becomes Rejection, the field's term

One concept, nothing else in this commit. What operators and tools read keeps its form: the causes' names in the account, and the figures' field `bar` and its values in the messages of the feed.

--- a/crates/host/src/figures.rs
+++ b/crates/host/src/figures.rs
@@ -12,7 +12,7 @@
 
 use grebecleat::control::Control;
 use grebecleat::figures::{HeldFigures, NodeFigures};
-use grebecleat::interface::{Bar, NodeId, NodeState};
+use grebecleat::interface::{NodeId, NodeState, Rejection};
 use grebecleat_wire::clock::micros;
 use grebecleat_wire::pb;
 use std::collections::{BTreeMap, HashMap};
@@ -124,17 +124,17 @@
 }
 
 fn held_pb(h: &HeldFigures, now: Duration) -> pb::HeldFigure {
-    let bar = match h.bar {
-        Bar::Spacing => pb::BarKind::Spacing,
-        Bar::Turn => pb::BarKind::Turn,
-        Bar::Budget => pb::BarKind::Budget,
-        Bar::Limit => pb::BarKind::Limit,
-        Bar::Cold => pb::BarKind::Cold,
-        Bar::Repeat => pb::BarKind::Repeat,
-        Bar::Share => pb::BarKind::Share,
-        Bar::Ease => pb::BarKind::Ease,
-        Bar::Room => pb::BarKind::Room,
-        Bar::Nowhere => pb::BarKind::Nowhere,
+    let bar = match h.rejection {
+        Rejection::Spacing => pb::BarKind::Spacing,
+        Rejection::Turn => pb::BarKind::Turn,
+        Rejection::Budget => pb::BarKind::Budget,
+        Rejection::Limit => pb::BarKind::Limit,
+        Rejection::Cold => pb::BarKind::Cold,
+        Rejection::Repeat => pb::BarKind::Repeat,
+        Rejection::Share => pb::BarKind::Share,
+        Rejection::Ease => pb::BarKind::Ease,
+        Rejection::Room => pb::BarKind::Room,
+        Rejection::Nowhere => pb::BarKind::Nowhere,
     };
     pb::HeldFigure {
         volume: h.volume.0,
--- a/crates/platform/src/account.rs
+++ b/crates/platform/src/account.rs
@@ -21,7 +21,7 @@
 
 fn cause(c: &Cause, kinds: &[String]) -> String {
     let why = match c.why {
-        Why::Bar(bar) => format!("{bar:?}"),
+        Why::Rejected(rejection) => format!("{rejection:?}"),
         other => format!("{other:?}"),
     };
     let pays = match c.pays {
--- a/src/account.rs
+++ b/src/account.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
     /// Something of ours kept it from going.
-    Bar(Bar),
+    Rejected(Rejection),
     /// Nothing did, but it could not be in time behind what goes first.
     Behind,
     /// No node that the list names has its data.
@@ -77,12 +77,12 @@
         let room = |node| self.opens(node, x.x.units).is_some_and(|at| at <= self.bk.now);
         match x.at {
             _ if matches!(x.want, Want::Out(_)) => Why::Leg,
-            None if x.x.cell.is_none() => Why::Bar(Bar::Nowhere),
+            None if x.x.cell.is_none() => Why::Rejected(Rejection::Nowhere),
             None if holder.is_none() => Why::Absent,
             None => Why::Behind,
-            Some(node) => match self.bar(id, x, node) {
-                Some(bar) => Why::Bar(bar),
-                None if !room(node) => Why::Bar(Bar::Room),
+            Some(node) => match self.rejection(id, x, node) {
+                Some(rejection) => Why::Rejected(rejection),
+                None if !room(node) => Why::Rejected(Rejection::Room),
                 None => Why::Behind,
             },
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -501,25 +501,25 @@
 
     /// The rules and the buckets let it go to this node now.
     fn may_send(&self, id: XferId, x: &Xfer, node: NodeId) -> bool {
-        self.bar(id, x, node).is_none()
+        self.rejection(id, x, node).is_none()
     }
 
     /// Which of the rules and the buckets keeps it from going to this node now.
-    pub(crate) fn bar(&self, id: XferId, x: &Xfer, node: NodeId) -> Option<Bar> {
+    pub(crate) fn rejection(&self, id: XferId, x: &Xfer, node: NodeId) -> Option<Rejection> {
         let nd = &self.bk.nodes[&node];
         let (now, stream) = (self.bk.now, &self.streams[x.x.stream_type.0]);
         let limit = self.bk.volumes[&x.x.volume].limit.as_ref();
         let key = x.x.key.filter(|_| stream.ordered);
         match () {
-            _ if !(x.not_before..x.x.expiry).contains(&now) => Some(Bar::Spacing),
-            _ if key.is_some_and(|key| !self.bk.keys.has_turn(key, id, now)) => Some(Bar::Turn),
-            _ if x.legs > 0 && !self.further_allowed() => Some(Bar::Budget),
-            _ if !x.drawn && limit.is_some_and(|b| b.held() < x.x.units) => Some(Bar::Limit),
-            _ if nd.cold.as_ref().is_some_and(|b| b.held() <= 0.0) => Some(Bar::Cold),
-            _ if !may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now) => Some(Bar::Repeat),
+            _ if !(x.not_before..x.x.expiry).contains(&now) => Some(Rejection::Spacing),
+            _ if key.is_some_and(|key| !self.bk.keys.has_turn(key, id, now)) => Some(Rejection::Turn),
+            _ if x.legs > 0 && !self.further_allowed() => Some(Rejection::Budget),
+            _ if !x.drawn && limit.is_some_and(|b| b.held() < x.x.units) => Some(Rejection::Limit),
+            _ if nd.cold.as_ref().is_some_and(|b| b.held() <= 0.0) => Some(Rejection::Cold),
+            _ if !may_repeat(stream.repeat, x.ran, (nd.zone, nd.cell), now) => Some(Rejection::Repeat),
             _ => match self.value(x, Some(node)) {
-                (_, false) if nd.tokens.held() <= 0.0 => Some(Bar::Share),
-                (value, _) => (!self.eased(x.lot, nd, value)).then_some(Bar::Ease),
+                (_, false) if nd.tokens.held() <= 0.0 => Some(Rejection::Share),
+                (value, _) => (!self.eased(x.lot, nd, value)).then_some(Rejection::Ease),
             },
         }
     }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -34,7 +34,7 @@
 pub struct HeldFigures {
     pub volume: VolumeId,
     pub node: Option<NodeId>,
-    pub bar: Bar,
+    pub rejection: Rejection,
     pub transfers: usize,
     /// When the first of them was taken.
     pub since: Duration,
@@ -65,9 +65,9 @@
     /// What is held and why, of at most so many lines of transfers that are worth the same; of each line the
     /// first stands for all.
     pub fn held(&self, lines: usize) -> Vec<HeldFigures> {
-        let mut all: BTreeMap<(VolumeId, Option<NodeId>, Bar), (usize, Duration)> = BTreeMap::new();
-        let mut add = |volume, node, bar, n: usize, since: Duration| {
-            let entry = all.entry((volume, node, bar)).or_insert((0, since));
+        let mut all: BTreeMap<(VolumeId, Option<NodeId>, Rejection), (usize, Duration)> = BTreeMap::new();
+        let mut add = |volume, node, rejection, n: usize, since: Duration| {
+            let entry = all.entry((volume, node, rejection)).or_insert((0, since));
             (entry.0, entry.1) = (entry.0 + n, entry.1.min(since));
         };
         let held = self.bk.nodes.values().flat_map(|nd| nd.held.lines().map(move |line| (nd.id, line)));
@@ -75,14 +75,21 @@
             let first = line.first().map(|(_, id)| id.0);
             let Some((id, x)) = first.and_then(|id| Some((id, self.bk.xfers.get(&id)?))) else { continue };
             let room = self.opens(node, x.x.units).is_some_and(|at| at <= self.bk.now);
-            let bar = self.bar(id, x, node).or((!room).then_some(Bar::Room));
-            bar.into_iter().for_each(|bar| add(x.x.volume, Some(node), bar, line.len(), x.taken));
+            let rejection = self.rejection(id, x, node).or((!room).then_some(Rejection::Room));
+            rejection
+                .into_iter()
+                .for_each(|rejection| add(x.x.volume, Some(node), rejection, line.len(), x.taken));
         }
         for x in self.bk.floating.iter().take(lines).filter_map(|id| self.bk.xfers.get(id)) {
-            add(x.x.volume, None, Bar::Nowhere, 1, x.taken);
+            add(x.x.volume, None, Rejection::Nowhere, 1, x.taken);
         }
-        let figures =
-            |((volume, node, bar), (transfers, since))| HeldFigures { volume, node, bar, transfers, since };
+        let figures = |((volume, node, rejection), (transfers, since))| HeldFigures {
+            volume,
+            node,
+            rejection,
+            transfers,
+            since,
+        };
         all.into_iter().map(figures).collect()
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -256,7 +256,7 @@
 
 /// What keeps a held transfer from going, for whoever shows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Bar {
+pub enum Rejection {
     /// Another leg keeps its distance.
     Spacing,
     /// An earlier one with its key is not over, or the key rests.
