A change of the list is known within 6 s though one call is lost and the next one fails

Need: a change counts as told 6 s after the list had it and could be reached, whatever call failed.

Change: the desk notes when each call was begun (renewal.rs, free of sockets and clocks) and calls by itself where the decisions would wait for too long: of three calls in a row the third is begun 4.9 s after the first at the latest, and a call has 1 s from its dial on, so the sum is 5.9 s; the terms stand beside the code. The watch's own span stays, so nothing is called more often while all is well. Which call comes next on a connection is a decision of its own now (calls.rs), so that whole fleets can be played without sockets. A host without any list, which serves nobody, waits 2 s for an answer, not 1 s: a list that takes between the two was never had at a start. src/control.rs is as it was.

Where two calls or more that were begun after the change fail, 6 s are not proven and not kept (lost answers, three failures).

Tried and left out: one call more as late as the first 6 s allow, however many had failed.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -21,6 +21,7 @@
 use crate::listing::Listing;
 use crate::outbox::{LegNo, Outbox};
 use crate::pool::{Pool, Present, Step};
+use crate::renewal::{self, Renewal};
 use crate::sharing::Sharing;
 use crate::sights::Sights;
 use crate::stall::Stalls;
@@ -299,6 +300,8 @@
     /// The list's connection from before it moved, which is heard until the new one has answered: what it
     /// tells counts as told, and the new one may be long in coming.
     former: Option<(ConnId, Arc<Outbox>)>,
+    /// None: after a failure the list is asked for when the decisions say, however long that is.
+    renewal: Option<Renewal>,
     probes: HashMap<u64, (NodeId, ConnId)>,
     timers: BTreeSet<(Duration, u64)>,
     events: Vec<Event>,
@@ -373,6 +376,7 @@
             list_changed: false,
             list: ListLink::default(),
             former: None,
+            renewal: None,
             probes: HashMap::new(),
             timers: BTreeSet::new(),
             events: Vec::new(),
@@ -418,6 +422,13 @@
         self
     }
 
+    /// What the list has to tell is known within a term, also where calls fail; one may take so long, its
+    /// dial included.
+    pub fn list_within(mut self, term: Duration, call: Duration) -> Self {
+        self.renewal = Some(Renewal::new(term, call, self.seed));
+        self
+    }
+
     fn bounds(&self) -> &Bounds {
         &self.settings.bounds
     }
@@ -474,7 +485,9 @@
         let figures = (!self.watchers.is_empty()).then_some(self.figures_at);
         let words = self.sharing.as_ref().map(Sharing::wake_at);
         let rest = self.rests.first().map(|r| r.0);
-        let wake = [timer, leg, rest, self.plans.wake_at(), figures, words]
+        let list = self.list.answer_by;
+        let renewal = self.renewal.as_ref().and_then(Renewal::wake_at);
+        let wake = [timer, leg, rest, self.plans.wake_at(), figures, words, list, renewal]
             .into_iter()
             .flatten()
             .fold(beat, Duration::min);
@@ -506,6 +519,9 @@
         if self.now >= self.sweep_at {
             self.sweep();
         }
+        if self.list.answer_by.is_some_and(|by| self.now >= by) {
+            self.list_lost("no answer");
+        }
         // What the decisions ask for can at once come to an end (nothing to send on, already over).
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
@@ -515,6 +531,7 @@
             }
             self.tend_pools();
         }
+        self.renew_list(None);
         self.tend_pools();
         self.end_when_drained();
         std::mem::take(&mut self.out)
@@ -566,6 +583,9 @@
                                 self.former.take().into_iter().for_each(|(_, o)| o.close());
                             }
                             self.listed(l);
+                            if mine {
+                                self.renew_list(Some(renewal::Event::Told));
+                            }
                         }
                         _ => self.complain(conn, "list sent something that is no list"),
                     }
@@ -1312,12 +1332,14 @@
     // The list
 
     fn ask_list(&mut self) {
+        let by = self.now + self.list_patience();
         let Some(outbox) = &self.list.outbox else {
             if self.list.conn.is_none() {
                 let conn = ConnId(self.number());
                 self.list.conn = Some(conn);
-                self.list.answer_by = Some(self.now + self.bounds().patience);
+                self.list.answer_by = Some(by);
                 self.out.push(Output::DialList { conn });
+                self.renew_list(Some(renewal::Event::Called));
             }
             return;
         };
@@ -1329,7 +1351,26 @@
                 }
             }
             outbox.put(frame(body));
-            self.list.answer_by = Some(self.now + self.settings.bounds.patience);
+            // One span for dial and call: two in a row would be twice as long where both are slow.
+            self.list.answer_by.get_or_insert(by);
+        }
+    }
+
+    /// A host that has no list yet serves nobody, and no term runs: it waits for a slow answer rather than
+    /// ask again. Guards a start against a list that takes longer than a call may take later, which would
+    /// never be had. Harm: a call that is lost then is found so much later.
+    fn list_patience(&self) -> Duration {
+        let renewal = self.renewal.as_ref().filter(|_| !self.listing.nodes.is_empty());
+        renewal.map_or(self.bounds().patience, |r| r.call)
+    }
+
+    /// Calls the list where the decisions would wait for too long. What they ask for later finds the watch.
+    fn renew_list(&mut self, event: Option<renewal::Event>) {
+        let renewal = self.renewal.as_mut().filter(|_| !self.listing.nodes.is_empty());
+        let due = renewal.and_then(|r| r.step(self.now, event));
+        if let (Some(renewal::Action::Call), None) = (due, self.list.conn) {
+            self.list.wanted.push(Body::Watch(pb::Watch { on: true }));
+            self.ask_list();
         }
     }
 
@@ -1339,6 +1380,7 @@
         }
         self.list = ListLink::default();
         self.note(format!("list of nodes: {why}"));
+        self.renew_list(Some(renewal::Event::Failed));
         self.events.push(Event::List { kind: ListKind::NotHad, entries: Vec::new() });
     }
 
@@ -1418,9 +1460,6 @@
         let lost = |c: &NodeConn| c.outbox.is_none() && c.idle_since < dialled;
         let lost: Vec<ConnId> = self.conns.iter().filter(|(_, c)| lost(c)).map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|conn| self.node_conn_gone(conn));
-        if self.list.answer_by.is_some_and(|by| self.now >= by) {
-            self.list_lost("no answer");
-        }
         let idle = self.now.saturating_sub(self.bounds().idle);
         let old = |c: &&NodeConn| c.outbox.is_some() && c.legs.is_empty() && c.idle_since < idle;
         let nodes: BTreeSet<NodeId> = self.conns.values().filter(old).map(|c| c.node).collect();
--- /dev/null
+++ b/crates/host/tests/renewal.rs
@@ -0,0 +1,93 @@
+//! Between the beginnings of three calls in a row lies less than the term, whatever the calls themselves take
+//! and however long the decisions would wait; and failures that come fast are left to the decisions.
+
+use grebecleat_host::renewal::{Action, Event, Renewal};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const TERM: Duration = ms(6000);
+const CALL: Duration = ms(1000);
+/// A watch, and the longest that the decisions wait.
+const WATCH: Duration = ms(3050);
+const WAIT: Duration = ms(2250);
+
+/// What failures of given spans are followed by, when nobody else calls: by when the next call was made.
+#[test]
+fn a_call_is_made_by_the_latest_time_that_leaves_room_for_one_more() {
+    // Failures after the last word, each with its beginning and end; from when to when the next call is made.
+    type Case = (&'static str, &'static [(u64, u64)], (u64, u64));
+    let cases: [Case; 5] = [
+        ("a watch fell silent", &[(0, 3050)], (3200, 3550)),
+        ("and the next was refused late", &[(0, 3050), (3550, 4550)], (4550, 4900)),
+        ("and the next was refused at once", &[(0, 3050), (3550, 3551)], (4550, 4900)),
+        ("refused at once, twice", &[(2000, 2001), (3500, 3501)], (6550, 6900)),
+        ("never answered, late already", &[(0, 1000), (3600, 4600), (5000, 9000)], (9000, 9000)),
+    ];
+    for (what, failures, (first, last)) in cases {
+        for seed in 0..20 {
+            let (mut r, mut due) = (Renewal::new(TERM, CALL, seed), None);
+            r.step(ms(0), Some(Event::Told));
+            for (n, (begun, ended)) in failures.iter().enumerate() {
+                if n > 0 || *begun > 0 {
+                    r.step(ms(*begun), Some(Event::Called));
+                }
+                assert_eq!(r.wake_at(), None, "{what}: a call is out");
+                due = r.step(ms(*ended), Some(Event::Failed));
+            }
+            if ms(last) == ms(failures[failures.len() - 1].1) {
+                assert_eq!(due, Some(Action::Call), "{what}: at once");
+                continue;
+            }
+            let at = r.wake_at().expect(what);
+            assert!((ms(first)..=ms(last)).contains(&at), "{what}: {at:?}");
+            assert_eq!(r.step(at - ms(1).min(at), None), None, "{what}");
+            assert_eq!((r.step(at, None), r.wake_at()), (Some(Action::Call), None), "{what}");
+        }
+    }
+}
+
+#[test]
+fn any_three_calls_in_a_row_are_begun_within_the_term_less_one_answer() {
+    for seed in 0..2000 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut r = Renewal::new(TERM, CALL, seed);
+        let (mut now, mut begun) = (ms(100_000), vec![ms(100_000)]);
+        r.step(now, Some(Event::Told));
+        for n in 0..12 {
+            let longest = if n == 0 { WATCH } else { CALL };
+            let took = [ms(1), longest, longest.mul_f64(rng.random())][rng.random_range(0..3)];
+            now += took;
+            r.step(now, Some(Event::Failed));
+            let wait = WAIT.mul_f64(rng.random());
+            // The decisions, or what calls for them.
+            now = (now + wait).min(r.wake_at().unwrap_or(Duration::MAX).max(now));
+            begun.push(now);
+            r.step(now, Some(Event::Called));
+        }
+        let spans = begun.windows(3).map(|b| b[2] - b[0]);
+        let longest = spans.max().expect("there are twelve");
+        assert!(longest + CALL < TERM, "seed {seed}: {longest:?}");
+    }
+}
+
+/// Two waits of the decisions after fast failures fit, so nothing is called for them.
+#[test]
+fn failures_that_come_fast_are_left_to_the_decisions() {
+    for seed in 0..200 {
+        let mut r = Renewal::new(TERM, CALL, seed);
+        let mut now = ms(100_000);
+        r.step(now, Some(Event::Called));
+        for _ in 0..20 {
+            now += ms(2);
+            r.step(now, Some(Event::Failed));
+            now += WAIT;
+            assert_eq!(r.step(now, None), None, "seed {seed}");
+            r.step(now, Some(Event::Called));
+        }
+    }
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -39,7 +39,7 @@
 const CROSSING_MARGIN: Duration = ms(50);
 /// Whatever the settings say of asking, what a silent list keeps back counts as told after this: watches and
 /// waits after failed calls are reckoned from no more.
-const SILENCE: Duration = ms(6000);
+pub const SILENCE: Duration = ms(6000);
 
 /// How the file's descriptors are shared out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -4,6 +4,7 @@
 //! for the life of this process. Memory: one name for each node that was ever listed, [`MOST_NAMES`] at most;
 //! past that the list is not taken any more.
 
+use crate::calls::Action;
 use grebecleat_wire::pb;
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -101,10 +102,10 @@
 }
 
 /// The call for the whole list, or for what is newer than a revision once there is something.
-pub fn ask(service: &str, newer: Option<(u64, u64)>) -> Vec<u8> {
+pub fn ask(service: &str, call: Action) -> Vec<u8> {
     let mut text = format!("GET {PATH}");
-    if let Some((revision, wait_ms)) = newer {
-        let _ = write!(text, "?since={revision}&timeout_ms={wait_ms}");
+    if let Action::Newer { revision, wait } = call {
+        let _ = write!(text, "?since={revision}&timeout_ms={}", wait.as_millis());
     }
     let _ = write!(text, " HTTP/1.1\r\nHost: {service}\r\n\r\n");
     text.into_bytes()
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -11,8 +11,9 @@
 //! reader waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
 
 use crate::account::Teller;
+use crate::calls::{self, Calls};
 use crate::clients::{put_final, Wish, Words, SERVICE};
-use crate::config::Config;
+use crate::config::{Config, SILENCE};
 use crate::discovery::{self, Names};
 use crate::http::{self, put_response, Fault};
 use crate::nodes;
@@ -80,11 +81,6 @@
 const LAST_ANSWER: Duration = ms(200);
 /// What was accepted before the listener was shut has been heard of by then.
 const LAST_HEARD: Duration = ms(20);
-/// The least and the most that a call to the list may wait there, and what it may take beyond. A watch that
-/// falls silent is found by that alone, and what it kept back counts as told soon after. Harm: more calls,
-/// mostly empty.
-const WATCH: (Duration, Duration) = (ms(1000), ms(2000));
-const LIST_ANSWER: Duration = ms(1000);
 /// A node's answer that has begun must go on within this. Guards against answers that are said to be longer
 /// than they are, whose connection stays open: without it such a leg holds its transfer until expiry.
 /// Harm: a whole answer over a link that stalls for longer counts as spoilt.
@@ -346,19 +342,10 @@
     Probe(u64),
 }
 
-#[derive(Debug, Default)]
-struct ListCalls {
-    watching: bool,
-    whole: bool,
-    revision: Option<u64>,
-    /// A call is out, and must be answered by then.
-    by: Option<Duration>,
-}
-
 enum Role {
     Client(Client),
     Node(Doing),
-    List(ListCalls),
+    List(Calls),
 }
 
 struct Conn {
@@ -469,6 +456,7 @@
     fn new(options: Options, room: Arc<Room>, listener: RawFd, to_owner: Sender<Note>) -> Self {
         let Options { config, file } = options;
         let desk = Desk::new(config.settings.clone(), config.seed).one_at_a_time();
+        let desk = desk.list_within(SILENCE, calls::ANSWER);
         let now = clock::now();
         let mut host = Host {
             words: Words::of(&config),
@@ -944,7 +932,11 @@
             // SAFETY: the number has just been given up by its only owner.
             let stream = unsafe { TcpStream::from_raw_fd(d.socket.into_raw_fd()) };
             let (fd, gate) = (stream.as_raw_fd(), Gate::new());
-            let role = if list { Role::List(ListCalls::default()) } else { Role::Node(Doing::Nothing) };
+            let role = if list {
+                Role::List(Calls::new(self.config.settings.bounds.patience))
+            } else {
+                Role::Node(Doing::Nothing)
+            };
             let outbox = self.add(conn, role, fd, gate.clone(), now);
             start_reader(stream, conn, gate, self.to_owner.clone());
             self.inputs.push(match list {
@@ -959,7 +951,7 @@
     fn list_answers(&mut self, conn: ConnId) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
         let Role::List(calls) = &mut c.role else { return };
-        if calls.by.is_none() {
+        if calls.by().is_none() {
             return self.lost(conn);
         }
         let (told, keep) = match http::response(&c.inward) {
@@ -971,14 +963,9 @@
             Ok(Some((r, _))) => (Err(format!("status {}", r.status)), false),
             Err(fault) => (Err(fault.what.to_string()), false),
         };
-        calls.by = None;
         c.inward = Vec::new();
         match told {
             Ok(read) => {
-                // Versions only grow; one that does not is of a service that has lost its own, and what has
-                // changed since is nobody's to tell: the next call is for the whole list.
-                let back = calls.revision.is_some_and(|had| read.revision < had);
-                calls.revision = Some(read.revision).filter(|_| !back);
                 self.listed = true;
                 let frames = vec![frame(Body::List(read.list), clock::now())];
                 self.inputs.push(Input::ListFrames { conn, frames });
@@ -986,7 +973,7 @@
                     self.say(&format!("list of nodes: {} entries cannot be read", read.spoilt));
                 }
                 match keep {
-                    true => self.ask_list(conn),
+                    true => self.call_list(conn, calls::Event::Told { revision: read.revision }),
                     false => self.lost(conn),
                 }
             }
@@ -997,22 +984,12 @@
         }
     }
 
-    /// The next call follows at once, or what changes meanwhile would count as told.
-    fn ask_list(&mut self, conn: ConnId) {
-        let wait = (self.config.settings.list.rule.ask_every / 2).clamp(WATCH.0, WATCH.1);
+    fn call_list(&mut self, conn: ConnId, event: calls::Event) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
         let Role::List(calls) = &mut c.role else { return };
-        if calls.by.is_some() {
-            return;
-        }
-        let newer = calls.revision.filter(|_| !std::mem::take(&mut calls.whole));
-        if newer.is_some() && !calls.watching {
-            return;
-        }
-        let newer = newer.map(|revision| (revision, wait.as_millis() as u64));
-        let waits = newer.map_or(Duration::ZERO, |_| wait);
-        calls.by = Some(clock::now() + waits + LIST_ANSWER);
-        c.outward.extend_from_slice(&discovery::ask(SERVICE, newer));
+        let ask_every = self.config.settings.list.rule.ask_every;
+        let Some(call) = calls.step(clock::now(), ask_every, event) else { return };
+        c.outward.extend_from_slice(&discovery::ask(SERVICE, call));
         self.flush(conn);
     }
 
@@ -1147,14 +1124,8 @@
                     self.inputs.push(Input::NodeFrames { conn, at, frames });
                 }
             }
-            (Role::List(calls), Body::Watch(w)) => {
-                calls.watching = w.on;
-                self.ask_list(conn);
-            }
-            (Role::List(calls), Body::FetchList(_)) => {
-                calls.whole = true;
-                self.ask_list(conn);
-            }
+            (Role::List(_), Body::Watch(w)) => self.call_list(conn, calls::Event::Watch { on: w.on }),
+            (Role::List(_), Body::FetchList(_)) => self.call_list(conn, calls::Event::Fetch),
             _ => {}
         }
     }
@@ -1287,7 +1258,7 @@
         // Until a first exchange has ended, its time counts from the caller's coming.
         Role::Client(client) if client.since <= c.opened => End::Complain(c.opened + FIRST_WORDS),
         Role::Client(client) => End::Complain(client.since + REST),
-        Role::List(calls) => calls.by.map_or(End::Never, End::Hang),
+        Role::List(calls) => calls.by().map_or(End::Never, End::Hang),
     }
 }
 
