The worst chain of calls to the list, made to happen in real processes each time

Need: the term of 6 s was shown on desks alone. A scripted list now loses the call that is out when it has the change, lets the next one fail (never answered, refused after 0.8 s, half an answer; also in a deployment whose lists are pushed, and with the list moved meanwhile) and answers the third 0.7 s after it came. The verdict is by what reached which node: the one that drains gets nothing of what is asked later than 6 s and the grace of 0.25 s. The configuration's seed is one with which the decisions alone would wait 2.2 s after both failures; a check says when that is no longer so.

--- a/crates/cli/tests/ends.rs
+++ b/crates/cli/tests/ends.rs
@@ -298,6 +298,87 @@
     }
 }
 
+/// The worst that the term allows: a call is out when the list has the change, and nobody answers it; the
+/// next one fails as late as it can; the third is answered as late as it may. The settings' seed is one with which
+/// the decisions alone would wait for long after both.
+#[test]
+fn a_node_that_drains_gets_nothing_after_the_term_whatever_calls_fail() {
+    type Case = (&'static str, &'static str, fn(&mut Came, &Hand));
+    let cases: [Case; 5] = [
+        ("never answered", "on_request", |_, _| ()),
+        ("refused late", "on_request", |call, _| {
+            std::thread::sleep(ms(800));
+            call.says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        }),
+        ("half an answer", "on_request", |call, _| {
+            call.says("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{")
+        }),
+        ("never answered, pushed", "pushed", |_, _| ()),
+        // The list has moved, and what is called then is the other one.
+        ("moved", "on_request", |_, other| drop(other.next())),
+    ];
+    std::thread::scope(|s| {
+        for (what, mode, fails) in cases {
+            s.spawn(move || drains_in_time(what, mode, fails));
+        }
+    });
+}
+
+/// With it the decisions would wait 2.2 s after both failures.
+const LONG_WAITS: &str = "347";
+
+/// Span after which a change counts as told, and the settings' grace for what is on its way then.
+const TERM: Duration = ms(6000 + 250);
+
+fn drains_in_time(what: &str, mode: &str, fails: fn(&mut Came, &Hand)) {
+    let (first, second) = (node(|_| says(GOOD)), node(|_| says(GOOD)));
+    let entries = |states: [&str; 2]| {
+        json!([target("s-1", &first, 0, states[0]), target("s-2", &second, 0, states[1])])
+    };
+    let (list, other) = (Hand::start(), Hand::start());
+    let mut with = settings();
+    with["registry-mode"] = json!(mode);
+    let mut live = Live::begin_with(list.address, 256, with.clone(), json!({"seed": LONG_WAITS}));
+    list.next().lists(1, true, entries(["ready", "draining"]));
+    let watch = list.next();
+    live.is_ready();
+    watch.ends();
+    list.next().says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    let lost = list.next();
+    // It has come before it is looked at here, so the host has a little less time than the term.
+    let had = Instant::now();
+    let (live, entries) = (&live, &entries);
+    std::thread::scope(|s| {
+        s.spawn(move || {
+            let moved = what == "moved";
+            if moved {
+                std::thread::sleep(ms(800));
+                write_config(&live.config, "n1", live.address, other.address, live.sockets, with);
+                live.signal("-HUP");
+                fails(
+                    &mut Came { text: String::new(), conn: 0, stream: lost.stream.try_clone().unwrap() },
+                    &other,
+                );
+            } else {
+                fails(&mut list.next(), &other);
+            }
+            let mut third = if moved { other.next() } else { list.next() };
+            // Else the decisions draw other waits than they did, and another seed has to be found.
+            assert!(moved || had.elapsed() > ms(4300), "{what}: it is not made as bad as it can be");
+            std::thread::sleep(ms(700));
+            third.lists(2, true, entries(["draining", "ready"]));
+        });
+        std::thread::sleep(TERM.saturating_sub(had.elapsed()));
+        for n in 0..40 {
+            // What is turned away reaches nobody, and is no matter here.
+            let _ = live.ask(&request("once", &format!("t{n}"), 0, n, 2900));
+            std::thread::sleep(ms(20));
+        }
+    });
+    assert_eq!(seen(&first).len(), 0, "{what}: it drains");
+    assert!(!seen(&second).is_empty(), "{what}: the other one serves");
+}
+
 #[test]
 fn a_file_that_is_torn_gone_or_another_hosts_changes_nothing_and_is_said_once() {
     let (node, _list, live) = one_node(|_| says(GOOD));
--- a/crates/cli/tests/rig/live.rs
+++ b/crates/cli/tests/rig/live.rs
@@ -176,17 +176,28 @@
 
     /// Starts it, and does not wait until it is ready.
     pub fn begin(list: SocketAddr, sockets: u64, settings: Value) -> Live {
+        Live::begin_with(list, sockets, settings, json!({}))
+    }
+
+    /// The same with some fields of its configuration as they are given here.
+    pub fn begin_with(list: SocketAddr, sockets: u64, settings: Value, fields: Value) -> Live {
         static NEXT: Mutex<u32> = Mutex::new(0);
         let n = {
             let mut next = NEXT.lock().unwrap();
             *next += 1;
             *next
         };
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = fields["listen"].as_str().map_or_else(free, |given| given.parse().unwrap());
         let file =
             |end: &str| std::env::temp_dir().join(format!("grebecleat-{}-{n}.{end}", std::process::id()));
         let (config, log) = (file("json"), file("log"));
         write_config(&config, "n1", address, list, sockets, settings);
+        if let Some(fields) = fields.as_object().filter(|f| !f.is_empty()) {
+            let mut whole: Value = serde_json::from_slice(&std::fs::read(&config).unwrap()).unwrap();
+            fields.iter().for_each(|(name, value)| whole[name] = value.clone());
+            std::fs::write(&config, whole.to_string()).unwrap();
+        }
         let mut command = Command::new(env!("CARGO_BIN_EXE_grebecleat"));
         command.arg("platform").env("LB_CONFIG", &config).stdin(Stdio::null());
         let child = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
