--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -715,6 +715,10 @@
             };
             match wish {
                 Wish::Ready => {
+                    // With a remembered list it is of use at once: what has changed since counts as told only a
+                    // term after the list could be reached, and the list may be down or have too many callers
+                    // just when most hosts start. Without any, all it was given would be deferred, so it waits
+                    // for the list. Harm: what it sends to nodes that are no more finds no connection.
                     let ready = self.listed || self.known;
                     let status = if ready { 200 } else { 503 };
                     drained(&mut c.inward, used);
