--- a/crates/cli/tests/cold.rs
+++ b/crates/cli/tests/cold.rs
@@ -5,10 +5,9 @@
 
 use rig::answer;
 use rig::live::*;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::io::Write;
-use std::net::{Shutdown, TcpListener};
-use std::process::{Command, Stdio};
+use std::net::Shutdown;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -24,18 +23,9 @@
     settings["balancers"] = json!(HOSTS);
     // Nothing is reserved: what a host may send there is its part of the always-borne units alone.
     settings["plans"][0]["guaranteed"] = json!(0.0);
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let file =
-        |end: &str| std::env::temp_dir().join(format!("grebecleat-cold-{}-{n}.{end}", std::process::id()));
-    let (config, log) = (file("json"), file("log"));
-    write_config(&config, &format!("n{n}"), address, list.address, 256, settings);
-    let mut told: Value = serde_json::from_slice(&std::fs::read(&config).unwrap()).unwrap();
-    told["seed"] = json!(format!("{:016x}", 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(n as u64 + 1)));
-    std::fs::write(&config, told.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_grebecleat"));
-    command.arg("platform").env("LB_CONFIG", &config).stdin(Stdio::null());
-    let child = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
-    Live { child, address, config, log, sockets: 256 }
+    let seed = 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(n as u64 + 1);
+    let fields = json!({"name": format!("n{n}"), "seed": format!("{seed:016x}")});
+    Live::begin_with(list.address, 256, settings, fields)
 }
 
 /// Thirty of them sent one each as soon as they were asked, since each had long paid the debt it began with.
