The platform host's worker is not bound to the first processor

Cause: the runtime of the coroutines binds its n-th worker to the n-th processor. This host has one worker, so that every host on a machine reads and accepts on processor 0 alone, whatever the others do. Seen in a run of the fleet tests on a busy machine: ten hosts were up, their callers in the listener's queue, and none accepted anybody for 273 s: each one's worker was runnable and had been given 9 ms of processor 0 in that time, while seven other processors were there to be had.

Change: no binding. `grebecleat run` (crates/host) binds its workers still; not looked at here.

The new test compares what each thread may run on with what the process may; with `set_worker_pin(false)` taken out it fails.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -285,3 +285,17 @@
     assert_eq!(out.status.code(), Some(2));
     let _ = std::fs::remove_file(path);
 }
+
+/// Bound to one of the machine's processors, all hosts there would wait for whatever keeps that one busy.
+#[test]
+fn every_thread_may_run_wherever_the_process_may() {
+    let (_node, _list, live) = one_node(|_| says(GOOD));
+    let allowed = |path: std::path::PathBuf| {
+        let status = std::fs::read_to_string(path.join("status")).unwrap();
+        status.lines().find(|l| l.starts_with("Cpus_allowed:")).unwrap().to_string()
+    };
+    let whole = allowed("/proc/self".into());
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", live.child.id())).unwrap();
+    let all: Vec<String> = tasks.map(|t| allowed(t.unwrap().path())).collect();
+    assert!(all.len() >= 3 && all.iter().all(|a| *a == whole), "{whole}, threads: {all:?}");
+}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -428,7 +428,9 @@
 /// Runs the host until SIGTERM has ended it. `started` gets the address it listens on.
 pub fn run(options: Options, started: impl FnOnce(SocketAddr)) -> io::Result<Counts> {
     may::config().set_workers(1).set_stack_size(STACK).set_timeout_ns(POLL.as_nanos() as u64);
-    may::config().set_pool_capacity(SPARE_STACKS);
+    // Its one worker would be bound to the first core, as that of every other host on the machine: what keeps
+    // that core busy keeps all of them from hearing anybody, whatever the other cores do.
+    may::config().set_pool_capacity(SPARE_STACKS).set_worker_pin(false);
     let (to_owner, notes) = mpsc::channel();
     // Before anybody can see this host as ready.
     signals(to_owner.clone())?;
