Idle clients keep out neither the list nor nodes nor whoever has something to say

Need: more idle clients than descriptors, while the list is down, at the start, in service, at SIGHUP to a list that is down, and after SIGTERM: the list is to be called as it returns, `/health/ready` answered, transfers done, legs brought to their nodes.

Found, and mended in run.rs: - How young a silent client is was reckoned from its being accepted: a queue of n of them cost 0.1 s for each round of as many as have places. Dials beyond the part wait, within their time; a list that moves leaves no dial behind. The bound on waiting stands at `make_room`, that on descriptors at `dial`. Process tests now run under the system's own limit.

Taken out, and what failed: - `|| said_nothing_for(c.fd) > YOUNG`: who_was_silent_.., idle_clients_that_come_.., a_list_.._idle_clients_there_are; - `few -=` only for who was closed: a_list_.._asked_once_and_stay; `self.over_kept()` while draining: that one, and a_host_that_was_..; - `c.written < c.outward.len() => None`; `&& c.written >= c.outward.len()`: no_connection_is_closed_for_room_under_an_answer, each; - the test of `to_nodes`, its removal only at the end of the stream, `dials.retain`, the time of held dials: dials_to_nodes_.., each.

Not bounded by this: more callers than the listener's queue takes (1024), which the system lets come again after a second; half an exchange, which holds a place for 2.4 s. When a list that was down is called again is the decisions' choice, up to 2.25 s after the last failure.

--- /dev/null
+++ b/crates/cli/tests/descriptors.rs
@@ -0,0 +1,243 @@
+//! One process at its limit of descriptors, with more clients that say nothing than it may hold: the list,
+//! the nodes, and whoever has something to say get theirs all the same.
+//!
+//! The system itself holds each process to its limit here (`rig::live`). The idle come again as often as they
+//! are closed. Verdicts are counts: calls to the list, answers, and what came to the nodes.
+
+mod rig;
+
+use rig::live::*;
+use rig::{answer, lock, ms};
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// The least that the settings may say.
+const SOCKETS: u64 = 48;
+/// How long a client waits for its answer, as each of its transfers says.
+const LEFT: u64 = 2900;
+
+/// Clients that say nothing, or one thing when they have dialled, and dial again when they are closed.
+struct Idle {
+    ended: Arc<AtomicBool>,
+    /// Connections made in all.
+    made: Arc<AtomicUsize>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Idle {
+    /// Returns once all have dialled; `first` is what each says then.
+    fn start(host: SocketAddr, clients: usize, first: &'static str) -> Idle {
+        let (ended, made): (Arc<AtomicBool>, Arc<AtomicUsize>) = Default::default();
+        let (stop, count) = (ended.clone(), made.clone());
+        let dial = move || {
+            let mut stream = TcpStream::connect(host).ok()?;
+            stream.write_all(first.as_bytes()).ok()?;
+            stream.set_nonblocking(true).unwrap();
+            count.fetch_add(1, Ordering::SeqCst);
+            Some(stream)
+        };
+        let thread = std::thread::spawn(move || {
+            let mut all: Vec<Option<TcpStream>> = (0..clients).map(|_| dial()).collect();
+            while !stop.load(Ordering::SeqCst) {
+                for s in &mut all {
+                    let closed = s.as_mut().is_none_or(|s| match s.read(&mut [0; 512]) {
+                        Ok(n) => n == 0,
+                        Err(e) => e.kind() != ErrorKind::WouldBlock,
+                    });
+                    if closed {
+                        *s = dial();
+                    }
+                }
+                sleep(ms(2));
+            }
+        });
+        let idle = Idle { ended, made, thread: Some(thread) };
+        let until = Instant::now() + Duration::from_secs(20);
+        while idle.made.load(Ordering::SeqCst) < clients {
+            assert!(Instant::now() < until, "they never all dialled");
+            sleep(ms(1));
+        }
+        idle
+    }
+}
+
+impl Drop for Idle {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+        self.thread.take().into_iter().for_each(|t| _ = t.join());
+    }
+}
+
+/// What ends with the list: its listener and its connections.
+type Up = (TcpListener, Vec<TcpStream>);
+
+/// A list that goes down, with all its connections, and returns.
+struct Outage {
+    list: Discovery,
+    address: SocketAddr,
+    up: Arc<Mutex<Option<Up>>>,
+}
+
+impl Outage {
+    /// It is down at first.
+    fn of(targets: Value) -> Outage {
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        Outage { list: discovery(targets), address, up: Arc::default() }
+    }
+
+    fn returns(&self) {
+        let listener = TcpListener::bind(self.address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        *lock(&self.up) = Some((listener, Vec::new()));
+        let (up, list) = (self.up.clone(), self.list.clone());
+        std::thread::spawn(move || loop {
+            match &mut *lock(&up) {
+                None => return,
+                Some((listener, open)) => {
+                    if let Ok((stream, _)) = listener.accept() {
+                        stream.set_nonblocking(false).unwrap();
+                        open.push(stream.try_clone().unwrap());
+                        let list = list.clone();
+                        std::thread::spawn(move || list.serve(stream));
+                    }
+                }
+            }
+            sleep(ms(1));
+        });
+    }
+
+    fn goes_down(&self) {
+        let (listener, open) = lock(&self.up).take().unwrap();
+        drop(listener);
+        open.iter().for_each(|s| _ = s.shutdown(Shutdown::Both));
+    }
+
+    fn calls(&self) -> Vec<String> {
+        lock(&self.list.calls).clone()
+    }
+
+    /// Waits until it was called so often.
+    fn is_called(&self, times: usize) {
+        let until = Instant::now() + Duration::from_secs(20);
+        while self.calls().len() < times {
+            assert!(Instant::now() < until, "it was called {} times", self.calls().len());
+            sleep(ms(2));
+        }
+    }
+}
+
+const READY: &str = "GET /health/ready HTTP/1.1\r\n\r\n";
+
+/// What is told within the time that a client waits, from when it dials on.
+fn ask(host: SocketAddr, text: &str) -> Option<u16> {
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(host).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    stream.set_read_timeout(Some(ms(LEFT).saturating_sub(began.elapsed()).max(ms(1)))).unwrap();
+    answer(&mut stream).map(|a| a.0)
+}
+
+fn transfers(host: SocketAddr, what: &str, n: u64) -> Vec<Option<u16>> {
+    (0..n).map(|k| ask(host, &request("once", &format!("{what}-{k}"), 0, k, LEFT))).collect()
+}
+
+fn ids(node: &Node) -> Vec<String> {
+    let id = |t: &String| t.split("X-Txn: ").nth(1).unwrap().split("\r\n").next().unwrap().to_string();
+    seen(node).iter().map(id).collect()
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum When {
+    AtStart,
+    InService,
+    AfterHangup,
+    AfterTerm,
+}
+
+fn is_back_and_called(when: When, first: &'static str) {
+    let what = format!("{when:?}, {first:.4}");
+    let (old, new) = (node(|_| says(GOOD)), node(|_| says(GOOD)));
+    let only_old = json!([target("s-1", &old, 0, "ready")]);
+    let mut outage = Outage::of(only_old.clone());
+    if when != When::AtStart {
+        outage.returns();
+    }
+    let mut live = Live::begin(outage.address, SOCKETS, settings());
+    match when {
+        When::AtStart => while ask(live.address, READY).is_none() {},
+        _ => live.is_ready(),
+    }
+    let _idle = Idle::start(live.address, 4 * SOCKETS as usize, first);
+    match when {
+        When::AtStart => {
+            // It has no list yet, and says so.
+            assert_eq!(ask(live.address, READY), Some(503), "{what}");
+            assert_eq!(transfers(live.address, "early", 2), [Some(503); 2], "{what}");
+        }
+        When::InService => {
+            outage.goes_down();
+            assert_eq!(ask(live.address, READY), Some(200), "{what}");
+            assert_eq!(transfers(live.address, "early", 2), [Some(200); 2], "{what}");
+        }
+        When::AfterHangup => {
+            // The old list's connection stays until the new one has answered.
+            let there = Outage::of(only_old);
+            write_config(&live.config, "n1", live.address, there.address, live.sockets, settings());
+            live.signal("-HUP");
+            live.says("connection lost", 1);
+            outage = there;
+            assert_eq!(ask(live.address, READY), Some(200), "{what}");
+            assert_eq!(transfers(live.address, "early", 2), [Some(200); 2], "{what}");
+        }
+        When::AfterTerm => {
+            outage.goes_down();
+            live.signal("-TERM");
+        }
+    }
+    let before = outage.calls().len();
+    outage.list.tell(json!([target("s-1", &old, 0, "draining"), target("s-2", &new, 0, "ready")]));
+    outage.returns();
+    // The second call follows what the first was told.
+    outage.is_called(before + 2);
+    assert!(!outage.calls()[before].contains("since="), "{what}: the whole list is asked for");
+    assert_eq!(ask(live.address, READY), Some(200), "{what}");
+    assert_eq!(transfers(live.address, "late", 5), [Some(200); 5], "{what}");
+    assert_eq!(ids(&new), ["late-0", "late-1", "late-2", "late-3", "late-4"], "{what}");
+    let fds = std::fs::read_dir(format!("/proc/{}/fd", live.child.id())).unwrap().count();
+    assert!(fds <= SOCKETS as usize, "{what}: {fds} descriptors");
+    if when == When::AfterTerm {
+        assert!(live.ends(), "{what}");
+    }
+}
+
+#[test]
+fn a_list_that_is_back_is_called_however_many_idle_clients_there_are() {
+    for when in [When::AtStart, When::InService, When::AfterHangup, When::AfterTerm] {
+        is_back_and_called(when, "");
+    }
+}
+
+/// They ask whether the host is ready, and stay.
+#[test]
+fn a_list_that_is_back_is_called_however_many_clients_asked_once_and_stay() {
+    for when in [When::AtStart, When::InService, When::AfterHangup, When::AfterTerm] {
+        is_back_and_called(when, READY);
+    }
+}
+
+#[test]
+fn idle_clients_that_come_again_and_again_keep_out_nobody_who_speaks() {
+    let node = node(|_| says(GOOD));
+    let list = discovery(json!([target("s-1", &node, 0, "ready")]));
+    let live = Live::start(&list, SOCKETS);
+    let idle = Idle::start(live.address, 900, "");
+    assert_eq!(transfers(live.address, "t", 5), [Some(200); 5]);
+    assert_eq!(ids(&node), ["t-0", "t-1", "t-2", "t-3", "t-4"]);
+    assert_eq!(ask(live.address, READY), Some(200));
+    assert!(idle.made.load(Ordering::SeqCst) > 900, "none came again, so this proves little");
+}
--- a/crates/cli/tests/rig/live.rs
+++ b/crates/cli/tests/rig/live.rs
@@ -187,8 +187,10 @@
             |end: &str| std::env::temp_dir().join(format!("grebecleat-{}-{n}.{end}", std::process::id()));
         let (config, log) = (file("json"), file("log"));
         write_config(&config, "n1", address, list, sockets, settings);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_grebecleat"));
-        command.arg("platform").env("LB_CONFIG", &config).stdin(Stdio::null());
+        // The system holds it to its limit: one descriptor more than the settings grant fails there and then.
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -n $0 && exec \"$1\" platform"]).arg(sockets.to_string());
+        command.arg(env!("CARGO_BIN_EXE_grebecleat")).env("LB_CONFIG", &config).stdin(Stdio::null());
         let child = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
         Live { child, address, config, log, sockets }
     }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -6,9 +6,12 @@
 //! before anything else is heard, and whether its last byte was written is known without asking another
 //! thread. What the socket does not take at once is tried again at the next look.
 //!
-//! Bounds. Descriptors: [`Descriptors`], clients and nodes apart. Memory of a connection: its coroutine's
-//! stack, one message in, what is being written, and [`MOST_AHEAD`] read but not yet looked at; past that its
-//! reader waits. Times: no `may` timer is used; [`Host::sweep`] closes what is slow, silent or idle.
+//! Bounds. Descriptors: [`Descriptors`], clients and nodes apart, each counted until its socket is closed,
+//! and the list's beside both: whoever fills one part, the others keep theirs ([`Host::dial`]). How long
+//! somebody with something to say may wait for a place among the clients: [`Host::make_room`]. Memory of a
+//! connection: its coroutine's stack, one message in, what is being written, and [`MOST_AHEAD`] read but not
+//! yet looked at; past that its reader waits. Times: no `may` timer is used; [`Host::sweep`] closes what is
+//! slow, silent or idle.
 
 use crate::account::Teller;
 use crate::clients::{put_final, Wish, Words, SERVICE};
@@ -27,7 +30,7 @@
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd, RawFd};
@@ -67,7 +70,7 @@
 const REST: Duration = ms(2000);
 /// From then on a connection without an open exchange is closed. Harm: who comes back later dials again.
 const IDLE: Duration = ms(2000);
-/// Callers younger than this may just be about to speak.
+/// Callers younger than this may just be about to speak; from their coming on, not from their being accepted.
 const YOUNG: Duration = ms(100);
 /// After an error, what its client still sends is dropped for so long and so much, or the error would be lost
 /// to a reset.
@@ -168,6 +171,22 @@
     }
 }
 
+/// How long a connection has brought nothing, also while it waited to be accepted: since it came up, if it
+/// never has. Zero where the system does not tell.
+fn said_nothing_for(fd: RawFd) -> Duration {
+    // SAFETY: all zero is a value of this plain struct.
+    let mut told: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+    // SAFETY: the pointers are of live values, the length is the first one's; the caller owns the number.
+    let failed = unsafe {
+        libc::getsockopt(fd, libc::IPPROTO_TCP, libc::TCP_INFO, (&raw mut told).cast(), &raw mut length)
+    };
+    if failed != 0 {
+        return Duration::ZERO;
+    }
+    ms(u64::from(told.tcpi_last_data_recv))
+}
+
 impl Gate {
     fn new() -> Arc<Self> {
         Arc::new(Gate { inner: Mutex::default(), bell: Semphore::new(0) })
@@ -381,6 +400,13 @@
     list: bool,
 }
 
+/// A dial to a node that waits for a descriptor.
+struct Held {
+    conn: ConnId,
+    address: SocketAddr,
+    until: Duration,
+}
+
 /// What [`run`] is to do.
 pub struct Options {
     pub config: Config,
@@ -398,6 +424,9 @@
     /// Closed by us; their readers have yet to end.
     leaving: BTreeSet<ConnId>,
     dials: Vec<Dial>,
+    held: VecDeque<Held>,
+    /// Connections to nodes that have a descriptor: dialled, up, or closed and not yet let go of.
+    to_nodes: BTreeSet<ConnId>,
     inputs: Vec<Input>,
     /// Connections whose outboxes have something new.
     rung: Arc<Mutex<Vec<ConnId>>>,
@@ -479,6 +508,8 @@
             conns: BTreeMap::new(),
             leaving: BTreeSet::new(),
             dials: Vec::new(),
+            held: VecDeque::new(),
+            to_nodes: BTreeSet::new(),
             inputs: Vec::new(),
             rung: Arc::default(),
             blocked: BTreeSet::new(),
@@ -538,7 +569,7 @@
         loop {
             let now = clock::now();
             let mut wake = self.desk.wake_at().min(self.sweep_at);
-            if !self.dials.is_empty() || !self.blocked.is_empty() {
+            if !(self.dials.is_empty() && self.held.is_empty() && self.blocked.is_empty()) {
                 wake = wake.min(now + ms(2));
             }
             let wait = wake.saturating_sub(now);
@@ -597,6 +628,7 @@
                     self.leaving.remove(&conn);
                 }
                 drop(stream);
+                self.to_nodes.remove(&conn);
                 if conn.0 > ACCEPTED {
                     self.room.live.fetch_sub(1, Ordering::AcqRel);
                     if std::mem::take(&mut self.short) {
@@ -662,11 +694,14 @@
     }
 
     /// Ends a client's connection that only waits, unless the client has said something that is not heard
-    /// yet: closed now, its transfer would be lost. Then nothing is done, and the next look finds it.
-    fn leave(&mut self, conn: ConnId) {
-        if self.conns.get(&conn).is_some_and(|c| c.gate.close_unless_asked(c.fd)) {
+    /// yet: closed now, its transfer would be lost. Then nothing is done, and the next look finds it. Whether
+    /// it was ended.
+    fn leave(&mut self, conn: ConnId) -> bool {
+        let leaves = self.conns.get(&conn).is_some_and(|c| c.gate.close_unless_asked(c.fd));
+        if leaves {
             self.lost(conn);
         }
+        leaves
     }
 
     fn read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
@@ -776,6 +811,15 @@
     }
 
     /// Where clients hold all they may: the silent go first, then those that have been idle for long.
+    ///
+    /// How long one that has something to say waits for a place: those before it in the listener's queue came
+    /// before it. Once it has waited for [`YOUNG`], all of them are older than that, and each that is silent
+    /// is closed at the look that follows its being accepted: from the next [`Host::sweep`] on the queue
+    /// moves as fast as we accept and close, however many are in it, and who comes back comes back behind.
+    /// Reckoned from their being accepted, each round of as many as have places would cost that span anew.
+    /// For longer a place is held only by one that has said something: by an open transfer until its expiry, an
+    /// answer that is not read for [`READING`], half an exchange for [`FIRST_WORDS`] or [`REST`]. Harm: what
+    /// one that is slow to speak says may cross the close, and it comes again.
     fn make_room(&mut self) {
         let now = clock::now();
         let order = |c: &Conn| {
@@ -783,8 +827,12 @@
             let idle = now.saturating_sub(client.since);
             match client {
                 Client { open: Some(_), .. } => None,
+                // Closed now, the rest of its answer would be lost.
+                _ if c.written < c.outward.len() => None,
                 Client { discard: Some(_), .. } => Some((0, idle)),
-                Client { spoke: false, .. } if idle > YOUNG => Some((1, idle)),
+                Client { spoke: false, .. } if idle > YOUNG || said_nothing_for(c.fd) > YOUNG => {
+                    Some((1, idle))
+                }
                 _ if idle > IDLE => Some((2, idle)),
                 Client { spoke: true, .. } if c.inward.is_empty() => Some((3, idle)),
                 _ => Some((4, idle)),
@@ -793,37 +841,53 @@
         let all = self.conns.iter().filter_map(|(id, c)| Some((order(c)?, *id)));
         let mut all: Vec<_> = all.collect();
         all.sort_unstable_by_key(|((kind, idle), _)| (*kind, std::cmp::Reverse(*idle)));
-        // A host that was told to end keeps whoever has asked: they get no other connection here.
-        let most = if self.draining.is_some() { 2 } else { 4 };
-        // A few at a time: each costs a look at all.
-        let few = 1 + self.room.most / 16;
-        for ((kind, _), conn) in all.into_iter().take(few) {
-            match kind {
+        // A host that was told to end keeps as many of those that have asked as it may ever keep: late in its
+        // end they get no other connection here. But no more, or who comes now gets none for their sake.
+        let mut over = if self.draining.is_some() { self.over_kept() } else { usize::MAX };
+        // A few at a time: each costs a look at all. Who turns out to have said something is none of them, or
+        // one that is yet to be heard would leave the listener waiting for the next sweep.
+        let mut few = 1 + self.room.most / 16;
+        for ((kind, _), conn) in all {
+            let closed = match kind {
                 // An error was its last answer.
-                0 => self.lost(conn),
-                kind if kind < most => self.leave(conn),
-                _ => {}
+                0 => {
+                    self.lost(conn);
+                    true
+                }
+                1 => self.leave(conn),
+                2 | 3 if over > 0 => self.leave(conn),
+                _ => false,
+            };
+            over -= usize::from(closed && kind > 1);
+            few -= usize::from(closed);
+            if few == 0 {
+                return;
             }
         }
     }
 
+    /// How many more clients that have asked keep connections than may.
+    fn over_kept(&self) -> usize {
+        let asked = |c: &&Conn| matches!(&c.role, Role::Client(k) if k.spoke && k.discard.is_none());
+        self.conns.values().filter(asked).count().saturating_sub(self.config.descriptors.kept)
+    }
+
     /// Where more clients keep connections than may, those go that have been idle the longest: whoever asks
     /// again and again is among the last. Guards against many who ask once and stay, for whom others are kept
     /// out. Harm: with very many clients in turn each dials anew.
     fn keep_few(&mut self) {
-        let mut asked = 0usize;
         let idle = |(id, c): (&ConnId, &Conn)| match &c.role {
             Role::Client(k) if k.spoke && k.discard.is_none() => {
-                asked += 1;
-                (k.open.is_none() && c.inward.is_empty()).then_some((k.since, *id))
+                let idle = k.open.is_none() && c.inward.is_empty() && c.written >= c.outward.len();
+                idle.then_some((k.since, *id))
             }
             _ => None,
         };
         let mut idle: Vec<_> = self.conns.iter().filter_map(idle).collect();
-        let over = asked.saturating_sub(self.config.descriptors.kept);
+        let over = self.over_kept();
         if over > 0 && self.draining.is_none() {
             idle.sort_unstable();
-            idle.into_iter().take(over).for_each(|(_, conn)| self.leave(conn));
+            idle.into_iter().take(over).for_each(|(_, conn)| _ = self.leave(conn));
         }
     }
 
@@ -892,11 +956,26 @@
         self.exchange_over(conn, body, true, clock::now());
     }
 
+    /// The desk counts a connection out when it gives it up, and its descriptor is free a little later: many
+    /// that end together, with as many dials in their place, would take the descriptors of all others, and
+    /// the list or a client would find none. So what is beyond the nodes' part waits for the first that is
+    /// let go of, within the time of its dial. The list's own are at most one that is up, one from before a
+    /// move and one dial, which stand beside all parts: it is dialled as soon as the decisions ask. Harm: a
+    /// leg may wait for a dial that is held; it is swept as behind a slow one.
+    fn dial(&mut self, conn: ConnId, address: SocketAddr, list: bool) {
+        let until = clock::now() + self.config.settings.bounds.dial_timeout;
+        if list {
+            // Only the last is waited for: a list that moves often leaves no dials behind.
+            self.dials.retain(|d| !d.list);
+        } else if self.to_nodes.len() >= self.config.descriptors.nodes {
+            return self.held.push_back(Held { conn, address, until });
+        }
+        self.connect(conn, address, list, until);
+    }
+
     /// Without waiting: on this machine and near it a connection is up or refused at once, and what is
     /// neither is looked at again.
-    fn dial(&mut self, conn: ConnId, address: SocketAddr, list: bool) {
-        let now = clock::now();
-        let until = now + self.config.settings.bounds.dial_timeout;
+    fn connect(&mut self, conn: ConnId, address: SocketAddr, list: bool, until: Duration) {
         let domain = if address.is_ipv4() { Domain::IPV4 } else { Domain::IPV6 };
         let dialled = Socket::new(domain, Type::STREAM, Some(Protocol::TCP)).and_then(|socket| {
             socket.set_nonblocking(true)?;
@@ -910,7 +989,12 @@
             }
         });
         match dialled {
-            Ok(socket) => self.dials.push(Dial { conn, socket, until, list }),
+            Ok(socket) => {
+                if !list {
+                    self.to_nodes.insert(conn);
+                }
+                self.dials.push(Dial { conn, socket, until, list });
+            }
             Err(e) => {
                 tracing::debug!(%address, "cannot dial: {e}");
                 self.inputs.push(if list { Input::ListGone { conn } } else { Input::NodeGone { conn } });
@@ -918,7 +1002,20 @@
         }
     }
 
+    fn dial_held(&mut self) {
+        let now = clock::now();
+        while self.held.front().is_some_and(|h| now >= h.until) {
+            let late = self.held.pop_front().map(|h| Input::NodeGone { conn: h.conn });
+            self.inputs.extend(late);
+        }
+        while self.to_nodes.len() < self.config.descriptors.nodes {
+            let Some(Held { conn, address, until }) = self.held.pop_front() else { return };
+            self.connect(conn, address, false, until);
+        }
+    }
+
     fn look_at_dials(&mut self) {
+        self.dial_held();
         if self.dials.is_empty() {
             return;
         }
@@ -940,6 +1037,7 @@
             }
             let up = ready && matches!(d.socket.take_error(), Ok(None)) && d.socket.peer_addr().is_ok();
             if !up {
+                self.to_nodes.remove(&conn);
                 self.inputs.push(if list { Input::ListGone { conn } } else { Input::NodeGone { conn } });
                 continue;
             }
@@ -1220,7 +1318,7 @@
             }
         }
         lost.into_iter().for_each(|conn| self.lost(conn));
-        idle.into_iter().for_each(|conn| self.leave(conn));
+        idle.into_iter().for_each(|conn| _ = self.leave(conn));
         self.keep_few();
         spoilt.into_iter().for_each(|conn| self.spoilt(conn));
         let late = Fault { status: 408, what: "the rest did not come" };
