--- a/crates/cli/tests/rig/live.rs
+++ b/crates/cli/tests/rig/live.rs
@@ -198,8 +198,10 @@
             fields.iter().for_each(|(name, value)| whole[name] = value.clone());
             std::fs::write(&config, whole.to_string()).unwrap();
         }
-        let mut command = Command::new(env!("CARGO_BIN_EXE_grebecleat"));
-        command.arg("platform").env("LB_CONFIG", &config).stdin(Stdio::null());
+        // The system holds it to its limit: one descriptor more than the settings grant fails there and then.
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -n $0 && exec \"$1\" platform"]).arg(sockets.to_string());
+        command.arg(env!("CARGO_BIN_EXE_grebecleat")).env("LB_CONFIG", &config).stdin(Stdio::null());
         let child = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
         Live { child, address, config, log, sockets }
     }
