--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -169,7 +169,13 @@
     }
     let mut live = Live::begin(outage.address, SOCKETS, settings());
     match when {
-        When::AtStart => while ask(live.address, READY).is_none() {},
+        When::AtStart => {
+            let until = Instant::now() + Duration::from_secs(20);
+            while ask(live.address, READY).is_none() {
+                assert!(Instant::now() < until, "{what}: it never answered");
+                sleep(ms(5));
+            }
+        }
         _ => live.is_ready(),
     }
     let _idle = Idle::start(live.address, 4 * SOCKETS as usize, first);
