The workers of a host on its own wire are not bound to processors either

Seen here: threads of a host allowed on processors 1 and 2 alone, of eight.

Test: `no_thread_of_a_host_is_bound_to_a_processor`; with `set_worker_pin(false)` taken out it fails.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -336,6 +336,23 @@
     assert_eq!(host.0.wait().unwrap().code(), Some(0));
 }
 
+/// Bound to some of the machine's processors, all hosts there would wait for whatever keeps those busy.
+#[test]
+fn no_thread_of_a_host_is_bound_to_a_processor() {
+    let _alone = alone();
+    let folder = Folder::new("bound");
+    let (_list, _nodes, host) = site(&folder, 256);
+    Client::new(&host.1).until_done();
+    let allowed = |path: &Path| {
+        let status = fs::read_to_string(path.join("status")).unwrap();
+        status.lines().find(|l| l.starts_with("Cpus_allowed:")).unwrap().to_string()
+    };
+    let whole = allowed("/proc/self".as_ref());
+    let tasks = fs::read_dir(format!("/proc/{}/task", host.0.id())).unwrap();
+    let all: Vec<String> = tasks.map(|t| allowed(&t.unwrap().path())).collect();
+    assert!(all.len() >= 3 && all.iter().all(|a| *a == whole), "{whole}, threads: {all:?}");
+}
+
 #[test]
 fn a_second_signal_ends_it_at_once() {
     let _alone = alone();
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -167,6 +167,9 @@
 /// Runs a host until it has drained. `started` gets the address it listens on and a handle.
 pub fn run(options: Options, started: impl FnOnce(SocketAddr, Handle)) -> io::Result<Counts> {
     may::config().set_workers(options.workers.max(1)).set_stack_size(CONNECTION_STACK);
+    // Bound, as the runtime has it, the n-th worker of every host on a machine shares the n-th processor, and
+    // what keeps that one busy keeps all of them from hearing anybody, whatever the others do.
+    may::config().set_worker_pin(false);
     // A wake-up from the owner's thread is at times only seen when the worker polls again: with `may`'s own
     // 10 ms that was the 99th percentile. Harm: an idle worker wakes a thousand times a second.
     may::config().set_timeout_ns(POLL.as_nanos() as u64);
