--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -1192,7 +1192,7 @@
                     return self.lost(conn);
                 }
             }
-            if self.nobody_waits(conn) {
+            if !client && self.nobody_waits(conn) {
                 return;
             }
             let Some(c) = self.conns.get_mut(&conn) else { return };
