--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -7,7 +7,7 @@
 mod rig;
 
 use rig::live::*;
-use rig::{answer, lock, ms};
+use rig::{answer, free_address, lock, ms};
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -86,7 +86,7 @@
 impl Outage {
     /// It is down at first.
     fn of(targets: Value) -> Outage {
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = free_address();
         Outage { list: discovery(targets), address, up: Arc::default() }
     }
 
--- a/crates/cli/tests/iscsi.rs
+++ b/crates/cli/tests/iscsi.rs
@@ -11,9 +11,10 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -39,7 +40,10 @@
     Started(child, said)
 }
 
-/// A site of three nodes with a portal on a port that was free a moment ago.
+/// The last part of a portal's address.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// A site of three nodes with a portal on an address of its own.
 struct Site {
     dir: PathBuf,
     script: String,
@@ -58,7 +62,10 @@
         let dir = std::env::temp_dir().join(format!("grebecleat-iscsi-{}-{name}", std::process::id()));
         let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).unwrap();
-        let portal = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        // On the address that all dial from, somebody's outgoing connection may have the port by then.
+        let own = NEXT.fetch_add(1, Ordering::SeqCst);
+        let own = Ipv4Addr::new(127, 10, (std::process::id() % 250) as u8, own);
+        let portal = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
         let text = format!(
             r#"
 zone(name = "a")
--- a/crates/cli/tests/rig/live.rs
+++ b/crates/cli/tests/rig/live.rs
@@ -1,6 +1,6 @@
 //! One process of `grebecleat platform` with a small list and scripted nodes on loopback.
 
-use super::{answer, ms, next_exchange};
+use super::{answer, free_address, ms, next_exchange};
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -187,8 +187,7 @@
             *next += 1;
             *next
         };
-        let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let address = fields["listen"].as_str().map_or_else(free, |given| given.parse().unwrap());
+        let address = fields["listen"].as_str().map_or_else(free_address, |given| given.parse().unwrap());
         let file =
             |end: &str| std::env::temp_dir().join(format!("grebecleat-{}-{n}.{end}", std::process::id()));
         let (config, log) = (file("json"), file("log"));
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -16,11 +16,21 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Where something may listen in a moment, on an address of its own: on the one that all dial from, somebody's
+/// outgoing connection may have the port by then.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let (n, process) = (NEXT.fetch_add(1, Ordering::SeqCst), std::process::id());
+    let address =
+        std::net::Ipv4Addr::new(127, 11 + (n / 250) as u8, (process % 250) as u8, (n % 250) as u8 + 1);
+    TcpListener::bind((address, 0)).unwrap().local_addr().unwrap()
+}
+
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -561,7 +571,7 @@
         let tmp = std::env::temp_dir();
         let all: Vec<Host> = (0..hosts)
             .map(|n| {
-                let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+                let address = free_address();
                 let name = format!("grebecleat-fleet-{}-{number}-{n}", std::process::id());
                 let (config, log) = (tmp.join(format!("{name}.json")), tmp.join(format!("{name}.log")));
                 Host { child: Mutex::default(), address, config, log, kills: Mutex::default() }
