Log calls to discovery, closes, refusals, attempts and the settings in force

Cause: the logs could not tell why a host has an old list. Added at debug level: each call to discovery and its answer, each connection's end with its reason, each request with its client's id, each attempt, each refusal with its cause; at info level the settings in force and, with each failed call, since when there was no answer. GREBECLEAT_LOG sets the level.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -33,7 +33,12 @@
     #[arg(long, value_enum, default_value = "text", global = true)]
     pub log: Format,
     /// What is logged: error, warn, info, debug, trace, or filters such as grebecleat_host=debug.
-    #[arg(long, default_value = "info,may=error", global = true)]
+    #[arg(
+        long,
+        env = "GREBECLEAT_LOG",
+        default_value = "info,may=error",
+        global = true
+    )]
     pub log_level: String,
     /// Appends the log to a file; standard error otherwise.
     #[arg(long, global = true)]
--- a/crates/host/src/router.rs
+++ b/crates/host/src/router.rs
@@ -31,7 +31,7 @@
 mod reporting;
 mod types;
 
-pub use types::{ConnId, Counters, Input, OpenWork, Output, WireMode};
+pub use types::{request_label, ConnId, Counters, Input, OpenWork, Output, WireMode};
 
 use crate::config_follower::ConfigFollower;
 use crate::endpoint_list::EndpointList;
@@ -50,9 +50,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
+use tracing::debug;
 use types::{
-    frame, request_id, ClientConnection, DiscoveryLink, FormerDiscoveryLink, NodeConnection,
-    NodePool, OpenRequest, OutstandingAttempt,
+    frame, request_id, ClientConnection, DiscoveryHistory, DiscoveryLink, FormerDiscoveryLink,
+    NodeConnection, NodePool, OpenRequest, OutstandingAttempt,
 };
 
 /// The longest sleep while anything is open, so that a pause of the process is seen for what it is.
@@ -119,6 +120,7 @@
     endpoints_changed: bool,
     discovery: DiscoveryLink,
     former_discovery: Option<FormerDiscoveryLink>,
+    discovery_history: DiscoveryHistory,
     /// None: after a failure discovery is called when the decisions say, however long that is.
     poll_deadline: Option<PollDeadline>,
     health_checks: HashMap<u64, (NodeId, ConnId)>,
@@ -180,6 +182,7 @@
             endpoints_changed: false,
             discovery: DiscoveryLink::default(),
             former_discovery: None,
+            discovery_history: DiscoveryHistory::default(),
             poll_deadline: None,
             health_checks: HashMap::new(),
             timers: BTreeSet::new(),
@@ -342,7 +345,9 @@
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
             self.counters.events += events.len() as u64;
-            for action in self.control.step(self.now, events) {
+            let actions = self.control.step(self.now, events);
+            self.log_rejections();
+            for action in actions {
                 self.perform(action);
             }
             self.adjust_pools();
@@ -353,6 +358,13 @@
         std::mem::take(&mut self.outputs)
     }
 
+    fn log_rejections(&self) {
+        for rejected in self.control.rejected_in_step() {
+            let request = request_label(&rejected.id.0);
+            debug!(request, cause = ?rejected.cause, "request rejected or failed");
+        }
+    }
+
     fn check_pools(&mut self) {
         while let Some(&(at, node)) = self.pool_checks.first() {
             if at > self.now {
--- a/crates/host/src/router/attempts.rs
+++ b/crates/host/src/router/attempts.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
+use tracing::debug;
 
 fn may_still_run(outcome: AttemptOutcome) -> bool {
     use AttemptOutcome::{Cancelled, ConnectionReset, TimedOut};
@@ -205,6 +206,12 @@
             return;
         };
         self.release_attempt(attempt, &ended, outcome, response.is_some());
+        debug!(
+            attempt = attempt.0,
+            node = ended.node.0,
+            ?outcome,
+            "attempt ended"
+        );
         let at = at.max(ended.sent);
         let elapsed = (at - ended.sent).saturating_sub(self.pauses.within(ended.sent, at));
         let (id, node) = (ended.id, ended.node);
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tracing::debug;
 
 /// What tells one process of a node from another.
 type Process = (u64, Option<SocketAddr>);
@@ -39,6 +40,7 @@
             };
             if current {
                 self.discovery.answer_by = None;
+                self.discovery_answered();
                 self.close_former_discovery();
             }
             self.handle_endpoint_update(update);
@@ -146,11 +148,33 @@
             outbox.close();
         }
         self.discovery = DiscoveryLink::default();
-        self.log(format!("list of nodes: {reason}"));
+        self.discovery_history.failures += 1;
+        self.log(self.discovery_failure_text(reason));
         self.poll_before_deadline(Some(poll_deadline::Event::Failed));
         self.fetch_failed();
     }
 
+    fn discovery_failure_text(&self, reason: &str) -> String {
+        let history = &self.discovery_history;
+        let age = history
+            .answered_at
+            .map_or("since the start".to_string(), |at| {
+                format!("for {}ms", self.now.saturating_sub(at).as_millis())
+            });
+        let failures = history.failures;
+        format!("list of nodes: {reason}; no answer {age}, {failures} failed calls in a row")
+    }
+
+    fn discovery_answered(&mut self) {
+        let failures = std::mem::take(&mut self.discovery_history.failures);
+        if failures > 0 {
+            self.log(format!(
+                "list of nodes: answered after {failures} failed calls"
+            ));
+        }
+        self.discovery_history.answered_at = Some(self.now);
+    }
+
     fn fetch_failed(&mut self) {
         self.events.push(Event::EndpointUpdate {
             kind: EndpointUpdateKind::FetchFailed,
@@ -191,6 +215,7 @@
                 .is_some_and(|was| *was != process);
             if endpoint.state != NodeState::Ready || renewed {
                 left.push(endpoint.node);
+                debug!(node = endpoint.node.0, state = ?endpoint.state, renewed, revision, "list of nodes: entry");
             }
             if renewed {
                 self.node_restarted(endpoint.node);
--- a/crates/host/src/router/types.rs
+++ b/crates/host/src/router/types.rs
@@ -365,6 +365,21 @@
     pub outbox: Arc<Outbox>,
 }
 
+/// What has become of the calls to discovery; for the log.
+#[derive(Debug, Default)]
+pub(super) struct DiscoveryHistory {
+    /// When it last answered; None: not since the start.
+    pub answered_at: Option<Duration>,
+    /// Calls that failed since then.
+    pub failures: u32,
+}
+
+/// The text of a request's id in the log: without the zeros that only fill it up.
+pub fn request_label(id: &[u8]) -> &str {
+    let text = std::str::from_utf8(id).unwrap_or("unreadable");
+    text.trim_start_matches('0')
+}
+
 /// A frame whose time is set when it is written.
 pub(super) fn frame(body: Body) -> pb::Frame {
     pb::Frame {
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -91,6 +91,7 @@
         return None;
     }
     let number = numbers.len() as u32;
+    tracing::debug!(number, name, "list of nodes: new name");
     numbers.insert(name.to_string(), number);
     Some(number)
 }
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -46,6 +46,17 @@
     },
 }
 
+/// A call that has not been answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OutstandingCall {
+    /// What was asked for.
+    pub call: Call,
+    /// When it was written.
+    pub begun: Duration,
+    /// When it is given up.
+    pub answer_by: Duration,
+}
+
 /// The calls on one connection.
 #[derive(Debug)]
 pub struct DiscoveryCalls {
@@ -54,8 +65,7 @@
     watching: bool,
     fetch: bool,
     revision: Option<u64>,
-    /// A call is out, and must be answered by then.
-    answer_by: Option<Duration>,
+    outstanding: Option<OutstandingCall>,
 }
 
 impl DiscoveryCalls {
@@ -67,13 +77,18 @@
             watching: false,
             fetch: false,
             revision: None,
-            answer_by: None,
+            outstanding: None,
         }
     }
 
     /// When the call that is out must be answered; None: no call is out.
     pub fn answer_by(&self) -> Option<Duration> {
-        self.answer_by
+        self.outstanding.map(|call| call.answer_by)
+    }
+
+    /// The call that is out, if any.
+    pub fn outstanding(&self) -> Option<OutstandingCall> {
+        self.outstanding
     }
 
     /// Takes in an event; `poll_interval`: how often the settings ask for the list.
@@ -83,29 +98,36 @@
             Event::Fetch => self.fetch = true,
             Event::Answered { revision } => self.answered(revision),
         }
-        if self.answer_by.is_some() {
+        if self.outstanding.is_some() {
             return None;
         }
         // A fetch that is asked for before any answer stays asked for.
         let fetch_again = self.revision.is_some() && std::mem::take(&mut self.fetch);
         // The next call follows at once, or what changes meanwhile would be taken as known.
         let Some(revision) = self.revision.filter(|_| !fetch_again) else {
-            self.answer_by = Some(now + self.complete_timeout);
-            return Some(Call::Complete);
+            return self.begin(now, Call::Complete, self.complete_timeout);
         };
         if !self.watching {
             return None;
         }
         let wait = (poll_interval / 2).clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT);
-        self.answer_by = Some(now + wait + CALL_TIMEOUT);
-        Some(Call::Newer { revision, wait })
+        self.begin(now, Call::Newer { revision, wait }, wait + CALL_TIMEOUT)
+    }
+
+    fn begin(&mut self, now: Duration, call: Call, timeout: Duration) -> Option<Call> {
+        self.outstanding = Some(OutstandingCall {
+            call,
+            begun: now,
+            answer_by: now + timeout,
+        });
+        Some(call)
     }
 
     /// Revisions only grow; one that does not is of a service that has lost its own, and what has
     /// changed since cannot be known from it: the next call is for the complete list.
     fn answered(&mut self, revision: u64) {
         let went_back = self.revision.is_some_and(|known| revision < known);
-        self.answer_by = None;
+        self.outstanding = None;
         self.revision = if went_back { None } else { Some(revision) };
         self.complete_timeout = CALL_TIMEOUT;
     }
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -71,6 +71,31 @@
     HealthCheck(u64),
 }
 
+/// Why the owner closes a connection; for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// Its peer has ended or reset it.
+    PeerClosed,
+    /// The socket takes no more bytes.
+    WriteFailed,
+    /// The router has given it up: an attempt on it is over, it was idle, or it moved.
+    ClosedByRouter,
+    /// What it waited for has not come in time.
+    TimedOut,
+    /// It waited for nothing, and idled for too long or stood in the way of others.
+    Idle,
+    /// Its last answer said that it would be closed.
+    AnsweredLast,
+    /// Its peer sent what answers or belongs to nothing.
+    UnexpectedBytes,
+    /// Its peer's answer cannot be read, is no success, or will never be complete.
+    BadAnswer,
+    /// Its client was gone before its request could be sent.
+    ClientDeparted,
+    /// Its client sends more than may wait.
+    TooMuchPipelined,
+}
+
 /// Which kind of peer is at the other end.
 pub(super) enum Role {
     Client(ClientState),
@@ -93,6 +118,17 @@
     pub(super) last_read_at: Duration,
 }
 
+impl Role {
+    /// The kind of peer; for the log.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Role::Client(_) => "client",
+            Role::Node(_) => "node",
+            Role::Discovery(_) => "discovery",
+        }
+    }
+}
+
 impl Connection {
     /// Whether the socket has yet to take something that was composed.
     pub(super) fn has_unwritten(&self) -> bool {
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -18,7 +18,9 @@
 mod writer;
 
 use super::client_ids::ClientIds;
-use super::connection::{ClientState, Connection, DialTarget, PendingDial, QueuedDial, Role};
+use super::connection::{
+    ClientState, CloseReason, Connection, DialTarget, PendingDial, QueuedDial, Role,
+};
 use super::listener::{ClientSlots, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
 use super::reader::{OwnerEvent, ReadGate};
@@ -40,7 +42,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tracing::info;
+use tracing::{debug, info};
 
 /// Events that go into one step, so that a flood cannot delay timers.
 const MAX_EVENTS_PER_STEP: usize = 512;
@@ -137,9 +139,22 @@
             config,
         };
         owner.load_cached_endpoints();
+        owner.log_settings();
         owner
     }
 
+    fn log_settings(&self) {
+        let settings = &self.config.settings;
+        info!(
+            polled = settings.list.rule.polled,
+            poll_interval = ?settings.list.rule.poll_interval,
+            drain_grace = ?settings.rules.drain_grace,
+            hosts = settings.rules.cold.hosts,
+            cached_endpoints = self.has_cached_endpoints,
+            "settings in force"
+        );
+    }
+
     pub(super) fn counters(&self) -> Counters {
         self.router.counters()
     }
@@ -243,7 +258,7 @@
             OwnerEvent::Read { conn, at, bytes } => self.handle_read(conn, at, &bytes),
             OwnerEvent::Ended { conn, stream } => {
                 if !self.closing.remove(&conn) {
-                    self.connection_lost(conn);
+                    self.connection_lost(conn, CloseReason::PeerClosed);
                     self.closing.remove(&conn);
                 }
                 drop(stream);
@@ -305,10 +320,15 @@
 
     /// Closes a connection without reporting it to the router; its reader ends, and with it the
     /// descriptor.
-    fn close(&mut self, conn: ConnId) {
+    fn close(&mut self, conn: ConnId, reason: CloseReason) {
         let Some(connection) = self.connections.remove(&conn) else {
             return;
         };
+        let peer = connection.role.name();
+        let open_ms = clock::now()
+            .saturating_sub(connection.opened_at)
+            .as_millis();
+        debug!(conn = conn.0, peer, ?reason, open_ms, "connection closed");
         if let Role::Client(ClientState {
             exchange: Some(exchange),
             ..
@@ -325,7 +345,7 @@
     }
 
     /// A connection has ended, or is of no further use.
-    fn connection_lost(&mut self, conn: ConnId) {
+    fn connection_lost(&mut self, conn: ConnId, reason: CloseReason) {
         let Some(connection) = self.connections.get(&conn) else {
             return;
         };
@@ -334,7 +354,7 @@
             Role::Node(_) => Input::NodeGone { conn },
             Role::Discovery(_) => Input::DiscoveryGone { conn },
         });
-        self.close(conn);
+        self.close(conn, reason);
     }
 
     fn handle_read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
--- a/crates/platform/src/run/owner/client_conn.rs
+++ b/crates/platform/src/run/owner/client_conn.rs
@@ -7,16 +7,17 @@
 use super::{frame, Owner};
 use crate::clients::ClientRequest;
 use crate::http::{self, put_response, HttpError};
-use crate::run::connection::{consume, ClientExchange, ClientState, Discard, Role};
+use crate::run::connection::{consume, ClientExchange, ClientState, CloseReason, Discard, Role};
 use crate::run::reader::ReadGate;
 use crate::run::socket::{pending_input, PendingInput};
 use bytes::Bytes;
-use grebecleat_host::router::{ConnId, Input};
+use grebecleat_host::router::{request_label, ConnId, Input};
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::os::fd::RawFd;
 use std::sync::Arc;
 use std::time::Duration;
+use tracing::debug;
 
 /// Bytes that may wait behind a client's open exchange.
 const MAX_PIPELINED_BYTES: usize = 16 << 10;
@@ -58,7 +59,7 @@
         if let Some(discard) = &mut client.discard {
             discard.bytes_left = discard.bytes_left.saturating_sub(bytes.len());
             if discard.bytes_left == 0 {
-                self.connection_lost(conn);
+                self.connection_lost(conn, CloseReason::AnsweredLast);
             }
             return;
         }
@@ -68,7 +69,7 @@
         client.has_sent = true;
         connection.read_buffer.extend_from_slice(bytes);
         if client.exchange.is_some() && connection.read_buffer.len() > MAX_PIPELINED_BYTES {
-            return self.connection_lost(conn);
+            return self.connection_lost(conn, CloseReason::TooMuchPipelined);
         }
         self.advance_client(conn, at);
     }
@@ -159,7 +160,7 @@
         // A client that has waited to be accepted may be gone for long.
         let is_first = client.since <= connection.opened_at;
         if is_first && pending_input(connection.fd) == PendingInput::End {
-            return self.connection_lost(conn);
+            return self.connection_lost(conn, CloseReason::ClientDeparted);
         }
         if self.client_ids.contains(&client_id) {
             return self.reject(conn, DUPLICATE_ID);
@@ -171,6 +172,15 @@
             submit.left_us = submit.left_us.min(clock::micros(left));
         }
         submit.id = Bytes::from(format!("{:036x}", self.received));
+        debug!(
+            request = request_label(&submit.id),
+            id = client_id,
+            conn = conn.0,
+            class = submit.traffic_class,
+            shard = submit.shard,
+            left_ms = submit.left_us / 1000,
+            "request received"
+        );
         client.exchange = Some(ClientExchange {
             client_id: client_id.clone(),
             request_id: submit.id.clone(),
@@ -193,7 +203,7 @@
         connection.read_buffer = Vec::new();
         let text = error.reason.as_bytes();
         put_response(&mut connection.write_buffer, error.status, "", false, text);
-        tracing::debug!(conn = conn.0, status = error.status, "client: {error}");
+        debug!(conn = conn.0, status = error.status, "client: {error}");
         self.flush(conn);
     }
 
@@ -206,7 +216,7 @@
             .get(&conn)
             .is_some_and(|connection| connection.gate.close_unless_input(connection.fd));
         if closed {
-            self.connection_lost(conn);
+            self.connection_lost(conn, CloseReason::Idle);
         }
         closed
     }
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -6,13 +6,14 @@
 use super::{frame, unix_ms, Owner};
 use crate::clients::SERVICE;
 use crate::discovery::{self, DiscoveryError, EndpointNames, ReadEndpoints};
-use crate::discovery_calls::Event;
+use crate::discovery_calls::{Call, Event, OutstandingCall};
 use crate::http;
-use crate::run::connection::Role;
+use crate::run::connection::{CloseReason, Role};
 use grebecleat_host::router::{ConnId, Input};
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::frame::Body;
-use tracing::info;
+use std::fmt;
+use tracing::{debug, info};
 
 /// A complete answer of discovery.
 struct DiscoveryAnswer {
@@ -21,6 +22,22 @@
     keep_alive: bool,
 }
 
+/// What was asked for, and how long ago.
+struct OutstandingCallLog(Option<OutstandingCall>);
+
+impl fmt::Display for OutstandingCallLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(outstanding) = self.0 else {
+            return f.write_str("none");
+        };
+        let waited = clock::now().saturating_sub(outstanding.begun).as_millis();
+        match outstanding.call {
+            Call::Complete => write!(f, "complete for {waited}ms"),
+            Call::Newer { revision, .. } => write!(f, "newer than {revision} for {waited}ms"),
+        }
+    }
+}
+
 /// None: more must come.
 fn read_answer(
     bytes: &[u8],
@@ -65,8 +82,10 @@
             return;
         };
         if calls.answer_by().is_none() {
-            return self.connection_lost(conn);
+            return self.connection_lost(conn, CloseReason::UnexpectedBytes);
         }
+        let outstanding = calls.outstanding();
+        let bytes = connection.read_buffer.len();
         let answer = match read_answer(&connection.read_buffer, &mut self.endpoint_names) {
             Ok(None) => return,
             Ok(Some(answer)) => Ok(answer),
@@ -74,12 +93,23 @@
         };
         connection.read_buffer = Vec::new();
         match answer {
-            Ok(answer) => self.take_endpoints(conn, answer),
+            Ok(answer) => {
+                debug!(
+                    conn = conn.0,
+                    call = %OutstandingCallLog(outstanding),
+                    bytes,
+                    revision = answer.endpoints.revision,
+                    entries = answer.endpoints.list.endpoints.len(),
+                    "list of nodes: answer"
+                );
+                self.take_endpoints(conn, answer)
+            }
             Err(error) => {
                 if self.may_log() {
-                    info!("list of nodes: {error}");
+                    let call = OutstandingCallLog(outstanding);
+                    info!(conn = conn.0, %call, bytes, "list of nodes: {error}");
                 }
-                self.connection_lost(conn);
+                self.connection_lost(conn, CloseReason::BadAnswer);
             }
         }
     }
@@ -100,7 +130,7 @@
             let revision = endpoints.revision;
             self.call_discovery(conn, Event::Answered { revision });
         } else {
-            self.connection_lost(conn);
+            self.connection_lost(conn, CloseReason::AnsweredLast);
         }
     }
 
@@ -115,6 +145,7 @@
         let Some(call) = calls.step(clock::now(), poll_interval, event) else {
             return;
         };
+        debug!(conn = conn.0, ?call, "list of nodes: call");
         connection
             .write_buffer
             .extend_from_slice(&discovery::call(SERVICE, call));
--- a/crates/platform/src/run/owner/eviction.rs
+++ b/crates/platform/src/run/owner/eviction.rs
@@ -4,7 +4,7 @@
 
 use super::sweep::{IDLE_TIMEOUT, NEW_CLIENT_GRACE};
 use super::Owner;
-use crate::run::connection::{ClientState, Connection, Role};
+use crate::run::connection::{ClientState, CloseReason, Connection, Role};
 use crate::run::socket::silent_for;
 use grebecleat_host::router::ConnId;
 use grebecleat_wire::clock;
@@ -98,7 +98,7 @@
             let conn = candidate.conn;
             let closed = match candidate.class {
                 EvictionClass::Rejected => {
-                    self.connection_lost(conn);
+                    self.connection_lost(conn, CloseReason::AnsweredLast);
                     true
                 }
                 EvictionClass::Silent => self.close_if_quiet(conn),
--- a/crates/platform/src/run/owner/node_conn.rs
+++ b/crates/platform/src/run/owner/node_conn.rs
@@ -6,7 +6,7 @@
 use super::{frame, Owner};
 use crate::http;
 use crate::nodes;
-use crate::run::connection::{Connection, NodeExchange, Role};
+use crate::run::connection::{CloseReason, Connection, NodeExchange, Role};
 use grebecleat_host::router::{ConnId, Input};
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::{self, frame::Body};
@@ -110,7 +110,9 @@
         match read_answer(conn, connection, exchange) {
             Ok(None) => {}
             Ok(Some(answer)) => self.finish_exchange(conn, answer, at),
-            Err(AnswerError::Unexpected) => self.connection_lost(conn),
+            Err(AnswerError::Unexpected) => {
+                self.connection_lost(conn, CloseReason::UnexpectedBytes)
+            }
             Err(AnswerError::Malformed) => self.answer_malformed(conn),
         }
     }
@@ -134,7 +136,7 @@
         frames.push(frame(answer.body, at));
         self.inputs.push(Input::NodeFrames { conn, at, frames });
         if answer.is_last {
-            self.connection_lost(conn);
+            self.connection_lost(conn, CloseReason::AnsweredLast);
         }
     }
 
@@ -158,14 +160,14 @@
         };
         if connection.has_unwritten() {
             // Its request has not been sent completely, so it has not run.
-            return self.connection_lost(conn);
+            return self.connection_lost(conn, CloseReason::BadAnswer);
         }
         let body = match *exchange {
             NodeExchange::Attempt(attempt) => {
                 Body::AttemptResponse(nodes::failed_attempt_response(attempt))
             }
             NodeExchange::HealthCheck(probe) => health_check_result(probe, BAD_GATEWAY),
-            NodeExchange::Idle => return self.connection_lost(conn),
+            NodeExchange::Idle => return self.connection_lost(conn, CloseReason::UnexpectedBytes),
         };
         let answer = NodeAnswer {
             body,
--- a/crates/platform/src/run/owner/sweep.rs
+++ b/crates/platform/src/run/owner/sweep.rs
@@ -3,7 +3,7 @@
 
 use super::{unix_ms, Owner};
 use crate::http::HttpError;
-use crate::run::connection::{ClientState, Connection, Role};
+use crate::run::connection::{ClientState, CloseReason, Connection, Role};
 use grebecleat_host::router::ConnId;
 use grebecleat_wire::clock;
 use std::time::Duration;
@@ -97,7 +97,7 @@
         let closes_after_answer = self.closes_after_answer();
         let expired = self.expired(now, closes_after_answer);
         for conn in expired.close {
-            self.connection_lost(conn);
+            self.connection_lost(conn, CloseReason::TimedOut);
         }
         for conn in expired.idle {
             self.close_if_quiet(conn);
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -120,8 +120,8 @@
     complete_dials(&mut owner);
     assert_eq!((nodes_up(&owner), owner.queued_dials.len()), (most, more));
     // Closed, and their descriptors not free yet.
-    owner.close(ConnId(0));
-    owner.close(ConnId(1));
+    owner.close(ConnId(0), CloseReason::PeerClosed);
+    owner.close(ConnId(1), CloseReason::PeerClosed);
     owner.check_dials();
     assert_eq!(
         (
--- a/crates/platform/src/run/owner/writer.rs
+++ b/crates/platform/src/run/owner/writer.rs
@@ -10,12 +10,13 @@
 use crate::clients::put_final;
 use crate::discovery_calls::Event;
 use crate::nodes;
-use crate::run::connection::{consume, ClientState, Discard, NodeExchange, Role};
+use crate::run::connection::{consume, ClientState, CloseReason, Discard, NodeExchange, Role};
 use crate::run::socket::peer_has_closed;
-use grebecleat_host::router::{ConnId, Input};
+use grebecleat_host::router::{request_label, ConnId, Input};
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::io;
+use tracing::debug;
 
 /// Bytes that are taken from an outbox at once.
 const MAX_WRITE: usize = 128 << 10;
@@ -46,7 +47,7 @@
             let is_client = matches!(connection.role, Role::Client(_));
             if !is_client && connection.outbox.is_closed() {
                 // What is left of an attempt that was given up must not cross any more.
-                return self.close(conn);
+                return self.close(conn, CloseReason::ClosedByRouter);
             }
             if !self.write_buffered(conn) {
                 return;
@@ -60,7 +61,7 @@
             let batch = connection.outbox.take_batch(clock::now, MAX_WRITE);
             if batch.frames.is_empty() {
                 if batch.closed {
-                    self.close(conn);
+                    self.close(conn, CloseReason::ClosedByRouter);
                 }
                 return;
             }
@@ -95,7 +96,7 @@
                     return false;
                 }
                 _ => {
-                    self.connection_lost(conn);
+                    self.connection_lost(conn, CloseReason::WriteFailed);
                     return false;
                 }
             }
@@ -125,7 +126,7 @@
         // be reset, or be taken to have that answer. It is still ours, and goes elsewhere.
         let is_idle = matches!(connection.role, Role::Node(NodeExchange::Idle));
         if is_idle && !connection.outbox.is_flushed() && !connection.gate.is_quiet(connection.fd) {
-            self.connection_lost(conn);
+            self.connection_lost(conn, CloseReason::UnexpectedBytes);
             return false;
         }
         !self.close_departed_client(conn)
@@ -149,7 +150,7 @@
         let Some(client) = departed else {
             return false;
         };
-        self.connection_lost(client);
+        self.connection_lost(client, CloseReason::ClientDeparted);
         true
     }
 
@@ -162,6 +163,15 @@
             (Role::Client(_), Body::Response(response)) => self.compose_final(conn, &response),
             (Role::Node(exchange), Body::Attempt(attempt)) => {
                 *exchange = NodeExchange::Attempt(attempt.attempt);
+                debug!(
+                    attempt = attempt.attempt,
+                    request = request_label(&attempt.id),
+                    number = attempt.number,
+                    node = attempt.node,
+                    conn = conn.0,
+                    left_ms = attempt.left_us / 1000,
+                    "attempt sent"
+                );
                 nodes::put_attempt(&mut connection.write_buffer, &attempt);
             }
             (Role::Node(exchange @ NodeExchange::Idle), Body::HealthCheck(check)) => {
@@ -202,6 +212,13 @@
         if !keep_alive {
             client.discard = Some(Discard::from(now));
         }
+        debug!(
+            request = request_label(&exchange.request_id),
+            id = exchange.client_id,
+            outcome = ?response.outcome(),
+            retry_after_ms = response.retry_after_us.map(|us| us / 1000),
+            "request answered"
+        );
         let is_open = self.router.is_open(&exchange.request_id);
         self.client_ids.release(exchange, is_open);
         put_final(&mut connection.write_buffer, response, keep_alive);
--- a/src/control.rs
+++ b/src/control.rs
@@ -112,6 +112,7 @@
             self.start(now);
         }
         self.state.now = now;
+        self.state.rejected.clear();
         let ticks = (now.saturating_sub(self.state.last_tick).as_micros() / TICK.as_micros()) as u32;
         self.state.refill(ticks, TICK);
         for event in events {
--- a/src/control/inspection.rs
+++ b/src/control/inspection.rs
@@ -3,7 +3,9 @@
 
 use super::Control;
 use crate::interface::{BlockReason, NodeId, NodeState, RequestId, VolumeId};
-use crate::rejection_stats::{PaidBy, RejectionCause, RejectionCounts, RejectionReason, LAST_SUCCESS_STEPS};
+use crate::rejection_stats::{
+    PaidBy, RejectedRequest, RejectionCause, RejectionCounts, RejectionReason, LAST_SUCCESS_STEPS,
+};
 use crate::state::{DesiredState, Node, PendingRequest};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -106,6 +108,11 @@
         std::mem::take(&mut self.state.rejections)
     }
 
+    /// What was rejected or failed in the last step.
+    pub fn rejected_in_step(&self) -> &[RejectedRequest] {
+        &self.state.rejected
+    }
+
     /// Counts a request that is about to be rejected, under what blocks it now.
     pub(super) fn count_rejection(&mut self, id: RequestId) {
         let Some(pending) = self.state.requests.get(&id).filter(|pending| !pending.answered) else { return };
@@ -118,6 +125,7 @@
             last_success: self.last_success_step(node),
         };
         *self.state.rejections.entry(cause).or_default() += 1;
+        self.state.rejected.push(RejectedRequest { id, cause });
     }
 
     fn paid_by(&self, pending: &PendingRequest, node: Option<&Node>) -> PaidBy {
--- a/src/rejection_stats.rs
+++ b/src/rejection_stats.rs
@@ -1,6 +1,6 @@
 //! What was rejected or failed and why, counted for operators. Nothing is decided by it.
 
-use crate::interface::{BlockReason, TrafficClassId};
+use crate::interface::{BlockReason, RequestId, TrafficClassId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -46,5 +46,14 @@
     pub last_success: usize,
 }
 
+/// One request that was rejected or failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RejectedRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// Why.
+    pub cause: RejectionCause,
+}
+
 /// How many requests were rejected or failed, by cause. Memory: one count for each cause that was met.
 pub type RejectionCounts = BTreeMap<RejectionCause, u64>;
--- a/src/state/scheduler_state.rs
+++ b/src/state/scheduler_state.rs
@@ -7,7 +7,7 @@
 use crate::key_order::KeyOrder;
 use crate::max_min_fair_share::{allocate, FlowDemand};
 use crate::rates::{MeanRate, RecentEvents};
-use crate::rejection_stats::RejectionCounts;
+use crate::rejection_stats::{RejectedRequest, RejectionCounts};
 use crate::state::{DesiredState, Flow, FlowSample, Node, PendingRequest, Volume};
 use crate::token_bucket::TokenBucket;
 use std::collections::{BTreeMap, BTreeSet};
@@ -85,6 +85,8 @@
     pub actions: Vec<Action>,
     /// What was rejected or failed, for operators alone.
     pub rejections: RejectionCounts,
+    /// Those of this step.
+    pub rejected: Vec<RejectedRequest>,
 }
 
 impl SchedulerState {
