--- /dev/null
+++ b/crates/cli/tests/crowded_discovery.rs
@@ -0,0 +1,124 @@
+//! Many processes of `grebecleat platform` that start at once, each with the list that it had, while
+//! discovery handles their calls in turn and refuses those that would wait for too long.
+
+mod rig;
+
+use rig::crowded::{Cost, CrowdedDiscovery};
+use rig::live::*;
+use rig::ms;
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const PROCESSES: usize = 24;
+/// Eight calls for the complete list of eight wait at most, and it takes three seconds to hand it to
+/// every host once.
+const COST: Cost = Cost {
+    call: ms(100),
+    entry: ms(3),
+    max_wait: ms(900),
+};
+const NODES: u32 = 8;
+/// Each host needs one call; twice as many are allowed for.
+const MAX_CALLS: usize = 2 * PROCESSES;
+/// What discovery has to tell counts as told so long after it had it.
+const TERM: Duration = ms(6000);
+/// From then on a node that drains gets nothing, with the platform's slack.
+const DRAIN_GRACE: Duration = ms(300);
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+struct Fleet {
+    nodes: Vec<Node>,
+    discovery: CrowdedDiscovery,
+    hosts: Vec<Live>,
+}
+
+impl Fleet {
+    /// All hosts start at once, with the list as it was before.
+    fn start() -> Fleet {
+        let nodes: Vec<Node> = (0..NODES).map(|_| node(|_| says(GOOD))).collect();
+        let entries: Vec<Value> = (0..NODES).map(|n| entry(&nodes, n, "ready")).collect();
+        let discovery = CrowdedDiscovery::start(entries, COST);
+        let known = discovery.known();
+        let begin = |n: usize| {
+            let fields = json!({"known": known, "seed": format!("{:016x}", 77 + n)});
+            Live::begin_with(discovery.address, 64, many_hosts(), fields)
+        };
+        let mut hosts: Vec<Live> = (0..PROCESSES).map(begin).collect();
+        for host in &mut hosts {
+            host.is_ready();
+        }
+        Fleet {
+            nodes,
+            discovery,
+            hosts,
+        }
+    }
+}
+
+fn many_hosts() -> Value {
+    let mut settings = settings();
+    settings["balancers"] = json!(PROCESSES);
+    settings
+}
+
+fn entry(nodes: &[Node], n: u32, state: &str) -> Value {
+    target(&format!("s-{n}"), &nodes[n as usize], n, state)
+}
+
+/// A host that is refused must not cost discovery more than one that is served: calls for complete
+/// lists, followed by calls for watches that are refused, would keep it busy for ever.
+#[test]
+fn every_host_watches_after_two_served_calls_for_each() {
+    let fleet = Fleet::start();
+    let began = Instant::now();
+    loop {
+        let calls = fleet.discovery.calls();
+        let watching = fleet.discovery.watching();
+        if watching == PROCESSES {
+            println!("all watch: {calls:?}");
+            return;
+        }
+        let served = calls.complete + calls.watches;
+        assert!(
+            served < MAX_CALLS && began.elapsed() < GIVE_UP,
+            "{watching} of {PROCESSES} hosts watch after {calls:?}"
+        );
+        sleep(ms(20));
+    }
+}
+
+/// A node drains as soon as discovery could have told every host; each host has a request for it
+/// every 100 ms.
+#[test]
+fn nothing_reaches_a_node_that_drained_a_term_ago() {
+    let fleet = Fleet::start();
+    fleet
+        .discovery
+        .change(0, entry(&fleet.nodes, 0, "draining"));
+    let changed_at = Instant::now();
+    let ended = AtomicBool::new(false);
+    let late = std::thread::scope(|scope| {
+        for (n, host) in fleet.hosts.iter().enumerate() {
+            let ended = &ended;
+            scope.spawn(move || {
+                for turn in 0.. {
+                    if ended.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    host.ask(&request("read", &format!("{n}-{turn}"), 0, 7, 500));
+                    sleep(ms(100));
+                }
+            });
+        }
+        sleep((TERM + DRAIN_GRACE).saturating_sub(changed_at.elapsed()));
+        let before = seen(&fleet.nodes[0]).len();
+        sleep(TERM);
+        let late = seen(&fleet.nodes[0]).len() - before;
+        ended.store(true, Ordering::SeqCst);
+        late
+    });
+    let calls = fleet.discovery.calls();
+    assert_eq!(late, 0, "sent too late; {calls:?}");
+}
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -8,6 +8,7 @@
 
 #![allow(dead_code)]
 
+pub mod crowded;
 pub mod live;
 
 use grebecleat_platform::http;
