Resume the endpoint list by revision: one call for each host, not two for each try

Cause: discovery_calls.rs kept the revision with the connection, so that each new connection, after a refusal too, asked for the complete list and then for a watch, two calls of a service that handles them in turn. Hosts that were refused the second dropped the first one's answer and began anew: with 32 hosts, 318 to 434 calls refused in 25 s, some hosts never served, drain broken. Class: a failure that costs the shared service more than a success (a metastable overload; the loop outlives its start). Change: the owner keeps the revision and the discovery that counts it; the first call on a connection there asks for what is newer and does not wait, the next one waits as before. The complete list is asked for where none is known, where an entry could not be read, where discovery has moved, and where revisions run backwards.

--- a/crates/cli/tests/crowded_discovery.rs
+++ b/crates/cli/tests/crowded_discovery.rs
@@ -122,3 +122,48 @@
     let calls = fleet.discovery.calls();
     assert_eq!(late, 0, "sent too late; {calls:?}");
 }
+
+/// Discovery has told what it has written, whatever the host has given up meanwhile.
+#[test]
+fn an_answer_that_comes_after_its_call_was_repeated_is_heard() {
+    let node = node(|_| says(GOOD));
+    let discovery = Hand::start();
+    let known = json!({"rev": 1, "all": true, "targets": [target("s-1", &node, 0, "ready")]});
+    let host = Live::begin_with(discovery.address, 64, settings(), json!({"known": known}));
+    let mut first = discovery.next();
+    let again = discovery.next();
+    assert_ne!(first.conn, again.conn, "it has dialled anew");
+    first.lists(2, false, json!([target("s-1", &node, 0, "draining")]));
+    let until = Instant::now() + ms(3000);
+    let is_sent = |turn| {
+        let before = seen(&node).len();
+        host.ask(&request("read", &format!("late-{turn}"), 0, 7, 500));
+        seen(&node).len() > before
+    };
+    let refused = (0..).find(|turn| !is_sent(*turn) || Instant::now() > until);
+    assert!(
+        Instant::now() < until,
+        "still sent after {refused:?} requests"
+    );
+}
+
+/// A list is as long as the fleet is large, and may be indented.
+#[test]
+fn a_list_of_thousands_of_indented_entries_is_taken() {
+    const ENTRIES: u32 = 3200;
+    let node = node(|_| says(GOOD));
+    let entries: Vec<Value> = (0..ENTRIES)
+        .map(|n| target(&format!("s-{n:08x}"), &node, n, "ready"))
+        .collect();
+    let body = json!({"rev": 1, "all": true, "targets": entries});
+    let body = serde_json::to_string_pretty(&body).unwrap();
+    assert!(body.len() > 600_000, "{} bytes", body.len());
+    let discovery = Hand::start();
+    let mut host = Live::begin(discovery.address, 64, settings());
+    discovery.next().answers(&body);
+    // The watch that follows shows that the list was taken.
+    let next = discovery.next();
+    assert!(next.text.contains("since=1&"), "asked for {}", next.text);
+    host.is_ready();
+    assert_eq!(host.ask(&request("read", "one", 3199, 7, 2900)), Some(200));
+}
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -246,9 +246,14 @@
     outage.returns();
     // The second call follows what the first was told.
     outage.is_called(before + 2);
-    assert!(
-        !outage.calls()[before].contains("since="),
-        "{what}: the whole list is asked for"
+    // A host that has a list asks that discovery for what is newer, and misses nothing by that.
+    let has_list = matches!(when, When::InService | When::AfterTerm);
+    let since = has_list.then_some("since=1&timeout_ms=0");
+    let call = outage.calls()[before].clone();
+    assert_eq!(
+        call.split_once('?').map(|(_, query)| query),
+        since,
+        "{what}: {call}"
     );
     assert_eq!(ask(live.address, READY), Some(200), "{what}");
     assert_eq!(requests(live.address, "late", 5), [Some(200); 5], "{what}");
--- a/crates/cli/tests/ends.rs
+++ b/crates/cli/tests/ends.rs
@@ -321,9 +321,10 @@
     assert_eq!((seen(&first).len(), seen(&second).len()), (1, 1));
 }
 
-/// However a watch ends, the whole list is asked for next, and what it tells is in force.
+/// However a watch ends, what is newer than the last answer is asked for next, or the whole list
+/// where discovery has lost its revisions; and what it tells is in force.
 #[test]
-fn a_watch_that_ends_in_any_way_is_followed_by_a_call_for_the_whole_list() {
+fn a_watch_that_ends_in_any_way_is_followed_by_a_call_for_all_that_it_missed() {
     type Case = (&'static str, fn(&mut Came), bool);
     let cases: [Case; 5] = [
         ("reset", |w| w.ends(), true),
@@ -354,6 +355,7 @@
         .lists(1, true, json!([target("s-1", &first, 0, "ready")]));
     let mut watch = list.next();
     live.is_ready();
+    let mut known = 1;
     for (n, (what, end, dials)) in (2..).zip(cases) {
         let states = if n % 2 == 0 {
             ["draining", "ready"]
@@ -362,7 +364,17 @@
         };
         end(&mut watch);
         let mut call = list.next();
-        assert!(!call.text.contains("since="), "{what}: {}", call.text);
+        // Where a new connection is dialled, nothing is known to be wrong with the revision.
+        let since = dials.then(|| format!("?since={known}&timeout_ms=0 "));
+        let query = call.text.find('?').map(|at| &call.text[at..]);
+        assert_eq!(query.is_some(), since.is_some(), "{what}: {}", call.text);
+        assert!(
+            query
+                .unwrap_or_default()
+                .starts_with(&since.unwrap_or_default()),
+            "{what}: {}",
+            call.text
+        );
         assert_eq!(call.conn != watch.conn, dials, "{what}");
         call.lists(
             n * 10,
@@ -372,6 +384,7 @@
                 target("s-2", &second, 0, states[1])
             ]),
         );
+        known = n * 10;
         watch = list.next();
         assert!(
             watch.text.contains(&format!("since={}", n * 10)),
--- a/crates/cli/tests/ready.rs
+++ b/crates/cli/tests/ready.rs
@@ -142,7 +142,11 @@
                 live,
             );
         }
-        assert!(live.child.try_wait().unwrap().is_none(), "it has ended");
+        assert!(
+            live.child.try_wait().unwrap().is_none(),
+            "it has ended: {}",
+            std::fs::read_to_string(&live.log).unwrap_or_default()
+        );
         sleep(ms(50));
     }
     (None, false, live)
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -12,6 +12,10 @@
 /// The most that it may wait there. A watch that falls silent is found by this and [`CALL_TIMEOUT`]
 /// alone, and what it has missed is known soon after. Harm: more calls, mostly empty.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// How long the first call on a connection, for what is newer than a revision that was known
+/// before, may wait there. Nothing, so that it is answered as soon as its turn comes, and found
+/// lost as soon as one for the complete list would be.
+const RESUME_WAIT: Duration = Duration::ZERO;
 /// What a call may take beyond its wait there; of one on a new connection, its dial included.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -60,23 +64,31 @@
 /// The calls on one connection.
 #[derive(Debug)]
 pub struct DiscoveryCalls {
-    /// What the next call for the complete list may take.
+    /// What the next call for the complete list, or the first one, may take.
     complete_timeout: Duration,
     watching: bool,
     fetch: bool,
     revision: Option<u64>,
+    /// Discovery has answered on this connection.
+    has_answered: bool,
     outstanding: Option<OutstandingCall>,
 }
 
 impl DiscoveryCalls {
     /// `first_timeout`: what the first call may take at most; the router, which knows when it
-    /// dialled, may end it sooner.
-    pub fn new(first_timeout: Duration) -> Self {
+    /// dialled, may end it sooner. `known`: the revision that this host has, of which it missed
+    /// nothing: discovery is then asked for what is newer alone.
+    ///
+    /// A complete list costs discovery by its length, and a watch after it a second call. Of many
+    /// hosts that lost theirs at once, each would cost so much, and what is refused would begin
+    /// anew: the fleet then keeps discovery busy for ever.
+    pub fn new(first_timeout: Duration, known: Option<u64>) -> Self {
         DiscoveryCalls {
             complete_timeout: first_timeout,
             watching: false,
             fetch: false,
-            revision: None,
+            revision: known,
+            has_answered: false,
             outstanding: None,
         }
     }
@@ -101,7 +113,7 @@
         if self.outstanding.is_some() {
             return None;
         }
-        // A fetch that is asked for before any answer stays asked for.
+        // A fetch that is asked for before any revision is known stays asked for.
         let fetch_again = self.revision.is_some() && std::mem::take(&mut self.fetch);
         // The next call follows at once, or what changes meanwhile would be taken as known.
         let Some(revision) = self.revision.filter(|_| !fetch_again) else {
@@ -110,6 +122,10 @@
         if !self.watching {
             return None;
         }
+        if !self.has_answered {
+            let wait = RESUME_WAIT;
+            return self.begin(now, Call::Newer { revision, wait }, self.complete_timeout);
+        }
         let wait = (poll_interval / 2).clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT);
         self.begin(now, Call::Newer { revision, wait }, wait + CALL_TIMEOUT)
     }
@@ -128,6 +144,7 @@
     fn answered(&mut self, revision: u64) {
         let went_back = self.revision.is_some_and(|known| revision < known);
         self.outstanding = None;
+        self.has_answered = true;
         self.revision = if went_back { None } else { Some(revision) };
         self.complete_timeout = CALL_TIMEOUT;
     }
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -100,7 +100,22 @@
 pub(super) enum Role {
     Client(ClientState),
     Node(NodeExchange),
-    Discovery(DiscoveryCalls),
+    Discovery(DiscoveryConnection),
+}
+
+/// A connection to discovery.
+pub(super) struct DiscoveryConnection {
+    pub(super) calls: DiscoveryCalls,
+    /// Where it leads.
+    pub(super) address: SocketAddr,
+}
+
+/// The revision of the endpoint list that this host has, of which it missed nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct KnownRevision {
+    pub(super) revision: u64,
+    /// Where the discovery is that counts it; another may count in another way.
+    pub(super) discovery: SocketAddr,
 }
 
 /// One open connection.
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -19,7 +19,7 @@
 
 use super::client_ids::ClientIds;
 use super::connection::{
-    ClientState, CloseReason, Connection, DialTarget, PendingDial, QueuedDial, Role,
+    ClientState, CloseReason, Connection, DialTarget, KnownRevision, PendingDial, QueuedDial, Role,
 };
 use super::listener::{ClientSlots, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
@@ -83,6 +83,8 @@
     /// The listener waits for a slot.
     listener_waits: bool,
     to_owner: Sender<OwnerEvent>,
+    /// None: there is no endpoint list, or part of it could not be read.
+    known_revision: Option<KnownRevision>,
     /// Discovery has answered since the start.
     discovery_answered: bool,
     /// There was an endpoint list from before the start.
@@ -127,6 +129,7 @@
             listener,
             listener_waits: false,
             to_owner,
+            known_revision: None,
             discovery_answered: false,
             has_cached_endpoints: false,
             sweep_at: now,
--- a/crates/platform/src/run/owner/dials.rs
+++ b/crates/platform/src/run/owner/dials.rs
@@ -4,7 +4,6 @@
 //! connections to nodes have one. Bound: the nodes' part of the descriptors.
 
 use super::Owner;
-use crate::discovery_calls::DiscoveryCalls;
 use crate::run::connection::{DialTarget, NodeExchange, PendingDial, QueuedDial, Role};
 use crate::run::reader::{start_reader, ReadGate};
 use grebecleat_host::router::{ConnId, Input};
@@ -157,9 +156,7 @@
         let gate = ReadGate::new();
         let role = match dial.target {
             DialTarget::Node => Role::Node(NodeExchange::Idle),
-            DialTarget::Discovery => {
-                Role::Discovery(DiscoveryCalls::new(self.config.settings.bounds.patience))
-            }
+            DialTarget::Discovery => Role::Discovery(self.new_discovery_connection()),
         };
         let outbox = self.add_connection(conn, role, stream.as_raw_fd(), gate.clone(), now);
         start_reader(stream, conn, gate, self.to_owner.clone());
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -6,13 +6,14 @@
 use super::{frame, unix_ms, Owner};
 use crate::clients::SERVICE;
 use crate::discovery::{self, DiscoveryError, EndpointNames, ReadEndpoints};
-use crate::discovery_calls::{Call, Event, OutstandingCall};
+use crate::discovery_calls::{Call, DiscoveryCalls, Event, OutstandingCall};
 use crate::http;
-use crate::run::connection::{CloseReason, Role};
+use crate::run::connection::{CloseReason, DiscoveryConnection, KnownRevision, Role};
 use grebecleat_host::router::{ConnId, Input};
 use grebecleat_wire::clock;
 use grebecleat_wire::pb::frame::Body;
 use std::fmt;
+use std::net::SocketAddr;
 use tracing::{debug, info};
 
 /// A complete answer of discovery.
@@ -23,15 +24,12 @@
 }
 
 /// What was asked for, and how long ago.
-struct OutstandingCallLog(Option<OutstandingCall>);
+struct OutstandingCallLog(OutstandingCall);
 
 impl fmt::Display for OutstandingCallLog {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Some(outstanding) = self.0 else {
-            return f.write_str("none");
-        };
-        let waited = clock::now().saturating_sub(outstanding.begun).as_millis();
-        match outstanding.call {
+        let waited = clock::now().saturating_sub(self.0.begun).as_millis();
+        match self.0.call {
             Call::Complete => write!(f, "complete for {waited}ms"),
             Call::Newer { revision, .. } => write!(f, "newer than {revision} for {waited}ms"),
         }
@@ -55,6 +53,16 @@
     }))
 }
 
+/// The revision from which that discovery may go on; None: something in its answer could not be
+/// read, which the next complete list may mend.
+fn complete_revision(read: &ReadEndpoints, discovery: SocketAddr) -> Option<KnownRevision> {
+    let revision = read.revision;
+    (read.malformed == 0).then_some(KnownRevision {
+        revision,
+        discovery,
+    })
+}
+
 impl Owner {
     /// The endpoint list as the platform last saw it here. One that cannot be read is ignored.
     pub(super) fn load_cached_endpoints(&mut self) {
@@ -64,6 +72,9 @@
         match self.endpoint_names.read(&cached, unix_ms()) {
             Ok(read) => {
                 self.has_cached_endpoints = !read.list.endpoints.is_empty();
+                if self.has_cached_endpoints {
+                    self.known_revision = complete_revision(&read, self.discovery);
+                }
                 self.inputs.push(Input::CachedEndpoints { list: read.list });
             }
             Err(error) => {
@@ -74,17 +85,34 @@
         }
     }
 
+    /// State of a connection that has just been dialled.
+    pub(super) fn new_discovery_connection(&self) -> DiscoveryConnection {
+        let known = self.known_revision;
+        let known = known.filter(|known| known.discovery == self.discovery);
+        let first_timeout = self.config.settings.bounds.patience;
+        DiscoveryConnection {
+            calls: DiscoveryCalls::new(first_timeout, known.map(|known| known.revision)),
+            address: self.discovery,
+        }
+    }
+
+    fn discovery_address(&self, conn: ConnId) -> Option<SocketAddr> {
+        match &self.connections.get(&conn)?.role {
+            Role::Discovery(discovery) => Some(discovery.address),
+            _ => None,
+        }
+    }
+
     pub(super) fn handle_discovery_answer(&mut self, conn: ConnId) {
         let Some(connection) = self.connections.get_mut(&conn) else {
             return;
         };
-        let Role::Discovery(calls) = &mut connection.role else {
+        let Role::Discovery(discovery) = &mut connection.role else {
             return;
         };
-        if calls.answer_by().is_none() {
+        let Some(outstanding) = discovery.calls.outstanding() else {
             return self.connection_lost(conn, CloseReason::UnexpectedBytes);
-        }
-        let outstanding = calls.outstanding();
+        };
         let bytes = connection.read_buffer.len();
         let answer = match read_answer(&connection.read_buffer, &mut self.endpoint_names) {
             Ok(None) => return,
@@ -120,6 +148,9 @@
             keep_alive,
         } = answer;
         self.discovery_answered = true;
+        if let Some(address) = self.discovery_address(conn) {
+            self.known_revision = complete_revision(&endpoints, address);
+        }
         let frames = vec![frame(Body::EndpointUpdate(endpoints.list), clock::now())];
         self.inputs.push(Input::DiscoveryFrames { conn, frames });
         if endpoints.malformed > 0 && self.may_log() {
@@ -138,10 +169,11 @@
         let Some(connection) = self.connections.get_mut(&conn) else {
             return;
         };
-        let Role::Discovery(calls) = &mut connection.role else {
+        let Role::Discovery(discovery) = &mut connection.role else {
             return;
         };
         let poll_interval = self.config.settings.list.rule.poll_interval;
+        let calls = &mut discovery.calls;
         let Some(call) = calls.step(clock::now(), poll_interval, event) else {
             return;
         };
--- a/crates/platform/src/run/owner/sweep.rs
+++ b/crates/platform/src/run/owner/sweep.rs
@@ -63,7 +63,10 @@
         Role::Node(_) if connection.read_buffer.is_empty() => Expiry::Never,
         Role::Node(_) => Expiry::Malformed(connection.last_read_at + ANSWER_REST_TIMEOUT),
         Role::Client(client) => client_expiry(connection, client),
-        Role::Discovery(calls) => calls.answer_by().map_or(Expiry::Never, Expiry::Close),
+        Role::Discovery(discovery) => {
+            let answer_by = discovery.calls.answer_by();
+            answer_by.map_or(Expiry::Never, Expiry::Close)
+        }
     }
 }
 
--- a/crates/platform/tests/poll_deadline/fleet.rs
+++ b/crates/platform/tests/poll_deadline/fleet.rs
@@ -272,7 +272,7 @@
         self.hosts[host].link = Some(Link {
             conn,
             outbox: outbox.clone(),
-            calls: DiscoveryCalls::new(first_timeout),
+            calls: DiscoveryCalls::new(first_timeout, None),
         });
         let up = Input::DiscoveryUp {
             conn: ConnId(conn),
