Hear an overdue call to discovery on while another is made

Cause: router/discovery.rs closed a call that took longer than a second. Change: an overdue call's connection is heard on (three at most, four seconds beyond its time) while the next call is made as before; where it is answered first it takes its place again and the later call is dropped. Danger: a lost call keeps a connection open longer.

--- a/crates/host/src/router.rs
+++ b/crates/host/src/router.rs
@@ -52,7 +52,7 @@
 use std::time::Duration;
 use tracing::debug;
 use types::{
-    frame, request_id, ClientConnection, DiscoveryHistory, DiscoveryLink, FormerDiscoveryLink,
+    frame, request_id, ClientConnection, DiscoveryHistory, DiscoveryLink, HeardDiscoveryLink,
     NodeConnection, NodePool, OpenRequest, OutstandingAttempt,
 };
 
@@ -119,7 +119,7 @@
     longest_deadline: Duration,
     endpoints_changed: bool,
     discovery: DiscoveryLink,
-    former_discovery: Option<FormerDiscoveryLink>,
+    heard_discovery: Vec<HeardDiscoveryLink>,
     discovery_history: DiscoveryHistory,
     /// None: after a failure discovery is called when the decisions say, however long that is.
     poll_deadline: Option<PollDeadline>,
@@ -181,7 +181,7 @@
             longest_deadline: settings.longest_deadline(),
             endpoints_changed: false,
             discovery: DiscoveryLink::default(),
-            former_discovery: None,
+            heard_discovery: Vec::new(),
             discovery_history: DiscoveryHistory::default(),
             poll_deadline: None,
             health_checks: HashMap::new(),
@@ -339,7 +339,7 @@
             self.sweep();
         }
         if self.discovery.answer_by.is_some_and(|by| self.now >= by) {
-            self.discovery_lost("no answer");
+            self.discovery_overdue();
         }
         // What the decisions ask for can at once come to an end (nothing to send on, already over).
         while !self.events.is_empty() {
@@ -406,6 +406,11 @@
             Input::DiscoveryUp { conn, outbox } => self.discovery_connected(conn, outbox),
             Input::DiscoveryFrames { conn, frames } => self.handle_discovery_frames(conn, frames),
             Input::DiscoveryGone { conn } => self.discovery_disconnected(conn),
+            Input::DiscoveryOverdue { conn } => {
+                if self.discovery.conn == Some(conn) {
+                    self.discovery_overdue();
+                }
+            }
             Input::DiscoveryMoved => self.discovery_moved(),
             Input::StateServiceUp { conn, outbox } => {
                 self.observations.forget();
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: the connection to it, and what its updates change of nodes and attempts.
 
-use super::types::{frame, DiscoveryLink, FormerDiscoveryLink};
+use super::types::{frame, DiscoveryLink, HeardDiscoveryLink};
 use super::{ConnId, Output, RequestRouter};
 use crate::endpoint_list::KnownEndpoint;
 use crate::outbox::Outbox;
@@ -13,6 +13,10 @@
 use std::time::Duration;
 use tracing::debug;
 
+/// Connections to discovery that are heard beside the one that is called. A call begins a second
+/// after the one before at the least, so an answer is heard that is three seconds late.
+const MAX_HEARD_LINKS: usize = 3;
+
 /// What tells one process of a node from another.
 type Process = (u64, Option<SocketAddr>);
 
@@ -30,18 +34,19 @@
     }
 
     pub(super) fn handle_discovery_frames(&mut self, conn: ConnId, frames: Vec<pb::Frame>) {
+        self.promote_heard_discovery(conn);
         let current = self.discovery.conn == Some(conn);
-        let former = self.is_former_discovery(conn);
+        let heard = self.heard_discovery.iter().any(|link| link.conn == conn);
         for frame in frames {
-            let Some(Body::EndpointUpdate(update)) = frame.body.filter(|_| current || former)
-            else {
+            let Some(Body::EndpointUpdate(update)) = frame.body.filter(|_| current || heard) else {
                 self.log_bad_peer(conn, "list sent something that is no list");
                 continue;
             };
             if current {
                 self.discovery.answer_by = None;
+                self.discovery.answered = true;
                 self.discovery_answered();
-                self.close_former_discovery();
+                self.close_heard_discovery();
             }
             self.handle_endpoint_update(update);
             if current {
@@ -50,35 +55,55 @@
         }
     }
 
-    fn close_former_discovery(&mut self) {
-        if let Some(former) = self.former_discovery.take() {
-            former.outbox.close();
+    /// What was called after it may be long in coming, or refused, and is dropped: two calls that
+    /// are served cost discovery twice as much.
+    fn promote_heard_discovery(&mut self, conn: ConnId) {
+        let is_overdue = |link: &HeardDiscoveryLink| link.conn == conn && !link.has_moved;
+        let overdue = self.heard_discovery.iter().position(is_overdue);
+        let Some(index) = overdue.filter(|_| !self.discovery.answered) else {
+            return;
+        };
+        let link = self.heard_discovery.remove(index);
+        let promoted = DiscoveryLink {
+            conn: Some(conn),
+            outbox: Some(link.outbox),
+            watching: true,
+            ..DiscoveryLink::default()
+        };
+        let called_later = std::mem::replace(&mut self.discovery, promoted);
+        if let Some(outbox) = called_later.outbox {
+            outbox.close();
         }
+        self.log("list of nodes: an overdue call is answered".to_string());
     }
 
-    fn is_former_discovery(&self, conn: ConnId) -> bool {
-        let former = self.former_discovery.as_ref();
-        former.is_some_and(|former| former.conn == conn)
+    fn close_heard_discovery(&mut self) {
+        for link in std::mem::take(&mut self.heard_discovery) {
+            link.outbox.close();
+        }
     }
 
     pub(super) fn discovery_disconnected(&mut self, conn: ConnId) {
         if self.discovery.conn == Some(conn) {
             self.discovery_lost("connection lost");
-        } else if self.is_former_discovery(conn) {
-            self.former_discovery = None;
         }
+        self.heard_discovery.retain(|link| link.conn != conn);
     }
 
     /// Discovery answers elsewhere. Not a failure: the decisions keep what they have, and the new
     /// one is dialled at once.
     pub(super) fn discovery_moved(&mut self) {
         let before = std::mem::take(&mut self.discovery);
-        if let (Some(conn), Some(outbox)) = (before.conn, before.outbox) {
-            if self.former_discovery.is_none() {
-                self.former_discovery = Some(FormerDiscoveryLink { conn, outbox });
-            } else {
-                outbox.close(); // it has moved again before it was heard there
+        if self.heard_discovery.iter().any(|link| link.has_moved) {
+            // It has moved again before it was heard there.
+            if let Some(outbox) = before.outbox {
+                outbox.close();
             }
+        } else {
+            self.go_on_hearing(before);
+        }
+        for link in &mut self.heard_discovery {
+            link.has_moved = true;
         }
         // How often another one has failed says nothing of this one: no changes, but an answer.
         self.events.push(Event::EndpointUpdate {
@@ -143,11 +168,39 @@
         }
     }
 
-    pub(super) fn discovery_lost(&mut self, reason: &str) {
+    fn discovery_lost(&mut self, reason: &str) {
         if let Some(outbox) = self.discovery.outbox.take() {
             outbox.close();
         }
         self.discovery = DiscoveryLink::default();
+        self.call_failed(reason);
+    }
+
+    /// Another call is made in time, as after one that has failed; but the overdue one goes on being
+    /// heard. Discovery goes on serving what it has taken in and counts its answer as told, however
+    /// late it is written. A host that hangs up just then is told what it does not know.
+    pub(super) fn discovery_overdue(&mut self) {
+        let link = std::mem::take(&mut self.discovery);
+        self.go_on_hearing(link);
+        self.call_failed("no answer in time");
+    }
+
+    /// The oldest goes where there are too many.
+    fn go_on_hearing(&mut self, link: DiscoveryLink) {
+        let (Some(conn), Some(outbox)) = (link.conn, link.outbox) else {
+            return;
+        };
+        self.heard_discovery.push(HeardDiscoveryLink {
+            conn,
+            outbox,
+            has_moved: false,
+        });
+        if self.heard_discovery.len() > MAX_HEARD_LINKS {
+            self.heard_discovery.remove(0).outbox.close();
+        }
+    }
+
+    fn call_failed(&mut self, reason: &str) {
         self.discovery_history.failures += 1;
         self.log(self.discovery_failure_text(reason));
         self.poll_before_deadline(Some(poll_deadline::Event::Failed));
--- a/crates/host/src/router/types.rs
+++ b/crates/host/src/router/types.rs
@@ -80,6 +80,11 @@
         /// The connection.
         conn: ConnId,
     },
+    /// The call that is out on a connection to discovery has taken longer than it should.
+    DiscoveryOverdue {
+        /// The connection, which stays open.
+        conn: ConnId,
+    },
     /// Discovery answers at another address from now on.
     DiscoveryMoved,
     /// The dial to the state service has succeeded.
@@ -353,16 +358,22 @@
     pub pending: Vec<Body>,
     /// A watch is open on it.
     pub watching: bool,
-    /// When a call, or the dial, is given up.
+    /// When a call, or the dial, is overdue.
     pub answer_by: Option<Duration>,
+    /// Discovery has answered on it.
+    pub answered: bool,
 }
 
-/// Discovery's connection from before it moved, which is heard until the new one has answered: what
-/// it tells counts as told, and the new one may be long in coming.
+/// A connection to discovery on which nothing new is asked, and which is heard until the one that
+/// has taken its place is answered: what it tells counts as told, and the new one may be long in
+/// coming.
 #[derive(Debug)]
-pub(super) struct FormerDiscoveryLink {
+pub(super) struct HeardDiscoveryLink {
     pub conn: ConnId,
     pub outbox: Arc<Outbox>,
+    /// Discovery has moved since. Otherwise its call is overdue, and it takes its place again once
+    /// it is answered.
+    pub has_moved: bool,
 }
 
 /// What has become of the calls to discovery; for the log.
--- a/crates/platform/src/config/descriptors.rs
+++ b/crates/platform/src/config/descriptors.rs
@@ -1,7 +1,7 @@
 //! How a host's descriptors are shared out, so that neither clients nor nodes can take all of them.
 
 /// Descriptors for what is neither a client's nor a node's: standard streams, the runtime's, the
-/// signals', the listener, discovery's old and new connection.
+/// signals', the listener, discovery's connection and up to three that are heard beside it.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Of the rest, the fraction that clients may take.
 const CLIENTS_FRACTION: f64 = 0.55;
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -19,6 +19,10 @@
 /// What a call may take beyond its wait there; of one on a new connection, its dial included.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// How long an answer is awaited that is overdue: what discovery writes counts as told, however late
+/// it is. Harm: the connection of a call that was lost stays open for so long.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// What has happened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -57,8 +61,17 @@
     pub call: Call,
     /// When it was written.
     pub begun: Duration,
-    /// When it is given up.
+    /// When it is overdue, and another one may be made on another connection.
     pub answer_by: Duration,
+    /// [`DiscoveryCalls::report_overdue`] has reported it.
+    reported: bool,
+}
+
+impl OutstandingCall {
+    /// When its connection is closed.
+    pub fn give_up_at(&self) -> Duration {
+        self.answer_by + LATE_ANSWER_TIMEOUT
+    }
 }
 
 /// The calls on one connection.
@@ -98,6 +111,16 @@
         self.outstanding.map(|call| call.answer_by)
     }
 
+    /// Whether the call that is out has become overdue since the last report.
+    pub fn report_overdue(&mut self, now: Duration) -> bool {
+        let outstanding = self.outstanding.as_mut();
+        let Some(call) = outstanding.filter(|call| !call.reported && now >= call.answer_by) else {
+            return false;
+        };
+        call.reported = true;
+        true
+    }
+
     /// The call that is out, if any.
     pub fn outstanding(&self) -> Option<OutstandingCall> {
         self.outstanding
@@ -135,6 +158,7 @@
             call,
             begun: now,
             answer_by: now + timeout,
+            reported: false,
         });
         Some(call)
     }
--- a/crates/platform/src/run/owner/sweep.rs
+++ b/crates/platform/src/run/owner/sweep.rs
@@ -4,7 +4,7 @@
 use super::{unix_ms, Owner};
 use crate::http::HttpError;
 use crate::run::connection::{ClientState, CloseReason, Connection, Role};
-use grebecleat_host::router::ConnId;
+use grebecleat_host::router::{ConnId, Input};
 use grebecleat_wire::clock;
 use std::time::Duration;
 
@@ -64,8 +64,8 @@
         Role::Node(_) => Expiry::Malformed(connection.last_read_at + ANSWER_REST_TIMEOUT),
         Role::Client(client) => client_expiry(connection, client),
         Role::Discovery(discovery) => {
-            let answer_by = discovery.calls.answer_by();
-            answer_by.map_or(Expiry::Never, Expiry::Close)
+            let outstanding = discovery.calls.outstanding();
+            outstanding.map_or(Expiry::Never, |call| Expiry::Close(call.give_up_at()))
         }
     }
 }
@@ -99,6 +99,7 @@
         self.sweep_at = now + SWEEP_INTERVAL;
         let closes_after_answer = self.closes_after_answer();
         let expired = self.expired(now, closes_after_answer);
+        self.report_overdue_calls(now);
         for conn in expired.close {
             self.connection_lost(conn, CloseReason::TimedOut);
         }
@@ -127,6 +128,17 @@
         }
     }
 
+    fn report_overdue_calls(&mut self, now: Duration) {
+        for (conn, connection) in &mut self.connections {
+            let Role::Discovery(discovery) = &mut connection.role else {
+                continue;
+            };
+            if discovery.calls.report_overdue(now) {
+                self.inputs.push(Input::DiscoveryOverdue { conn: *conn });
+            }
+        }
+    }
+
     fn expired(&self, now: Duration, closes_after_answer: bool) -> Expired {
         let mut expired = Expired::default();
         for (conn, connection) in &self.connections {
