Act on the endpoint list for a lease, and leave a crowded discovery time to serve

With 42 hosts restarted at once, 36 calls a second kept discovery from serving one of them for 20 s. poll_deadline.rs: after two refusals in a row, and before the first answer, a call gets 3 s and nothing is called for the term. control/discovery.rs: a refused call is followed by a wait of what it had queued, doubled each time, to one call in a poll interval of the settings; the first call of a host with a cached list is spread over 1.5 s. - Hosts that discovery does not answer acted on a list of any age, whoever drained. New control/endpoint_lease.rs: 5.75 s after the last answer (3 s after a start, 3.75 s after a move) only nodes that complete requests get more, within 3 s of a drain's notice; the router says when discovery has answered, and a watch that discovery itself ends counts as an answer. Danger: while discovery is away, requests to nodes that a host seldom uses are rejected. Tried and left: a lease of 5.75 s on each completed request. A node that is said to drain completes requests for up to 1.8 s more.

--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -146,6 +146,7 @@
     Ok(DiscoveryPolicy {
         polled: p.word("registry-mode") == "on_request",
         poll_interval: p.time("rules.ask-every-ms")?,
+        lease: None,
     })
 }
 
--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -51,6 +51,7 @@
     let list = DiscoveryPolicy {
         polled: false,
         poll_interval: ms(10_000),
+        lease: None,
     };
     let mut control = Control::new(
         1,
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -217,6 +217,7 @@
         BlockReason::Throttled => pb::BlockReason::Throttled,
         BlockReason::Concurrency => pb::BlockReason::Concurrency,
         BlockReason::NoCapacity => pb::BlockReason::NoCapacity,
+        BlockReason::Unconfirmed => pb::BlockReason::Unconfirmed,
     };
     pb::QueueMetrics {
         volume: metrics.volume.0,
--- a/crates/host/src/poll_deadline.rs
+++ b/crates/host/src/poll_deadline.rs
@@ -41,6 +41,14 @@
 //! failed. Pushed lists come by the same watches. Shorter waits (settings that want more polls)
 //! shorten the sum.
 
+//! A discovery that answers that it has too many callers is alive, and what it needs is fewer calls.
+//! After [`MAX_HASTY_REFUSALS`] refusals in a row, and until a host's first answer, nothing is
+//! called for the term: the decisions' growing waits apply alone, and a call is given the time that
+//! it may queue there. Guards against a fleet whose calls keep discovery from serving any of them:
+//! with 60 hosts each call took up to 2 s to be refused, every host made a second one after 1 s, and
+//! none was served for 20 s. What the host may do meanwhile is for the decisions
+//! (`DiscoveryPolicy::lease`).
+
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -50,6 +58,14 @@
 /// Our own wakes between what happens and what is done about it.
 const WAKES: Duration = Duration::from_millis(100);
 
+/// Refusals in a row for which a call is still made within the term: the argument covers one
+/// failure after a call that was lost.
+const MAX_HASTY_REFUSALS: u32 = 1;
+/// What a call may take of a discovery that is crowded, or of which nothing is known yet: longer
+/// than it lets a call wait (one and two seconds were seen). Harm: one that is lost then is found
+/// so much later.
+const PATIENT_CALL: Duration = Duration::from_millis(3000);
+
 /// What has become of calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -59,6 +75,8 @@
     Answered,
     /// The call failed, was refused or given up.
     Failed,
+    /// Discovery has answered that it has too many callers; [`Event::Failed`] follows.
+    Refused,
 }
 
 /// What to do.
@@ -77,7 +95,11 @@
     /// From a call's beginning to the latest one of the next.
     next_after: Duration,
     /// What a call may take, its dial included.
-    pub call: Duration,
+    call: Duration,
+    /// Discovery has answered since the start.
+    answered: bool,
+    /// Refusals since it last answered.
+    refusals: u32,
     /// When the last call was begun, of those since discovery last answered.
     last: Option<Duration>,
     /// When the one before it was.
@@ -95,12 +117,27 @@
             second_after,
             next_after: second_after.saturating_sub(call + SPREAD),
             call,
+            answered: false,
+            refusals: 0,
             last: None,
             before: None,
             call_at: None,
         }
     }
 
+    /// What the next call may take, its dial included.
+    pub fn call_timeout(&self) -> Duration {
+        if self.is_patient() {
+            PATIENT_CALL
+        } else {
+            self.call
+        }
+    }
+
+    fn is_patient(&self) -> bool {
+        !self.answered || self.refusals > MAX_HASTY_REFUSALS
+    }
+
     /// When `step` must be called again if nothing happens before.
     pub fn wake_at(&self) -> Option<Duration> {
         self.call_at
@@ -115,10 +152,14 @@
                 self.call_at = None;
             }
             Some(Event::Answered) => {
+                self.answered = true;
+                self.refusals = 0;
                 self.before = None;
                 self.last = Some(now);
                 self.call_at = None;
             }
+            Some(Event::Refused) => self.refusals += 1,
+            Some(Event::Failed) if self.is_patient() => self.call_at = None,
             Some(Event::Failed) => self.plan_call(now),
             None => {}
         }
--- a/crates/host/src/router.rs
+++ b/crates/host/src/router.rs
@@ -406,6 +406,11 @@
             Input::DiscoveryUp { conn, outbox } => self.discovery_connected(conn, outbox),
             Input::DiscoveryFrames { conn, frames } => self.handle_discovery_frames(conn, frames),
             Input::DiscoveryGone { conn } => self.discovery_disconnected(conn),
+            Input::DiscoveryRefused {
+                conn,
+                waited,
+                up_to_date,
+            } => self.discovery_refused(conn, waited, up_to_date),
             Input::DiscoveryOverdue { conn } => {
                 if self.discovery.conn == Some(conn) {
                     self.discovery_overdue();
--- a/crates/host/src/router/decisions.rs
+++ b/crates/host/src/router/decisions.rs
@@ -21,7 +21,7 @@
         // Discovery is asked in either case: where it pushes, one watch is the asking.
         DiscoveryPolicy {
             polled: true,
-            poll_interval: settings.list.rule.poll_interval,
+            ..settings.list.rule.clone()
         },
         rules.attempts.clone(),
         rules.key_rest,
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -4,7 +4,7 @@
 use super::{ConnId, Output, RequestRouter};
 use crate::endpoint_list::KnownEndpoint;
 use crate::outbox::Outbox;
-use crate::poll_deadline;
+use crate::poll_deadline::{self, PollDeadline};
 use grebecleat::interface::*;
 use grebecleat_wire::pb::{self, frame::Body};
 use std::collections::BTreeMap;
@@ -50,6 +50,7 @@
             }
             self.handle_endpoint_update(update);
             if current {
+                self.events.push(Event::EndpointsConfirmed);
                 self.poll_before_deadline(Some(poll_deadline::Event::Answered));
             }
         }
@@ -105,11 +106,7 @@
         for link in &mut self.heard_discovery {
             link.has_moved = true;
         }
-        // How often another one has failed says nothing of this one: no changes, but an answer.
-        self.events.push(Event::EndpointUpdate {
-            kind: EndpointUpdateKind::Delta,
-            endpoints: Vec::new(),
-        });
+        self.events.push(Event::DiscoveryMoved);
         self.call_discovery(Body::Watch(pb::Watch { on: true }));
     }
 
@@ -152,7 +149,23 @@
     fn discovery_timeout(&self) -> Duration {
         let served = !self.endpoints.nodes.is_empty();
         let poll_deadline = self.poll_deadline.as_ref().filter(|_| served);
-        poll_deadline.map_or(self.bounds().patience, |deadline| deadline.call)
+        poll_deadline.map_or(self.bounds().patience, PollDeadline::call_timeout)
+    }
+
+    pub(super) fn discovery_refused(&mut self, conn: ConnId, waited: Duration, up_to_date: bool) {
+        let is_heard = self.heard_discovery.iter().any(|link| link.conn == conn);
+        let is_current = self.discovery.conn == Some(conn);
+        if is_heard || is_current {
+            self.poll_before_deadline(Some(poll_deadline::Event::Refused));
+        }
+        if is_current {
+            if up_to_date {
+                self.events.push(Event::EndpointsConfirmed);
+            }
+            self.close_discovery();
+            self.call_failed("refused");
+            self.events.push(Event::FetchRefused { waited });
+        }
     }
 
     /// Calls discovery where the decisions would wait for too long. What they ask for later finds
@@ -169,11 +182,16 @@
     }
 
     fn discovery_lost(&mut self, reason: &str) {
-        if let Some(outbox) = self.discovery.outbox.take() {
+        self.close_discovery();
+        self.call_failed(reason);
+        self.fetch_failed();
+    }
+
+    fn close_discovery(&mut self) {
+        let link = std::mem::take(&mut self.discovery);
+        if let Some(outbox) = link.outbox {
             outbox.close();
         }
-        self.discovery = DiscoveryLink::default();
-        self.call_failed(reason);
     }
 
     /// Another call is made in time, as after one that has failed; but the overdue one goes on being
@@ -183,6 +201,7 @@
         let link = std::mem::take(&mut self.discovery);
         self.go_on_hearing(link);
         self.call_failed("no answer in time");
+        self.fetch_failed();
     }
 
     /// The oldest goes where there are too many.
@@ -204,7 +223,6 @@
         self.discovery_history.failures += 1;
         self.log(self.discovery_failure_text(reason));
         self.poll_before_deadline(Some(poll_deadline::Event::Failed));
-        self.fetch_failed();
     }
 
     fn discovery_failure_text(&self, reason: &str) -> String {
--- a/crates/host/src/router/types.rs
+++ b/crates/host/src/router/types.rs
@@ -80,6 +80,15 @@
         /// The connection.
         conn: ConnId,
     },
+    /// Discovery has answered a call that it has too many callers. The connection ends with that.
+    DiscoveryRefused {
+        /// The connection.
+        conn: ConnId,
+        /// How long the call had waited by then, beyond what it was to wait for changes.
+        waited: Duration,
+        /// It was a watch that had been open, and told all that there was until now.
+        up_to_date: bool,
+    },
     /// The call that is out on a connection to discovery has taken longer than it should.
     DiscoveryOverdue {
         /// The connection, which stays open.
--- a/crates/platform/src/config/settings.rs
+++ b/crates/platform/src/config/settings.rs
@@ -30,7 +30,8 @@
 /// Bytes of one frame; and of what a client leaves unread.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Whatever the settings say of polling, what a silent discovery misses is known within this:
-/// watches and waits after failed calls are reckoned from no more.
+/// watches and waits after failed calls are reckoned from no more, and a list that was not answered
+/// for as long is not acted on, less what an attempt may wait here before it is written.
 pub const DISCOVERY_TERM: Duration = Duration::from_millis(6000);
 
 /// What the platform requires of a traffic class's requests, beside what the decisions know of it.
@@ -243,6 +244,7 @@
     let poll_interval = default_if_zero(policy.poll_interval, DISCOVERY_TERM).min(DISCOVERY_TERM);
     Ok(DiscoveryPolicy {
         poll_interval,
+        lease: Some(DISCOVERY_TERM - MAX_DISPATCH_DELAY),
         ..policy
     })
 }
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -63,6 +63,8 @@
     pub begun: Duration,
     /// When it is overdue, and another one may be made on another connection.
     pub answer_by: Duration,
+    /// It goes on with a watch: what is new is written to it at once, and it waits for nothing else.
+    pub continues_watch: bool,
     /// [`DiscoveryCalls::report_overdue`] has reported it.
     reported: bool,
 }
@@ -84,6 +86,8 @@
     revision: Option<u64>,
     /// Discovery has answered on this connection.
     has_answered: bool,
+    /// Its last answer was to a watch, which goes on with the next one.
+    watch_open: bool,
     outstanding: Option<OutstandingCall>,
 }
 
@@ -102,6 +106,7 @@
             fetch: false,
             revision: known,
             has_answered: false,
+            watch_open: false,
             outstanding: None,
         }
     }
@@ -158,6 +163,7 @@
             call,
             begun: now,
             answer_by: now + timeout,
+            continues_watch: self.watch_open && matches!(call, Call::Newer { .. }),
             reported: false,
         });
         Some(call)
@@ -167,7 +173,8 @@
     /// changed since cannot be known from it: the next call is for the complete list.
     fn answered(&mut self, revision: u64) {
         let went_back = self.revision.is_some_and(|known| revision < known);
-        self.outstanding = None;
+        let answered = self.outstanding.take();
+        self.watch_open = answered.is_some_and(|it| matches!(it.call, Call::Newer { .. }));
         self.has_answered = true;
         self.revision = if went_back { None } else { Some(revision) };
         self.complete_timeout = CALL_TIMEOUT;
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -14,8 +14,12 @@
 use grebecleat_wire::pb::frame::Body;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tracing::{debug, info};
 
+/// The status with which discovery refuses a call that would wait, or has waited, for too long.
+const TOO_MANY_CALLERS: u16 = 503;
+
 /// A complete answer of discovery.
 struct DiscoveryAnswer {
     endpoints: ReadEndpoints,
@@ -36,6 +40,15 @@
     }
 }
 
+/// What a call has waited at discovery, beyond what it was to wait there for changes.
+fn queueing_time(outstanding: &OutstandingCall, now: Duration) -> Duration {
+    let wait = match outstanding.call {
+        Call::Complete => Duration::ZERO,
+        Call::Newer { wait, .. } => wait,
+    };
+    now.saturating_sub(outstanding.begun).saturating_sub(wait)
+}
+
 /// None: more must come.
 fn read_answer(
     bytes: &[u8],
@@ -137,6 +150,15 @@
                     let call = OutstandingCallLog(outstanding);
                     info!(conn = conn.0, %call, bytes, "list of nodes: {error}");
                 }
+                if matches!(error, DiscoveryError::Status(TOO_MANY_CALLERS)) {
+                    let waited = queueing_time(&outstanding, clock::now());
+                    let up_to_date = outstanding.continues_watch;
+                    self.inputs.push(Input::DiscoveryRefused {
+                        conn,
+                        waited,
+                        up_to_date,
+                    });
+                }
                 self.connection_lost(conn, CloseReason::BadAnswer);
             }
         }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -661,6 +661,7 @@
         rule: DiscoveryPolicy {
             polled: f.flag("on_asking", Some(true)),
             poll_interval: f.span("ask_every", Some(ms(10_000)), DAY),
+            lease: None,
         },
         lag: f.span("lag", Some(ms(1000)), DAY),
         fails: f.number("fails", Some(0.0), (0.0, 1.0)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -14,6 +14,7 @@
 //! - `dispatch`, `placement`: which queued request goes to which node, and what blocks it;
 //! - `retries`: whether another attempt may follow one that failed;
 //! - `shedding`: what is rejected early because it cannot be in time;
+//! - `endpoint_lease`: where a request may go whose node's entry of the endpoint list may be out of date;
 //! - `outcomes`, `discovery`: what the end of an attempt, or the endpoint list, says of a node.
 //!
 //! `inspection` shows to operators what the decisions know.
@@ -21,6 +22,7 @@
 mod concurrency;
 mod discovery;
 mod dispatch;
+mod endpoint_lease;
 mod fair_share;
 pub mod inspection;
 mod outcomes;
@@ -167,6 +169,9 @@
                 self.state.retired.insert(volume);
             }
             Event::EndpointUpdate { kind, endpoints } => self.update_endpoints(kind, endpoints),
+            Event::EndpointsConfirmed => self.confirm_endpoints(),
+            Event::DiscoveryMoved => self.discovery_moved(),
+            Event::FetchRefused { waited } => self.back_off_refused_fetch(waited),
             Event::TimerFired { .. } | Event::HealthChecked { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -211,6 +216,7 @@
         }
         self.state.allocate_shares(&demands, |plan| self.plans[plan.0].weight);
         self.state.update_mean_learned_rate();
+        self.log_endpoint_lease();
         self.update_slow_start();
         self.state.key_order.remove_idle(self.state.now);
         self.state.expire(self.retry_budget.as_ref().map_or(INTERVAL, |budget| budget.window + INTERVAL));
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -21,7 +21,9 @@
         if kind != EndpointUpdateKind::Delta {
             self.state.mark_absent_gone(&endpoints);
         }
-        if kind != EndpointUpdateKind::Cached {
+        if kind == EndpointUpdateKind::Cached {
+            self.confirm_cached_endpoints();
+        } else {
             self.state.fetch_failures = 0;
         }
         let first = self.state.nodes.is_empty();
@@ -50,6 +52,19 @@
         self.state.watch_at = Some(self.state.now + backoff / 2 + self.jitter(backoff));
     }
 
+    /// A call that has waited for long before it was refused was one of too many, and what discovery did for
+    /// it was in vain: the next one waits longer than that, and twice as long after each further one. At the
+    /// most each host calls once in a poll interval, the rate that the settings ask of discovery. Guards
+    /// against hosts whose calls keep it from serving any of them in time. Harm: after an outage that looks
+    /// the same, a list is had so much later.
+    pub(super) fn back_off_refused_fetch(&mut self, waited: Duration) {
+        self.state.fetch_failures += 1;
+        let doublings = (self.state.fetch_failures - 1).min(MAX_DOUBLINGS);
+        let doubled = waited.max(FIRST_BACKOFF) * 2u32.pow(doublings);
+        let backoff = doubled.min(self.discovery.poll_interval.saturating_sub(waited));
+        self.state.watch_at = Some(self.state.now + backoff / 2 + self.jitter(backoff));
+    }
+
     fn node_came_up(&mut self, id: NodeId, first: bool) {
         let now = self.state.now;
         // All hosts learn of it about together; without the delay each would send first.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -76,6 +76,9 @@
         if !may_resend(class.idempotency, pending.prior_attempt, node.zone, node.shard, now) {
             return Some(BlockReason::Idempotency);
         }
+        if !self.is_confirmed(node) {
+            return Some(BlockReason::Unconfirmed);
+        }
         let value = self.value(pending, Some(id));
         if !value.paid && node.tokens.level() <= 0.0 {
             return Some(BlockReason::Share);
@@ -89,6 +92,9 @@
         if !self.has_capacity_or_waits(node, self.state.smallest_units?) {
             return None;
         }
+        if !self.is_confirmed(&self.state.nodes[&node]) {
+            return None;
+        }
         let id = self.best_queued(node)?.id;
         let units = self.state.requests[&id].request.units;
         self.has_capacity_or_waits(node, units).then_some(id)
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -2,7 +2,7 @@
 
 use super::concurrency::{adjust_factor, cut_factor, QUEUEING_FRACTION};
 use super::throttle::{adjust_admission, EJECT_AFTER, UNQUEUED_QUANTILE};
-use super::Control;
+use super::{endpoint_lease::record_contact, Control};
 use crate::interface::{AttemptEnd, AttemptOutcome};
 use crate::state::PriorAttempt;
 
@@ -17,6 +17,7 @@
         }
         let sent = node.attempt_ended(&pending.request).unwrap_or(now.saturating_sub(end.elapsed));
         state.changed_nodes.insert(end.node);
+        record_contact(node, outcome, sent, now);
         // A limit counts what crosses, when it crosses. What was never sent gives its units back; what found
         // no connection draws them again when it goes, or units drawn long before would add to a full
         // bucket's. Harm: where the rule counts an attempt without a connection, as much is lost.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -202,6 +202,9 @@
     pub polled: bool,
     /// Time between two polls that the settings ask for.
     pub poll_interval: Duration,
+    /// How long after an answer of discovery a node may be sent to without another one; None: however long.
+    /// Needs a discovery that answers now and then though nothing has changed.
+    pub lease: Option<Duration>,
 }
 
 /// A client's request for work on a volume.
@@ -360,6 +363,15 @@
         /// The endpoints of which it speaks.
         endpoints: Vec<Endpoint>,
     },
+    /// Discovery has answered, with changes or without: the endpoint list is up to date.
+    EndpointsConfirmed,
+    /// Discovery is at another address from now on.
+    DiscoveryMoved,
+    /// Discovery has refused a call for the endpoint list: it has too many callers.
+    FetchRefused {
+        /// How long the call had waited there by then.
+        waited: Duration,
+    },
     /// A timer that the module set has run out.
     TimerFired {
         /// Which timer.
@@ -398,6 +410,8 @@
     Idempotency,
     /// The volume is beyond its fair share, and the node has nothing to spare.
     Share,
+    /// The lease of the endpoint list has run out, and nothing else shows that the node takes requests.
+    Unconfirmed,
     /// The node takes only requests of a higher value.
     Throttled,
     /// As much is out at the node as may be.
--- a/src/state/node.rs
+++ b/src/state/node.rs
@@ -148,6 +148,10 @@
     pub consecutive_failures: u32,
     /// When it was last sent something; 0: never.
     pub last_sent: Duration,
+    /// When the last attempt was sent that it completed; 0: none was.
+    pub last_served: Duration,
+    /// When it last turned an attempt away, was not reached or dropped a connection; 0: never.
+    pub contact_lost: Duration,
 }
 
 impl Node {
@@ -183,6 +187,8 @@
             last_success: Duration::ZERO,
             consecutive_failures: 0,
             last_sent: Duration::ZERO,
+            last_served: Duration::ZERO,
+            contact_lost: Duration::ZERO,
         }
     }
 
--- a/src/state/scheduler_state.rs
+++ b/src/state/scheduler_state.rs
@@ -79,6 +79,10 @@
     pub timer_tag: u64,
     /// When the endpoint list is to be asked for.
     pub watch_at: Option<Duration>,
+    /// When the endpoint list was last known to be up to date, as far as its lease goes.
+    pub endpoints_confirmed: Duration,
+    /// Its lease has run out, as the log says.
+    pub endpoints_expired: bool,
     /// Failed calls for the endpoint list in a row.
     pub fetch_failures: u32,
     /// Actions of this step.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -42,6 +42,7 @@
     let listing = DiscoveryPolicy {
         polled: false,
         poll_interval: ms(10_000),
+        lease: None,
     };
     let (traffic_classes, plans) = (vec![stream(Idempotency::Idempotent)], vec![plan(1.0)]);
     let mut c = Control::new(seed, traffic_classes, plans, units(), host_limits()).with_rules(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -118,6 +118,7 @@
     let listing = DiscoveryPolicy {
         polled: false,
         poll_interval: ms(10_000),
+        lease: None,
     };
     let mut c = Control::new(7, traffic_classes, plans, units(), host_limits()).with_rules(
         slow_start_policy(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -539,6 +539,7 @@
     let listing = DiscoveryPolicy {
         polled: true,
         poll_interval: ms(10_000),
+        lease: None,
     };
     let mut c = Control::new(
         3,
@@ -634,6 +635,7 @@
         let listing = DiscoveryPolicy {
             polled: false,
             poll_interval: ms(10_000),
+            lease: None,
         };
         let (traffic_classes, plans) = (vec![stream(Idempotency::Idempotent)], vec![plan(1.0)]);
         let mut c = Control::new(seed, traffic_classes, plans, units(), host_limits()).with_rules(
@@ -719,6 +721,7 @@
         let listing = DiscoveryPolicy {
             polled: true,
             poll_interval: ms(10_000),
+            lease: None,
         };
         let mut c = Control::new(
             1,
