Take lists of any fleet's length, in time that grows with it; tests of the list's lease

Causes, the same class elsewhere (a bound or cost of one node's answer put on the whole fleet's list): - http.rs bounded a list by a node's answer, 512 KiB: 3,200 indented entries (670 KB here) were fetched whole and never taken. Lists may have 4 MiB now. - endpoint_list.rs retain_listed and scheduler_state.rs mark_absent_gone compared each known node with each listed one; a delta copied all known nodes. Sets, and the listed nodes alone. Change besides: the lease's end is a moment, since one reckoned back from near the clock's zero was too late (found by a test); a reset counts against a node only until it completes what it had before, and a full queue until it completes something later. Tests: tests/endpoint_lease.rs, eight; crowded_discovery.rs, one between processes (fails with the lease off: 13 requests reach the node that turns them away).

--- a/crates/cli/tests/crowded_discovery.rs
+++ b/crates/cli/tests/crowded_discovery.rs
@@ -167,3 +167,70 @@
     host.is_ready();
     assert_eq!(host.ask(&request("read", "one", 3199, 7, 2900)), Some(200));
 }
+
+/// A list from before the start is acted on for three seconds; a node that turns requests away gets
+/// no more from then on, one that completes them does, until discovery answers.
+#[test]
+fn a_host_that_is_always_refused_sends_on_only_to_nodes_that_complete_requests() {
+    const CACHED_LEASE: Duration = ms(3000);
+    let (serves, turns_away) = (node(|_| says(GOOD)), node(|_| says(AWAY)));
+    let targets = json!([
+        target("s-0", &serves, 0, "ready"),
+        target("s-1", &turns_away, 1, "ready")
+    ]);
+    let known = json!({"rev": 1, "all": true, "targets": targets});
+    let discovery = Hand::start();
+    let address = discovery.address;
+    let began = Instant::now();
+    let host = Live::begin_with(address, 64, settings(), json!({"known": known}));
+    let answers = AtomicBool::new(false);
+    let ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let (answers, ended, host) = (&answers, &ended, &host);
+        scope.spawn(move || {
+            while !ended.load(Ordering::SeqCst) {
+                if let Some(mut call) = discovery.now() {
+                    if answers.load(Ordering::SeqCst) {
+                        call.lists(1, false, json!([]));
+                    } else {
+                        call.says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                    }
+                }
+                sleep(ms(5));
+            }
+        });
+        for shard in 0..2 {
+            scope.spawn(move || {
+                for turn in 0.. {
+                    if ended.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    host.ask(&request("read", &format!("{shard}-{turn}"), shard, 7, 300));
+                    sleep(ms(20));
+                }
+            });
+        }
+        let counts = || (seen(&serves).len(), seen(&turns_away).len());
+        sleep((CACHED_LEASE + DRAIN_GRACE).saturating_sub(began.elapsed()));
+        let before = counts();
+        sleep(ms(4000));
+        let refused = counts();
+        answers.store(true, Ordering::SeqCst);
+        let until = Instant::now() + GIVE_UP;
+        while counts().1 == refused.1 && Instant::now() < until {
+            sleep(ms(10));
+        }
+        let confirmed = counts();
+        ended.store(true, Ordering::SeqCst);
+        assert!(
+            before.1 > 0,
+            "nothing was sent by the list from before: {before:?}"
+        );
+        assert_eq!(
+            refused.1, before.1,
+            "sent to a node that turns requests away"
+        );
+        assert!(refused.0 > before.0 + 40, "{before:?}, {refused:?}");
+        assert!(confirmed.1 > refused.1, "it was confirmed: {confirmed:?}");
+    });
+}
--- a/crates/host/src/endpoint_list.rs
+++ b/crates/host/src/endpoint_list.rs
@@ -9,7 +9,7 @@
 
 use grebecleat::interface::{Endpoint, NodeId, NodeState, ShardId, ZoneId};
 use grebecleat_wire::{clock, frame, pb};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -87,10 +87,10 @@
 
     /// Nodes that a complete list no longer names are gone; returns them.
     pub fn retain_listed(&mut self, listed: &[Endpoint], revision: u64) -> Vec<NodeId> {
+        let listed: HashSet<NodeId> = listed.iter().map(|endpoint| endpoint.node).collect();
         let mut gone = Vec::new();
         for (id, known) in &mut self.nodes {
-            let is_listed = listed.iter().any(|endpoint| endpoint.node == *id);
-            if known.state != NodeState::Gone && !is_listed {
+            if known.state != NodeState::Gone && !listed.contains(id) {
                 known.state = NodeState::Gone;
                 known.revision = revision;
                 gone.push(*id);
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -268,9 +268,7 @@
         endpoints: &[pb::Endpoint],
         revision: u64,
     ) {
-        let known = self.endpoints.nodes.iter();
-        let before: BTreeMap<NodeId, Process> =
-            known.map(|(id, known)| (*id, process_of(known))).collect();
+        let before = self.processes_of(endpoints);
         let mut read = self.read_endpoints(endpoints, revision);
         let mut left = match kind {
             EndpointUpdateKind::Delta => Vec::new(),
@@ -307,6 +305,13 @@
         self.share_known_nodes();
     }
 
+    /// What was known of these nodes until now.
+    fn processes_of(&self, endpoints: &[pb::Endpoint]) -> BTreeMap<NodeId, Process> {
+        let nodes = endpoints.iter().map(|endpoint| NodeId(endpoint.node));
+        let known = nodes.filter_map(|id| Some((id, process_of(self.endpoints.nodes.get(&id)?))));
+        known.collect()
+    }
+
     fn read_endpoints(&mut self, endpoints: &[pb::Endpoint], revision: u64) -> Vec<Endpoint> {
         let now = self.now;
         let read = endpoints
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -16,6 +16,9 @@
 /// Bytes of an answer's body at most: nodes were seen to give 200 KB, and what is dropped here has
 /// run in vain.
 pub const MAX_ANSWER: usize = 512 << 10;
+/// Bytes of an endpoint list at most: it is as long as the fleet is large, and may be indented, at
+/// some 210 bytes a node.
+pub const MAX_LIST: usize = 4 << 20;
 /// Headers of one head at most.
 const MAX_HEADERS: usize = 64;
 /// Headers of a chunked body's trailer at most.
@@ -288,6 +291,13 @@
 /// assert!(response(b"HTTP/1.1 200 OK\r\n\r\nhi").is_err());
 /// ```
 pub fn response(bytes: &[u8]) -> Result<Parsed<Response<'_>>, HttpError> {
+    response_up_to(bytes, MAX_ANSWER)
+}
+
+/// The same, with a body of so many bytes at most.
+///
+/// Errors: as [`response`].
+pub fn response_up_to(bytes: &[u8], max_body: usize) -> Result<Parsed<Response<'_>>, HttpError> {
     let mut at = 0;
     for _ in 0..=MAX_INTERIM {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -307,13 +317,13 @@
         }
         let headers = Headers::of(head.headers);
         let keep_alive = keeps_alive(version, &headers);
-        let length = match body_length(&headers, MAX_ANSWER)? {
+        let length = match body_length(&headers, max_body)? {
             BodyLength::None if !matches!(status, 204 | 304) => {
                 return Err(error(502, "no length"))
             }
             length => length,
         };
-        let Some((body, more)) = body(&bytes[at + used..], length, MAX_ANSWER)? else {
+        let Some((body, more)) = body(&bytes[at + used..], length, max_body)? else {
             return Ok(None);
         };
         return Ok(Some((
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -54,7 +54,7 @@
     bytes: &[u8],
     names: &mut EndpointNames,
 ) -> Result<Option<DiscoveryAnswer>, DiscoveryError> {
-    let Some((response, used)) = http::response(bytes)? else {
+    let Some((response, used)) = http::response_up_to(bytes, http::MAX_LIST)? else {
         return Ok(None);
     };
     if response.status != 200 {
--- a/src/control/endpoint_lease.rs
+++ b/src/control/endpoint_lease.rs
@@ -4,9 +4,9 @@
 //! cannot tell a list without changes from one that it is not told of. A change counts as known a term after
 //! discovery had it, whatever becomes of this host's calls, so what is older than that may not be relied on.
 //! From then on a node gets requests only as long as it completes some itself: one that drains turns them
-//! away, at the latest [`DRAIN_NOTICE`] after discovery has told of it. A node that turned one away, was not reached
-//! or broke a connection may drain, or be another process when it answers again: of that one only discovery's
-//! next answer counts.
+//! away, at the latest [`DRAIN_NOTICE`] after discovery has told of it. A node that turned away the last one may
+//! drain; one that was not reached, or that broke a connection and has completed nothing since that it had
+//! before, may be another process when it answers again. Of these only discovery's next answer counts.
 //!
 //! Harm: while discovery is down, or refuses this host, requests to nodes that it seldom uses are rejected.
 //! Limit: a process that is replaced between two requests of this host passes for the former one, and so does
@@ -30,20 +30,24 @@
     pub(super) fn is_confirmed(&self, node: &Node) -> bool {
         let Some(lease) = self.discovery.lease else { return true };
         let (now, listed) = (self.state.now, self.state.endpoints_confirmed);
-        let still_serves = node.contact_lost <= listed && now + DRAIN_NOTICE < node.last_served + lease;
-        now < listed + lease || still_serves
+        let same_process = node.not_reached.max(node.connection_lost) <= listed;
+        let takes_requests = node.last_served > node.turned_away;
+        let still_serves = same_process && takes_requests && now + DRAIN_NOTICE < node.last_served + lease;
+        now < self.state.endpoints_valid_until || still_serves
     }
 
     /// Discovery has answered.
     pub(super) fn confirm_endpoints(&mut self) {
+        let lease = self.discovery.lease.unwrap_or_default();
         self.state.endpoints_confirmed = self.state.now;
+        self.state.endpoints_valid_until = self.state.now + lease;
     }
 
     /// The list is from before the start. Most hosts may have started just now, and discovery answers them in
     /// turn: called by all at once it refuses most, and works in vain for some of those.
     pub(super) fn confirm_cached_endpoints(&mut self) {
         if self.discovery.lease.is_some() {
-            self.shorten_lease(CACHED_LEASE);
+            self.state.endpoints_valid_until = self.state.now + CACHED_LEASE;
             self.state.watch_at = Some(self.state.now + self.jitter(CACHED_LEASE / 2));
         }
     }
@@ -51,21 +55,16 @@
     /// How often discovery has failed at its former address says nothing of the new one.
     pub(super) fn discovery_moved(&mut self) {
         self.state.fetch_failures = 0;
-        let before = self.state.endpoints_confirmed;
-        self.shorten_lease(MOVED_LEASE);
-        self.state.endpoints_confirmed = self.state.endpoints_confirmed.min(before);
-    }
-
-    /// The lease runs out so long after now.
-    fn shorten_lease(&mut self, left: Duration) {
-        let lease = self.discovery.lease.unwrap_or_default();
-        self.state.endpoints_confirmed = (self.state.now + left).saturating_sub(lease);
+        let valid_until = self.state.now + MOVED_LEASE;
+        self.state.endpoints_valid_until = self.state.endpoints_valid_until.min(valid_until);
     }
 
     /// Whether the list's lease has run out, when that has changed.
     pub(super) fn log_endpoint_lease(&mut self) {
-        let Some(lease) = self.discovery.lease else { return };
-        let expired = self.state.now >= self.state.endpoints_confirmed + lease;
+        if self.discovery.lease.is_none() {
+            return;
+        }
+        let expired = self.state.now >= self.state.endpoints_valid_until;
         if std::mem::replace(&mut self.state.endpoints_expired, expired) == expired {
             return;
         }
@@ -79,12 +78,18 @@
 /// What the end of an attempt that was sent then says of whether its node takes requests.
 pub(super) fn record_contact(node: &mut Node, outcome: AttemptOutcome, sent: Duration, now: Duration) {
     match outcome {
-        AttemptOutcome::Completed => node.last_served = node.last_served.max(sent),
-        AttemptOutcome::QueueFull | AttemptOutcome::ConnectFailed | AttemptOutcome::ConnectionReset => {
-            node.contact_lost = now;
+        AttemptOutcome::Completed => {
+            node.last_served = node.last_served.max(sent);
+            if sent < node.connection_lost {
+                // The process that had this one was there all along.
+                node.connection_lost = Duration::ZERO;
+            }
         }
+        AttemptOutcome::QueueFull => node.turned_away = now,
+        AttemptOutcome::ConnectFailed => node.not_reached = now,
+        AttemptOutcome::ConnectionReset => node.connection_lost = now,
         // Others that went later were answered: it was this attempt's work, and not the node.
-        AttemptOutcome::TimedOut if node.last_served < sent => node.contact_lost = now,
+        AttemptOutcome::TimedOut if node.last_served < sent => node.connection_lost = now,
         _ => {}
     }
 }
--- a/src/state/node.rs
+++ b/src/state/node.rs
@@ -150,8 +150,13 @@
     pub last_sent: Duration,
     /// When the last attempt was sent that it completed; 0: none was.
     pub last_served: Duration,
-    /// When it last turned an attempt away, was not reached or dropped a connection; 0: never.
-    pub contact_lost: Duration,
+    /// When it last turned an attempt away; 0: never.
+    pub turned_away: Duration,
+    /// When no connection to it came up for the last time; 0: never.
+    pub not_reached: Duration,
+    /// When it last dropped an attempt's connection, or fell silent, and has not been shown to be the same
+    /// process since; 0: never.
+    pub connection_lost: Duration,
 }
 
 impl Node {
@@ -188,7 +193,9 @@
             consecutive_failures: 0,
             last_sent: Duration::ZERO,
             last_served: Duration::ZERO,
-            contact_lost: Duration::ZERO,
+            turned_away: Duration::ZERO,
+            not_reached: Duration::ZERO,
+            connection_lost: Duration::ZERO,
         }
     }
 
--- a/src/state/scheduler_state.rs
+++ b/src/state/scheduler_state.rs
@@ -79,8 +79,10 @@
     pub timer_tag: u64,
     /// When the endpoint list is to be asked for.
     pub watch_at: Option<Duration>,
-    /// When the endpoint list was last known to be up to date, as far as its lease goes.
+    /// When discovery last answered; 0: not since the start.
     pub endpoints_confirmed: Duration,
+    /// When the endpoint list's lease ends.
+    pub endpoints_valid_until: Duration,
     /// Its lease has run out, as the log says.
     pub endpoints_expired: bool,
     /// Failed calls for the endpoint list in a row.
@@ -148,8 +150,9 @@
 
     /// Nodes that a whole list does not name are gone.
     pub fn mark_absent_gone(&mut self, endpoints: &[Endpoint]) {
+        let listed: BTreeSet<NodeId> = endpoints.iter().map(|endpoint| endpoint.node).collect();
         for (id, node) in &mut self.nodes {
-            if !endpoints.iter().any(|endpoint| endpoint.node == *id) {
+            if !listed.contains(id) {
                 node.state = NodeState::Gone;
             }
         }
--- /dev/null
+++ b/tests/endpoint_lease.rs
@@ -0,0 +1,205 @@
+//! The lease of the endpoint list: what a host still sends that discovery does not answer.
+
+mod common;
+
+use common::*;
+use grebecleat::control::Control;
+use grebecleat::interface::*;
+use std::time::Duration;
+
+const LEASE: Duration = ms(5750);
+/// When discovery last answered, after which it is silent.
+const ANSWERED: u64 = 2000;
+const LEASE_ENDS: u64 = 7750;
+
+fn leased_host() -> Control {
+    let discovery = DiscoveryPolicy {
+        polled: true,
+        poll_interval: ms(6000),
+        lease: Some(LEASE),
+    };
+    let classes = vec![stream(Idempotency::Idempotent)];
+    let plans = vec![plan(100.0)];
+    Control::new(7, classes, plans, units(), host_limits()).with_rules(
+        slow_start_policy(),
+        discovery,
+        None,
+        ms(200),
+    )
+}
+
+fn both_ready() -> Vec<Endpoint> {
+    let entry = |node| entry(node, NodeState::Ready, None);
+    vec![entry(1), entry(2)]
+}
+
+/// A host that discovery has answered once.
+fn answered_host() -> Control {
+    let mut host = leased_host();
+    host.step(ms(1000), vec![]);
+    let list = list(EndpointUpdateKind::Snapshot, both_ready());
+    host.step(ms(ANSWERED), vec![list, Event::EndpointsConfirmed]);
+    host
+}
+
+/// Whether a request that comes in then goes to node 1, by when its second is over; it has no other.
+fn is_sent(host: &mut Control, number: u8, now: u64) -> bool {
+    let request = request(number, ms(now + 1000));
+    let (sent, ..) = at(host, now, vec![Event::RequestReceived(request)]);
+    let mut sent = sent.len();
+    for later in (now + 5..now + 1100).step_by(5) {
+        sent += at(host, later, vec![]).0.len();
+    }
+    sent > 0
+}
+
+/// Sends a request then, which ends so 10 ms later.
+fn attempt_that_ends(host: &mut Control, number: u8, now: u64, outcome: AttemptOutcome) {
+    let request = request(number, ms(now + 1000));
+    let (sent, ..) = at(host, now, vec![Event::RequestReceived(request)]);
+    assert_eq!(sent.len(), 1, "request {number} is sent at {now}");
+    at(host, now + 10, vec![over(number, 1, outcome, ms(10), true)]);
+}
+
+#[test]
+fn a_list_is_acted_on_until_its_lease_ends_and_again_once_it_is_confirmed() {
+    let mut host = answered_host();
+    attempt_that_ends(&mut host, 1, LEASE_ENDS - 20, AttemptOutcome::Failed);
+    assert!(!is_sent(&mut host, 2, LEASE_ENDS + 10));
+    at(
+        &mut host,
+        LEASE_ENDS + 1500,
+        vec![Event::EndpointsConfirmed],
+    );
+    assert!(is_sent(&mut host, 3, LEASE_ENDS + 1600));
+}
+
+/// Without a lease the list of a discovery that pushes changes alone is in force for ever.
+#[test]
+fn without_a_lease_a_list_is_in_force_however_old_it_is() {
+    let classes = vec![stream(Idempotency::Idempotent)];
+    let mut host = host(classes, vec![plan(100.0)], None);
+    assert!(is_sent(&mut host, 1, 600_000));
+}
+
+#[test]
+fn a_list_from_before_the_start_is_acted_on_for_three_seconds() {
+    for (now, expected) in [(3990, true), (4010, false)] {
+        let mut host = leased_host();
+        host.step(
+            ms(1000),
+            vec![list(EndpointUpdateKind::Cached, both_ready())],
+        );
+        assert_eq!(is_sent(&mut host, 1, now), expected, "at {now}");
+    }
+}
+
+#[test]
+fn after_a_move_the_lease_ends_before_what_was_missed_counts_as_told() {
+    // It moves one second after the last answer; what was left of the lease before is not prolonged.
+    for (moved, last_sent) in [(3000, 6750), (7000, LEASE_ENDS)] {
+        for (now, expected) in [(last_sent - 10, true), (last_sent + 10, false)] {
+            let mut host = answered_host();
+            at(&mut host, moved, vec![Event::DiscoveryMoved]);
+            assert_eq!(
+                is_sent(&mut host, 1, now),
+                expected,
+                "moved at {moved}, sent at {now}"
+            );
+        }
+    }
+}
+
+/// A node may complete requests for up to three seconds after discovery said that it drains.
+#[test]
+fn a_node_that_completes_requests_gets_more_for_the_lease_less_its_notice() {
+    for (after, expected) in [(2700, true), (2800, false)] {
+        let mut host = answered_host();
+        attempt_that_ends(&mut host, 1, LEASE_ENDS - 100, AttemptOutcome::Completed);
+        assert_eq!(
+            is_sent(&mut host, 2, LEASE_ENDS - 100 + after),
+            expected,
+            "after {after} ms"
+        );
+    }
+}
+
+#[test]
+fn a_node_that_may_drain_or_be_another_process_waits_for_discovery() {
+    use AttemptOutcome::*;
+    for outcome in [QueueFull, ConnectFailed, ConnectionReset, TimedOut] {
+        let mut host = answered_host();
+        attempt_that_ends(&mut host, 1, LEASE_ENDS - 300, Completed);
+        attempt_that_ends(&mut host, 2, LEASE_ENDS - 200, outcome);
+        assert!(!is_sent(&mut host, 3, LEASE_ENDS + 10), "{outcome:?}");
+        at(
+            &mut host,
+            LEASE_ENDS + 1500,
+            vec![Event::EndpointsConfirmed],
+        );
+        assert!(
+            is_sent(&mut host, 4, LEASE_ENDS + 1600),
+            "{outcome:?}, confirmed"
+        );
+    }
+}
+
+/// What was lost was one connection or one answer alone, and a queue that was full has room again.
+#[test]
+fn a_node_that_has_shown_since_that_it_is_the_same_and_takes_requests_gets_more() {
+    use AttemptOutcome::*;
+    let begin = LEASE_ENDS - 500;
+    let mut host = answered_host();
+    attempt_that_ends(&mut host, 1, begin, QueueFull);
+    attempt_that_ends(&mut host, 2, begin + 100, Completed);
+    assert!(is_sent(&mut host, 3, LEASE_ENDS + 10), "its queue was full");
+
+    let mut host = answered_host();
+    let deadline = ms(begin + 1000);
+    let both = [1, 2].map(|number| Event::RequestReceived(request(number, deadline)));
+    assert_eq!(at(&mut host, begin, both.into()).0.len(), 2);
+    at(
+        &mut host,
+        begin + 10,
+        vec![over(1, 1, ConnectionReset, ms(10), true)],
+    );
+    at(
+        &mut host,
+        begin + 20,
+        vec![over(2, 1, Completed, ms(20), true)],
+    );
+    assert!(
+        is_sent(&mut host, 3, LEASE_ENDS + 10),
+        "one connection was reset"
+    );
+}
+
+/// A call that queued for long before it was refused is followed by a longer wait, and all in all by
+/// one call in a poll interval.
+#[test]
+fn refused_calls_come_ever_more_seldom_down_to_one_in_a_poll_interval() {
+    let mut host = answered_host();
+    let mut now = ANSWERED;
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        now += 2000;
+        let refused = Event::FetchRefused { waited: ms(2000) };
+        let begun = now;
+        let mut actions = host.step(ms(now), vec![refused]);
+        while !actions
+            .iter()
+            .any(|action| matches!(action, Action::WatchEndpoints { .. }))
+        {
+            now += 5;
+            actions = host.step(ms(now), vec![]);
+        }
+        waits.push(now - begun);
+    }
+    assert!((1000..=3010).contains(&waits[0]), "{waits:?}");
+    assert!(
+        waits[1..].iter().all(|wait| (2000..=6010).contains(wait)),
+        "{waits:?}"
+    );
+    let cycle = 2000 + waits[1..].iter().sum::<u64>() / 7;
+    assert!((4500..7500).contains(&cycle), "a call each {cycle} ms");
+}
