--- a/crates/cli/tests/ready.rs
+++ b/crates/cli/tests/ready.rs
@@ -180,8 +180,12 @@
                     .local_addr()
             };
             let (list, known) = (&list, &known);
-            let one = |n| s.spawn(move || until_ready(list, address, free(n).unwrap(), known));
-            let all: Vec<_> = (1..=PROCESSES).map(|n| one(n as u8)).collect();
+            // All before the first process is started: until it is executed, one that is being
+            // started has a copy of whatever listens in this one, and keeps its port taken.
+            let listens: Vec<SocketAddr> =
+                (1..=PROCESSES).map(|n| free(n as u8).unwrap()).collect();
+            let one = |listen| s.spawn(move || until_ready(list, address, listen, known));
+            let all: Vec<_> = listens.into_iter().map(one).collect();
             all.into_iter().map(|one| one.join().unwrap()).collect()
         });
         let ready = all.iter().filter(|(at, ..)| at.is_some()).count();
--- a/crates/host/src/config_follower.rs
+++ b/crates/host/src/config_follower.rs
@@ -241,7 +241,6 @@
             return outbox.close();
         }
         self.outbox = Some(outbox);
-        self.failed_dials = 0;
         self.pending.push(follower::Event::Up);
     }
 
@@ -311,6 +310,8 @@
                 revisions,
             },
         };
+        // Not as soon as the connection is up: one that has too many callers may accept and hang up.
+        self.failed_dials = 0;
         self.pending.push(follower::Event::Granted {
             call: CallId(update.call),
             epoch: Epoch(update.epoch),
--- a/crates/host/src/router.rs
+++ b/crates/host/src/router.rs
@@ -14,10 +14,10 @@
 //!   drains.
 //!
 //! Files: `clients` (requests and their answers), `attempts`, `node_connections`, `discovery`,
-//! `configuration` (state service, quotas and gossip), `decisions` (how they are set up),
-//! `reporting` (sweep, observations, metrics). Which volumes are served, and on what terms,
-//! [`crate::config_follower`] says; what of a limit this host may use, and which nodes all hosts
-//! find bad, [`crate::quota_sharing`], where it is on.
+//! `endpoints` (what the list changes), `configuration` (state service, quotas and gossip),
+//! `decisions` (how they are set up), `reporting` (sweep, observations, metrics), `shutdown`. Which
+//! volumes are served, and on what terms, [`crate::config_follower`] says; what of a limit this host
+//! may use, and which nodes all hosts find bad, [`crate::quota_sharing`], where it is on.
 //!
 //! Memory: requests and their bytes as the settings' bounds allow, connections likewise, and a
 //! record for each node.
@@ -27,8 +27,10 @@
 mod configuration;
 mod decisions;
 mod discovery;
+mod endpoints;
 mod node_connections;
 mod reporting;
+mod shutdown;
 mod types;
 
 pub use types::{request_label, ConnId, Counters, Input, OpenWork, Output, WireMode};
@@ -52,7 +54,7 @@
 use std::time::Duration;
 use tracing::debug;
 use types::{
-    frame, request_id, ClientConnection, DiscoveryHistory, DiscoveryLink, HeardDiscoveryLink,
+    request_id, ClientConnection, DiscoveryHistory, DiscoveryLink, HeardDiscoveryLink,
     NodeConnection, NodePool, OpenRequest, OutstandingAttempt,
 };
 
@@ -482,36 +484,6 @@
             self.log(format!("connection {}: {reason}", conn.0));
         }
     }
-
-    fn begin_shutdown(&mut self) {
-        if self.shutdown_by.is_some() {
-            return;
-        }
-        let deadlines = self.requests.values().map(|request| request.deadline);
-        let longest = deadlines.max().unwrap_or(self.now);
-        self.shutdown_by = Some(longest + self.bounds().patience);
-        self.log(format!("draining: {} transfers held", self.requests.len()));
-        for client in self.clients.values() {
-            client.outbox.put(frame(Body::GoingAway(pb::GoingAway {})));
-        }
-    }
-
-    /// A client that reads nothing must not keep a host up that shuts down: there is a last moment.
-    fn complete_shutdown(&mut self) {
-        let Some(last) = self.shutdown_by.filter(|_| !self.shutdown_complete) else {
-            return;
-        };
-        let answered = self.requests.values().all(|request| request.answered);
-        let written = || {
-            self.clients
-                .values()
-                .all(|client| client.outbox.is_flushed())
-        };
-        if self.now >= last || (answered && written()) {
-            self.shutdown_complete = true;
-            self.outputs.push(Output::ShutdownComplete);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/host/tests/config_follower.rs
+++ b/crates/host/tests/config_follower.rs
@@ -359,3 +359,22 @@
     let node = r.connect();
     assert_eq!(r.attempts(node).len(), 1);
 }
+
+/// A service that takes connections and ends them unanswered is dialled ever more seldom.
+#[test]
+fn a_state_service_that_accepts_and_hangs_up_is_dialled_ever_more_seldom() {
+    let mut r = Rig::following("");
+    let mut waits = Vec::new();
+    for _ in 0..7 {
+        r.asks();
+        let conn = r.state.unwrap();
+        r.feed(vec![Input::StateServiceGone { conn }]);
+        let gone = r.now;
+        while r.state == Some(conn) {
+            r.wait(ms(10));
+        }
+        waits.push(r.now - gone);
+    }
+    assert!(waits[0] <= ms(200), "{waits:?}");
+    assert!(waits[5] >= ms(1000) && waits[6] >= ms(1000), "{waits:?}");
+}
