An answer that ends its connection is no failed call: the watch goes on with the next one

Cause: take_endpoints reported such a connection as lost, so that each watch counted as a failure, was followed by a wait and then by a call that did not wait. Change: the router dials at once and counts no failure; the first call there waits. One that came early and without changes still counts as a failure, or discovery would be called without a pause. Test in crowded_discovery.rs.

--- a/crates/cli/tests/crowded_discovery.rs
+++ b/crates/cli/tests/crowded_discovery.rs
@@ -234,3 +234,39 @@
         assert!(confirmed.1 > refused.1, "it was confirmed: {confirmed:?}");
     });
 }
+
+/// A connection that ends with its answer is no failure: the watch goes on with the next one, and
+/// waits there. Where nothing was waited for, it is one, or discovery would be called without end.
+#[test]
+fn a_discovery_that_ends_each_connection_with_its_answer_is_watched() {
+    let node = node(|_| says(GOOD));
+    let discovery = Hand::start();
+    let _host = Live::begin(discovery.address, 64, settings());
+    let answers = |call: &mut Came, revision: u64, targets: Value| {
+        let body = json!({"rev": revision, "all": revision == 1, "targets": targets}).to_string();
+        let length = body.len();
+        call.says(&format!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+        ));
+        call.ends();
+    };
+    for revision in 1..4 {
+        let mut call = discovery.next();
+        if revision > 1 {
+            let watch = format!("since={}&timeout_ms=2000 ", revision - 1);
+            assert!(call.text.contains(&watch), "{}", call.text);
+        }
+        answers(
+            &mut call,
+            revision,
+            json!([target("s-1", &node, 0, "ready")]),
+        );
+    }
+    answers(&mut discovery.next(), 3, json!([]));
+    let resumed = discovery.next();
+    assert!(
+        resumed.text.contains("since=3&timeout_ms=0 "),
+        "{}",
+        resumed.text
+    );
+}
--- a/crates/host/src/router.rs
+++ b/crates/host/src/router.rs
@@ -413,6 +413,7 @@
                 waited,
                 up_to_date,
             } => self.discovery_refused(conn, waited, up_to_date),
+            Input::DiscoveryEnded { conn } => self.discovery_ended(conn),
             Input::DiscoveryOverdue { conn } => {
                 if self.discovery.conn == Some(conn) {
                     self.discovery_overdue();
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -126,6 +126,10 @@
                 }
             }
             outbox.put(frame(body));
+            if self.discovery.continues_watch {
+                self.discovery.answer_by = None;
+                continue;
+            }
             // One span for dial and call: two in a row would be twice as long where both are slow.
             self.discovery.answer_by.get_or_insert(answer_by);
         }
@@ -141,6 +145,17 @@
         poll_deadline.map_or(self.bounds().patience, PollDeadline::call_timeout)
     }
 
+    /// No failure: the watch goes on at once on another connection.
+    pub(super) fn discovery_ended(&mut self, conn: ConnId) {
+        self.heard_discovery.retain(|link| link.conn != conn);
+        if self.discovery.conn != Some(conn) {
+            return;
+        }
+        self.close_discovery();
+        self.discovery.continues_watch = true;
+        self.call_discovery(Body::Watch(pb::Watch { on: true }));
+    }
+
     pub(super) fn discovery_refused(&mut self, conn: ConnId, waited: Duration, up_to_date: bool) {
         let is_heard = self.heard_discovery.iter().any(|link| link.conn == conn);
         let is_current = self.discovery.conn == Some(conn);
--- a/crates/host/src/router/types.rs
+++ b/crates/host/src/router/types.rs
@@ -89,6 +89,11 @@
         /// It was a watch that had been open, and told all that there was until now.
         up_to_date: bool,
     },
+    /// Discovery has ended a connection with its answer, as it may: the next call needs another.
+    DiscoveryEnded {
+        /// The connection.
+        conn: ConnId,
+    },
     /// The call that is out on a connection to discovery has taken longer than it should.
     DiscoveryOverdue {
         /// The connection, which stays open.
@@ -371,6 +376,8 @@
     pub answer_by: Option<Duration>,
     /// Discovery has answered on it.
     pub answered: bool,
+    /// Its first call goes on with a watch: how long that may take, whoever carries it knows.
+    pub continues_watch: bool,
 }
 
 /// A connection to discovery on which nothing new is asked, and which is heard until the one that
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -99,13 +99,16 @@
     /// A complete list costs discovery by its length, and a watch after it a second call. Of many
     /// hosts that lost theirs at once, each would cost so much, and what is refused would begin
     /// anew: the fleet then keeps discovery busy for ever.
-    pub fn new(first_timeout: Duration, known: Option<u64>) -> Self {
+    ///
+    /// `continues`: discovery has just answered on a connection that ended with its answer, so that
+    /// the watch goes on here, and its first call waits as any other.
+    pub fn new(first_timeout: Duration, known: Option<u64>, continues: bool) -> Self {
         DiscoveryCalls {
             complete_timeout: first_timeout,
             watching: false,
             fetch: false,
             revision: known,
-            has_answered: false,
+            has_answered: continues && known.is_some(),
             watch_open: false,
             outstanding: None,
         }
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -116,6 +116,8 @@
     pub(super) revision: u64,
     /// Where the discovery is that counts it; another may count in another way.
     pub(super) discovery: SocketAddr,
+    /// When it was told; None: before the start.
+    pub(super) told_at: Option<Duration>,
 }
 
 /// One open connection.
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -20,6 +20,10 @@
 /// The status with which discovery refuses a call that would wait, or has waited, for too long.
 const TOO_MANY_CALLERS: u16 = 503;
 
+/// A watch goes on where its next call comes within this after its last answer: less than the
+/// platform allows, for what is on its way.
+const CONTINUES_WITHIN: Duration = Duration::from_millis(150);
+
 /// A complete answer of discovery.
 struct DiscoveryAnswer {
     endpoints: ReadEndpoints,
@@ -49,6 +53,16 @@
     now.saturating_sub(outstanding.begun).saturating_sub(wait)
 }
 
+/// Whether discovery has nothing new and did not wait for it, as one does that is about to end, or
+/// that knows no watches: called again at once, it would be called without a pause.
+fn is_early(outstanding: &OutstandingCall, answer: &DiscoveryAnswer, now: Duration) -> bool {
+    let Call::Newer { wait, .. } = outstanding.call else {
+        return false;
+    };
+    let has_waited = now >= outstanding.begun + wait / 2;
+    !has_waited && answer.endpoints.list.endpoints.is_empty()
+}
+
 /// None: more must come.
 fn read_answer(
     bytes: &[u8],
@@ -68,11 +82,16 @@
 
 /// The revision from which that discovery may go on; None: something in its answer could not be
 /// read, which the next complete list may mend.
-fn complete_revision(read: &ReadEndpoints, discovery: SocketAddr) -> Option<KnownRevision> {
+fn complete_revision(
+    read: &ReadEndpoints,
+    discovery: SocketAddr,
+    told_at: Option<Duration>,
+) -> Option<KnownRevision> {
     let revision = read.revision;
     (read.malformed == 0).then_some(KnownRevision {
         revision,
         discovery,
+        told_at,
     })
 }
 
@@ -86,7 +105,7 @@
             Ok(read) => {
                 self.has_cached_endpoints = !read.list.endpoints.is_empty();
                 if self.has_cached_endpoints {
-                    self.known_revision = complete_revision(&read, self.discovery);
+                    self.known_revision = complete_revision(&read, self.discovery, None);
                 }
                 self.inputs.push(Input::CachedEndpoints { list: read.list });
             }
@@ -102,9 +121,12 @@
     pub(super) fn new_discovery_connection(&self) -> DiscoveryConnection {
         let known = self.known_revision;
         let known = known.filter(|known| known.discovery == self.discovery);
+        let told_at = known.and_then(|known| known.told_at);
+        let continues = told_at.is_some_and(|at| clock::now() < at + CONTINUES_WITHIN);
         let first_timeout = self.config.settings.bounds.patience;
+        let known = known.map(|known| known.revision);
         DiscoveryConnection {
-            calls: DiscoveryCalls::new(first_timeout, known.map(|known| known.revision)),
+            calls: DiscoveryCalls::new(first_timeout, known, continues),
             address: self.discovery,
         }
     }
@@ -143,7 +165,7 @@
                     entries = answer.endpoints.list.endpoints.len(),
                     "list of nodes: answer"
                 );
-                self.take_endpoints(conn, answer)
+                self.take_endpoints(conn, outstanding, answer)
             }
             Err(error) => {
                 if self.may_log() {
@@ -164,14 +186,20 @@
         }
     }
 
-    fn take_endpoints(&mut self, conn: ConnId, answer: DiscoveryAnswer) {
+    fn take_endpoints(
+        &mut self,
+        conn: ConnId,
+        outstanding: OutstandingCall,
+        answer: DiscoveryAnswer,
+    ) {
+        let early = is_early(&outstanding, &answer, clock::now());
         let DiscoveryAnswer {
             endpoints,
             keep_alive,
         } = answer;
         self.discovery_answered = true;
         if let Some(address) = self.discovery_address(conn) {
-            self.known_revision = complete_revision(&endpoints, address);
+            self.known_revision = complete_revision(&endpoints, address, Some(clock::now()));
         }
         let frames = vec![frame(Body::EndpointUpdate(endpoints.list), clock::now())];
         self.inputs.push(Input::DiscoveryFrames { conn, frames });
@@ -182,8 +210,11 @@
         if keep_alive {
             let revision = endpoints.revision;
             self.call_discovery(conn, Event::Answered { revision });
-        } else {
+        } else if early {
             self.connection_lost(conn, CloseReason::AnsweredLast);
+        } else {
+            self.inputs.push(Input::DiscoveryEnded { conn });
+            self.close(conn, CloseReason::AnsweredLast);
         }
     }
 
--- a/crates/platform/tests/poll_deadline/fleet.rs
+++ b/crates/platform/tests/poll_deadline/fleet.rs
@@ -272,7 +272,7 @@
         self.hosts[host].link = Some(Link {
             conn,
             outbox: outbox.clone(),
-            calls: DiscoveryCalls::new(first_timeout, None),
+            calls: DiscoveryCalls::new(first_timeout, None, false),
         });
         let up = Input::DiscoveryUp {
             conn: ConnId(conn),
