--- a/crates/host/src/poll_deadline.rs
+++ b/crates/host/src/poll_deadline.rs
@@ -75,6 +75,8 @@
     Answered,
     /// The call failed, was refused or given up.
     Failed,
+    /// Discovery is at another address: how often the former one refused says nothing of it.
+    Moved,
     /// Discovery has answered that it has too many callers; [`Event::Failed`] follows.
     Refused,
 }
@@ -158,6 +160,7 @@
                 self.last = Some(now);
                 self.call_at = None;
             }
+            Some(Event::Moved) => self.refusals = 0,
             Some(Event::Refused) => self.refusals += 1,
             Some(Event::Failed) if self.is_patient() => self.call_at = None,
             Some(Event::Failed) => self.plan_call(now),
--- a/crates/host/src/router/discovery.rs
+++ b/crates/host/src/router/discovery.rs
@@ -96,6 +96,7 @@
             link.has_moved = true;
         }
         self.events.push(Event::DiscoveryMoved);
+        self.poll_before_deadline(Some(poll_deadline::Event::Moved));
         self.call_discovery(Body::Watch(pb::Watch { on: true }));
     }
 
--- a/crates/host/tests/poll_deadline.rs
+++ b/crates/host/tests/poll_deadline.rs
@@ -114,3 +114,28 @@
         }
     }
 }
+
+/// What a crowded discovery needs is fewer calls, and time to answer those that wait.
+#[test]
+fn a_discovery_that_refuses_again_is_left_to_the_decisions_and_given_time() {
+    let mut r = PollDeadline::new(TERM, CALL, 1);
+    let patient = ms(3000);
+    assert_eq!(r.call_timeout(), patient, "it has not answered yet");
+    r.step(ms(0), Some(Event::Answered));
+    let refused = |r: &mut PollDeadline, at: Duration| {
+        r.step(at, Some(Event::Called));
+        r.step(at, Some(Event::Refused));
+        r.step(at, Some(Event::Failed));
+    };
+    refused(&mut r, ms(2000));
+    assert_eq!(r.call_timeout(), CALL);
+    assert!(r.wake_at().is_some(), "the term is kept after one refusal");
+    refused(&mut r, ms(3000));
+    assert_eq!((r.call_timeout(), r.wake_at()), (patient, None));
+    r.step(ms(4000), Some(Event::Moved));
+    assert_eq!(r.call_timeout(), CALL, "another one has not refused");
+    refused(&mut r, ms(5000));
+    refused(&mut r, ms(6000));
+    r.step(ms(7000), Some(Event::Answered));
+    assert_eq!(r.call_timeout(), CALL, "it has answered");
+}
