Do not resume a revision that ran backwards; a patient call has its whole time

Found on rereading: the owner kept a revision that was older than the one before it, so that a connection that broke before the complete list came was resumed from there; and the platform's own look ended a patient call after 2 s, not 3. Test: a_revision_that_ran_backwards_is_not_resumed, which fails with the guard out.

--- a/crates/cli/tests/crowded_discovery.rs
+++ b/crates/cli/tests/crowded_discovery.rs
@@ -270,3 +270,34 @@
         resumed.text
     );
 }
+
+/// A revision that runs backwards is of a discovery that has lost its own: also where the connection
+/// then breaks, the complete list is asked for.
+#[test]
+fn a_revision_that_ran_backwards_is_not_resumed() {
+    let node = node(|_| says(GOOD));
+    let discovery = Hand::start();
+    let _host = Live::begin(discovery.address, 64, settings());
+    let targets = json!([target("s-1", &node, 0, "ready")]);
+    discovery.next().lists(9, true, targets.clone());
+    discovery.next().lists(3, false, json!([]));
+    let complete = discovery.next();
+    assert!(!complete.text.contains("since="), "{}", complete.text);
+    complete.ends();
+    let mut again = discovery.next();
+    assert!(!again.text.contains("since="), "{}", again.text);
+    again.lists(3, true, targets);
+    let watch = discovery.next();
+    assert!(
+        watch.text.contains("since=3&timeout_ms=2000 "),
+        "{}",
+        watch.text
+    );
+    watch.ends();
+    let resumed = discovery.next();
+    assert!(
+        resumed.text.contains("since=3&timeout_ms=0 "),
+        "{}",
+        resumed.text
+    );
+}
--- a/crates/host/src/poll_deadline.rs
+++ b/crates/host/src/poll_deadline.rs
@@ -64,7 +64,7 @@
 /// What a call may take of a discovery that is crowded, or of which nothing is known yet: longer
 /// than it lets a call wait (one and two seconds were seen). Harm: one that is lost then is found
 /// so much later.
-const PATIENT_CALL: Duration = Duration::from_millis(3000);
+pub const PATIENT_CALL: Duration = Duration::from_millis(3000);
 
 /// What has become of calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/platform/src/run/owner/discovery_conn.rs
+++ b/crates/platform/src/run/owner/discovery_conn.rs
@@ -9,9 +9,10 @@
 use crate::discovery_calls::{Call, DiscoveryCalls, Event, OutstandingCall};
 use crate::http;
 use crate::run::connection::{CloseReason, DiscoveryConnection, KnownRevision, Role};
+use grebecleat_host::poll_deadline::PATIENT_CALL;
 use grebecleat_host::router::{ConnId, Input};
 use grebecleat_wire::clock;
-use grebecleat_wire::pb::frame::Body;
+use grebecleat_wire::pb::{self, frame::Body};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -123,7 +124,8 @@
         let known = known.filter(|known| known.discovery == self.discovery);
         let told_at = known.and_then(|known| known.told_at);
         let continues = told_at.is_some_and(|at| clock::now() < at + CONTINUES_WITHIN);
-        let first_timeout = self.config.settings.bounds.patience;
+        // The router, which knows how long it may take, ends it sooner.
+        let first_timeout = PATIENT_CALL;
         let known = known.map(|known| known.revision);
         DiscoveryConnection {
             calls: DiscoveryCalls::new(first_timeout, known, continues),
@@ -131,6 +133,17 @@
         }
     }
 
+    /// Whether discovery has told changes of an older revision than it had told before: it has lost
+    /// its own, and only a complete list says what has changed since.
+    fn went_back(&self, told: &KnownRevision, endpoints: &ReadEndpoints) -> bool {
+        let before = self.known_revision;
+        let is_complete = endpoints.list.kind() == pb::EndpointUpdateKind::Snapshot;
+        let is_older = before.is_some_and(|before| {
+            before.discovery == told.discovery && told.revision < before.revision
+        });
+        is_older && !is_complete
+    }
+
     fn discovery_address(&self, conn: ConnId) -> Option<SocketAddr> {
         match &self.connections.get(&conn)?.role {
             Role::Discovery(discovery) => Some(discovery.address),
@@ -199,7 +212,8 @@
         } = answer;
         self.discovery_answered = true;
         if let Some(address) = self.discovery_address(conn) {
-            self.known_revision = complete_revision(&endpoints, address, Some(clock::now()));
+            let told = complete_revision(&endpoints, address, Some(clock::now()));
+            self.known_revision = told.filter(|told| !self.went_back(told, &endpoints));
         }
         let frames = vec![frame(Body::EndpointUpdate(endpoints.list), clock::now())];
         self.inputs.push(Input::DiscoveryFrames { conn, frames });
