A call that is refused at once waits no longer than after a failure

Cause: ready.rs, thirty hosts without a list and a discovery that serves five calls a second and refuses the rest at once: 20 of 30 ready in 10 s, since the waits made for calls that had queued went up to 4.8 s. Refusals at once cost discovery nothing.

--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -57,10 +57,14 @@
     /// most each host calls once in a poll interval, the rate that the settings ask of discovery. Guards
     /// against hosts whose calls keep it from serving any of them in time. Harm: after an outage that looks
     /// the same, a list is had so much later.
+    /// One that is refused at once has cost it next to nothing, and waits no longer than after a failure.
     pub(super) fn back_off_refused_fetch(&mut self, waited: Duration) {
+        if waited <= FIRST_BACKOFF {
+            return self.back_off_fetch();
+        }
         self.state.fetch_failures += 1;
         let doublings = (self.state.fetch_failures - 1).min(MAX_DOUBLINGS);
-        let doubled = waited.max(FIRST_BACKOFF) * 2u32.pow(doublings);
+        let doubled = waited * 2u32.pow(doublings);
         let backoff = doubled.min(self.discovery.poll_interval.saturating_sub(waited));
         self.state.watch_at = Some(self.state.now + backoff / 2 + self.jitter(backoff));
     }
