--- a/crates/host/tests/config_follower.rs
+++ b/crates/host/tests/config_follower.rs
@@ -366,8 +366,10 @@
     let mut r = Rig::following("");
     let mut waits = Vec::new();
     for _ in 0..7 {
-        r.asks();
         let conn = r.state.unwrap();
+        let outbox = r.outbox(conn);
+        r.feed(vec![Input::StateServiceUp { conn, outbox }]);
+        r.asks();
         r.feed(vec![Input::StateServiceGone { conn }]);
         let gone = r.now;
         while r.state == Some(conn) {
