--- a/crates/host/src/router/endpoints.rs
+++ b/crates/host/src/router/endpoints.rs
@@ -38,7 +38,8 @@
                 .is_some_and(|was| *was != process);
             if endpoint.state != NodeState::Ready || renewed {
                 left.push(endpoint.node);
-                debug!(node = endpoint.node.0, state = ?endpoint.state, renewed, revision, "list of nodes: entry");
+                let node = endpoint.node.0;
+                debug!(node, state = ?endpoint.state, renewed, revision, "list of nodes: entry");
             }
             if renewed {
                 self.node_restarted(endpoint.node);
--- a/crates/host/tests/exclusive_connections.rs
+++ b/crates/host/tests/exclusive_connections.rs
@@ -302,3 +302,19 @@
     r.wait(ms(200));
     assert_eq!(r.dialled.len(), dials, "one at a time");
 }
+
+/// An overdue call that is answered takes its place again, and the one that was made after it goes.
+#[test]
+fn an_overdue_call_that_is_answered_goes_on_and_the_later_one_ends() {
+    let mut r = Rig::one_at_a_time("");
+    let first = r.list_up();
+    r.list_tells(first, Snapshot, &[(1, Ready), (2, Ready)]);
+    r.feed(vec![Input::DiscoveryOverdue { conn: first }]);
+    let second = r.list_up();
+    assert!(!r.boxes[&first].is_closed(), "it is heard on");
+    r.list_tells(first, Delta, &[(1, Draining)]);
+    let closed = [first, second].map(|conn| r.boxes[&conn].is_closed());
+    assert_eq!(closed, [false, true]);
+    r.take(1, 1);
+    assert_eq!((r.finals(), r.dialled.len()), (vec![(1, Rejected)], 0));
+}
--- a/crates/platform/src/discovery_calls.rs
+++ b/crates/platform/src/discovery_calls.rs
@@ -114,11 +114,6 @@
         }
     }
 
-    /// When the call that is out must be answered; None: no call is out.
-    pub fn answer_by(&self) -> Option<Duration> {
-        self.outstanding.map(|call| call.answer_by)
-    }
-
     /// Whether the call that is out has become overdue since the last report.
     pub fn report_overdue(&mut self, now: Duration) -> bool {
         let outstanding = self.outstanding.as_mut();
--- a/crates/platform/tests/poll_deadline/discovery.rs
+++ b/crates/platform/tests/poll_deadline/discovery.rs
@@ -124,7 +124,7 @@
     fn schedule_sweep(&mut self, host: usize, conn: u64, call: Call) -> Duration {
         let state = &self.hosts[host];
         let link = state.link.as_ref();
-        let answer_by = link.and_then(|link| link.calls.answer_by());
+        let answer_by = link.and_then(|link| Some(link.calls.outstanding()?.answer_by));
         let answer_by = answer_by.unwrap_or(self.now);
         // The router ends a call on a new connection a span after its dial.
         let after_dial = state.call_begun_at + CALL_TIMEOUT;
--- a/crates/platform/tests/poll_deadline/fleet.rs
+++ b/crates/platform/tests/poll_deadline/fleet.rs
@@ -243,7 +243,7 @@
                 let link = self.hosts[host].link.as_ref();
                 let answer_by = link
                     .filter(|link| link.conn == conn)
-                    .and_then(|link| link.calls.answer_by());
+                    .and_then(|link| Some(link.calls.outstanding()?.answer_by));
                 if answer_by.is_some_and(|answer_by| self.now >= answer_by) {
                     self.lose_link(host, conn);
                 }
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -30,9 +30,13 @@
         for endpoint in endpoints {
             let lowest = INITIAL_REQUESTS * self.units.mean;
             let highest = MAX_OUTSTANDING * self.units.mean / seconds(self.tightest_objective);
-            let (window, delays) = (ProbingWindow::new(lowest, highest), Histogram::new(TICK, 1.5, 16));
             let classes = self.traffic_classes.len();
-            let new_node = |usage| Node::new(&endpoint, window, delays, classes, usage);
+            // Most entries are of nodes that are known.
+            let new_node = |usage| {
+                let window = ProbingWindow::new(lowest, highest);
+                let delays = Histogram::new(TICK, 1.5, 16);
+                Node::new(&endpoint, window, delays, classes, usage)
+            };
             if self.state.update_node(&endpoint, INHERITED_USAGE, new_node) {
                 self.node_came_up(endpoint.node, first);
             }
--- a/src/control/endpoint_lease.rs
+++ b/src/control/endpoint_lease.rs
@@ -4,8 +4,8 @@
 //! cannot tell a list without changes from one that it is not told of. A change counts as known a term after
 //! discovery had it, whatever becomes of this host's calls, so what is older than that may not be relied on.
 //! From then on a node gets requests only as long as it completes some itself: one that drains turns them
-//! away, at the latest [`DRAIN_NOTICE`] after discovery has told of it. A node that turned away the last one may
-//! drain; one that was not reached, or that broke a connection and has completed nothing since that it had
+//! away, at the latest [`DRAIN_NOTICE`] after discovery has told of it. A node that turned away the last one
+//! may drain; one that was not reached, or that broke a connection and has completed nothing since that it had
 //! before, may be another process when it answers again. Of these only discovery's next answer counts.
 //!
 //! Harm: while discovery is down, or refuses this host, requests to nodes that it seldom uses are rejected.
@@ -17,8 +17,8 @@
 use crate::state::Node;
 use std::time::Duration;
 
-/// How long the list from before this host's start may be acted on: it says what this host knew when it ended,
-/// which may be a second and more ago, and leaves time for a call that waits at discovery.
+/// How long the list from before this host's start may be acted on: it says what this host knew when it
+/// ended, which may be a second and more ago, and leaves time for a call that waits at discovery.
 const CACHED_LEASE: Duration = Duration::from_millis(3000);
 /// How long a node that is said to drain may go on with new requests; up to 1.8 s were seen.
 const DRAIN_NOTICE: Duration = Duration::from_millis(3000);
