--- a/review/harness.py
+++ b/review/harness.py
@@ -225,7 +225,6 @@
             json.dump(self.config, file)
         environment = dict(os.environ, LB_CONFIG=self.file, LB_NAME=self.config["name"],
                            LB_LISTEN=self.config["listen"], LB_DISCOVERY=self.config["discovery"])
-        environment.setdefault("GREBECLEAT_LOG", "info")
         log = open(self.log_path, "ab")
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run_command(), cwd=ROOT, env=environment, stdout=log, stderr=log)
