Review case 3: clients that stop in the middle of a request exceed the memory limit

Cause: incomplete requests are buffered whole, and nothing bounds the sum of their buffers. Change: a test of the host's memory limit, with a platform that kills a host over it.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,132 @@
+"""The memory limit of a host while hundreds of clients stop in the middle of their requests and stay."""
+
+import asyncio
+import os
+import signal
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+import harness as h
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+MEMORY_MB = 32  # "32 to 192 MB"
+SOCKETS = 1024  # "256 to 1,024 descriptors"
+CLIENTS = 450  # clients that stop in the middle of a request
+BODY_BYTES = 64 << 10  # "No body is larger than 64 KiB"
+MISSING_BYTES = 100  # of its body, a client that stops has not sent these
+CONNECTS_PER_S = 300
+STAY_S = 4.0  # longer than the host takes to answer or close
+REQUESTS = 150  # requests of the usual clients
+PACE_S = 0.04
+DEADLINE_MS = 1200  # map-read: expiry 1.2 s
+WORK_S = 0.022
+WATCH_S = 0.01  # time between two looks of the platform at a host's memory
+
+
+async def serve(brick, request, reader, writer):
+    await asyncio.sleep(WORK_S)
+    writer.write(h.response(200, body=b"data"))
+    await writer.drain()
+
+
+def anonymous_kb(process):
+    """The memory that belongs to the process alone, without the pages of its program file."""
+    with open(f"/proc/{process.pid}/status") as status:
+        for line in status:
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1])
+    raise h.CouldNotRun("the system does not report RssAnon")
+
+
+async def case(run):
+    discovery = h.Discovery(run)
+    await discovery.start()
+    for shard in range(3):
+        brick = h.Brick(run, f"s-{shard}", shard, serve)
+        await brick.start()
+        discovery.put(brick.uid, brick.address, shard)
+    host = h.Host(run, "n1", h.config("n1", h.free_address(), discovery.address, discovery.whole(),
+                                      h.settings(), memory_mb=MEMORY_MB, sockets=SOCKETS))
+    await host.start()
+    await asyncio.sleep(0.5)
+    address = host.config["listen"]
+    ip, port = address.split(":")
+    peak = 0
+    killed = False
+
+    async def platform():
+        """The platform: "Over `memory_mb` the host is killed." """
+        nonlocal peak, killed
+        while host.is_running():
+            peak = max(peak, anonymous_kb(host.process))
+            if peak > MEMORY_MB << 10:
+                run.say(f"platform: the host has {peak} kB of its own, over {MEMORY_MB} MB, and is killed")
+                killed = True
+                host.signal(signal.SIGKILL)
+                return
+            await asyncio.sleep(WATCH_S)
+
+    outcomes = {}
+
+    async def other(number):
+        try:
+            reader, writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            outcomes["no connection"] = outcomes.get("no connection", 0) + 1
+            return
+        try:
+            head = (f"PUT /trip-write/{number:016x} HTTP/1.1\r\nHost: backend.local\r\n"
+                    f"X-Txn: {number:016x}\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 1000\r\n"
+                    f"X-Placement: volume={number % 7:016x},units=1,shard=2,hosts=3\r\n"
+                    f"Idempotency-Key: k{number}\r\nContent-Length: {BODY_BYTES}\r\n\r\n").encode()
+            missing = MISSING_BYTES if run.trouble else 0
+            writer.write(head + b"b" * (BODY_BYTES - missing))
+            answer = await asyncio.wait_for(h.read_message(reader), STAY_S)
+            outcome = answer.first.split(" ")[1]
+        except asyncio.TimeoutError:
+            outcome = "nothing"
+        except (OSError, asyncio.IncompleteReadError):
+            outcome = "closed"
+        finally:
+            outcomes[outcome] = outcomes.get(outcome, 0) + 1
+            writer.close()
+
+    answers = []
+
+    async def usual(number):
+        answers.append(await h.ask(run, address, f"{number:016x}", "map-read", number, number % 2,
+                                   DEADLINE_MS, plan="priority", volume=f"{number % 5:016x}", hosts=3))
+
+    async def all_others():
+        tasks = []
+        for number in range(1 << 40, (1 << 40) + CLIENTS):
+            tasks.append(asyncio.ensure_future(other(number)))
+            await asyncio.sleep(1 / CONNECTS_PER_S)
+        await asyncio.gather(*tasks)
+
+    watching = asyncio.ensure_future(platform())
+    tasks = []
+    others = None
+    for number in range(1, REQUESTS + 1):
+        if number == 25:
+            others = asyncio.ensure_future(all_others())
+        tasks.append(asyncio.ensure_future(usual(number)))
+        await asyncio.sleep(PACE_S)
+        if killed:
+            break
+    await asyncio.gather(*tasks)
+    await others
+    watching.cancel()
+    counts = {}
+    for answer in answers:
+        counts[answer.status] = counts.get(answer.status, 0) + 1
+    run.say(f"other clients, by outcome: {outcomes}")
+    run.say(f"usual clients, by status: {counts} (None: lost)")
+    run.say(f"most memory seen: {peak} kB of {MEMORY_MB << 10} kB")
+    if not killed and not host.is_running():
+        run.say("the host has ended by itself")
+        return False
+    return not killed
+
+
+h.main(FOLDER, case)
