--- a/review/harness.py
+++ b/review/harness.py
@@ -71,6 +71,8 @@
     code = COULD_NOT_RUN
 
     async def limited():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await asyncio.wait_for(case(run), LONGEST_RUN_S)
         finally:
@@ -81,7 +83,7 @@
         code = HELD if held else BROKEN
     except CouldNotRun as error:
         run.say(f"could not run: {error}")
-    except Exception as error:  # noqa: BLE001 - any other fault of the test is no verdict either
+    except (Exception, asyncio.CancelledError) as error:  # any other fault of the test is no verdict either
         run.say(f"could not run: {type(error).__name__}: {error}")
     finally:
         names = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "no verdict"}
