Log once a second what the memory of a platform host is used for

The statistics could not tell buffers, fragmentation and coroutine stacks apart. At debug level the host now logs the bytes of its buffers by kind, the allocator's figures and the resident memory.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -26,6 +26,7 @@
 mod eviction;
 mod listener;
 mod log_limiter;
+mod memory_usage;
 mod node_conn;
 mod owner;
 mod reader;
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -155,7 +155,7 @@
                 self.sweep();
             }
             if self.shutdown_is_complete() {
-                self.statistics.write(&mut self.router);
+                self.statistics.write(&mut self.router, &self.connections);
                 return;
             }
         }
@@ -359,7 +359,8 @@
         }
         let router = &self.router;
         self.intake.sweep(|request| router.is_open(request));
-        self.statistics.write_if_due(now, &mut self.router);
+        self.statistics
+            .write_if_due(now, &mut self.router, &self.connections);
     }
 
     /// Closes clients' connections to free slots, see [`eviction`].
--- a/crates/platform/src/run/statistics_log.rs
+++ b/crates/platform/src/run/statistics_log.rs
@@ -1,7 +1,9 @@
-//! Logs the statistics line of each second, at debug level.
+//! Logs the statistics lines of each second, at debug level.
 //!
 //! The owner calls [`StatisticsLog`] at each sweep, and when it ends.
 
+use super::connection_table::ConnectionTable;
+use super::memory_usage::MemoryUsage;
 use super::wall_clock::unix_ms;
 use crate::config::Config;
 use crate::statistics::StatisticsReporter;
@@ -28,16 +30,21 @@
         }
     }
 
-    /// Writes a line if one is due.
-    pub(super) fn write_if_due(&mut self, now: Duration, router: &mut RequestRouter) {
+    /// Writes the lines if they are due.
+    pub(super) fn write_if_due(
+        &mut self,
+        now: Duration,
+        router: &mut RequestRouter,
+        connections: &ConnectionTable,
+    ) {
         if now >= self.next_at {
             self.next_at = now + INTERVAL;
-            self.write(router);
+            self.write(router, connections);
         }
     }
 
-    /// Writes a line.
-    pub(super) fn write(&mut self, router: &mut RequestRouter) {
+    /// Writes the lines.
+    pub(super) fn write(&mut self, router: &mut RequestRouter, connections: &ConnectionTable) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
@@ -48,5 +55,6 @@
             .reporter
             .line(second, counters, scheduler, &self.class_names);
         tracing::debug!("{line}");
+        tracing::debug!("{}", MemoryUsage::measure(connections));
     }
 }
