--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -23,7 +23,7 @@
 pub struct Load {
     /// The number of open requests.
     pub open: usize,
-    /// The total size of the bodies of the open requests, in bytes.
+    /// The total size of the open requests, in bytes.
     pub bytes: usize,
     /// Whether the host is shutting down.
     pub draining: bool,
@@ -36,7 +36,7 @@
     Draining,
     /// The number of open requests has reached its bound.
     Open,
-    /// With this request, the bodies of the open requests would exceed their bound in bytes.
+    /// With this request, the open requests would exceed their bound in bytes.
     Bytes,
 }
 
@@ -50,7 +50,7 @@
     }
 }
 
-/// Returns whether a request with a body of `bytes` bytes is admitted.
+/// Returns whether a request of `bytes` bytes is admitted.
 ///
 /// ```
 /// use grebecleat_host::admission::{admit, Load, Refusal};
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod admission;
 pub mod config_follower;
 pub mod log_event;
+pub mod memory_budget;
 pub mod metrics;
 pub mod observations;
 pub mod outbox;
--- a/crates/host/src/router/client_sessions.rs
+++ b/crates/host/src/router/client_sessions.rs
@@ -152,7 +152,7 @@
 pub(super) struct ClientSessions {
     clients: BTreeMap<ConnId, ClientSession>,
     requests: HashMap<RequestId, OpenRequest>,
-    /// Bytes of the bodies of the open requests.
+    /// Bytes of the open requests, see [`request_bytes`].
     request_bytes: usize,
 }
 
@@ -195,7 +195,7 @@
 
     /// Adds an open request.
     pub(super) fn add_request(&mut self, id: RequestId, request: OpenRequest) {
-        self.request_bytes += request.message.data.len();
+        self.request_bytes += request_bytes(&request.message);
         let session = self.clients.get_mut(&request.client);
         let session = session.expect("the client that sent the request is connected");
         session.open_requests.insert(id);
@@ -212,7 +212,7 @@
         self.requests.len()
     }
 
-    /// Returns the bytes of the bodies of the open requests.
+    /// Returns the bytes of the open requests, see [`request_bytes`].
     pub(super) fn request_bytes(&self) -> usize {
         self.request_bytes
     }
@@ -276,9 +276,15 @@
             return;
         }
         let request = entry.remove();
-        self.request_bytes -= request.message.data.len();
+        self.request_bytes -= request_bytes(&request.message);
         if let Some(session) = self.clients.get_mut(&request.client) {
             session.open_requests.remove(&id);
         }
     }
 }
+
+/// Returns the bytes of a request whose number its client determines: its body, and the field that
+/// identifies or begins it.
+pub(super) fn request_bytes(message: &pb::SubmitRequest) -> usize {
+    message.data.len() + message.piece.len()
+}
--- a/crates/host/src/router/requests.rs
+++ b/crates/host/src/router/requests.rs
@@ -6,7 +6,7 @@
 //! [`RequestRouter::end_attempt`] ends an attempt.
 
 use super::attempt_table::{may_still_run, OutstandingAttempt};
-use super::client_sessions::OpenRequest;
+use super::client_sessions::{request_bytes, OpenRequest};
 use super::node_connection::NodeConnection;
 use super::request_terms::{request_terms, RequestTerms, TermsError};
 use super::types::{frame, request_id};
@@ -91,7 +91,7 @@
             bytes: self.clients.request_bytes(),
             draining: self.shutdown.has_begun(),
         };
-        if let Err(refusal) = admit(load, message.data.len(), self.host.bounds()) {
+        if let Err(refusal) = admit(load, request_bytes(&message), self.host.bounds()) {
             return self.reject_on_arrival(conn, message, refusal);
         }
         let remaining = Duration::from_micros(message.left_us).min(terms.class_deadline);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,14 +1,14 @@
 //! Translation between a client's HTTP messages and the router's requests, without I/O.
 //!
 //! [`RequestParser::parse`] translates a complete HTTP request into a request for the router, or
-//! returns the HTTP error to respond with; [`put_final_response`] encodes the router's final response. A
+//! returns the HTTP error to respond with; [`final_response`] encodes the router's final response. A
 //! malformed message, or one that names an unknown class or plan, is rejected here, so no part of it
 //! reaches a node. `run::request_intake` and `run::client_conn` call these functions.
 
 mod fields;
 
 use crate::config::{ClassProtocol, Config};
-use crate::http::{self, HttpError, Request};
+use crate::http::{self, HttpError, OutgoingMessage, Request};
 use bytes::Bytes;
 use fields::{decimal, header_decodings, hex16, path_decodings, position, Placement};
 use grebecleat_wire::pb;
@@ -22,6 +22,8 @@
 /// Maximum length in bytes of the request id that a client sends. A larger value lets clients take
 /// more memory; a smaller one rejects more requests.
 const MAX_CLIENT_ID_BYTES: usize = 512;
+/// The Retry-After of a request that is rejected to free memory, as of any overloaded host.
+const RETRY_MEMORY: Duration = Duration::from_millis(250);
 
 /// A parsed request of a client.
 #[derive(Debug)]
@@ -191,21 +193,31 @@
     head
 }
 
-/// Appends the HTTP form of a final response. A rejected request gets status 503 and a failed one 502,
+/// Returns the HTTP form of a final response. A rejected request gets status 503 and a failed one 502,
 /// since clients must be able to tell them apart.
-pub fn put_final_response(buffer: &mut Vec<u8>, response: &pb::Response, keep_alive: bool) {
+pub fn final_response(response: &pb::Response, keep_alive: bool) -> OutgoingMessage {
     match response.outcome() {
-        pb::Outcome::Completed => http::put_response(buffer, 200, "", keep_alive, &response.data),
+        pb::Outcome::Completed => {
+            http::response_message(200, "", keep_alive, response.data.clone())
+        }
         pb::Outcome::Rejected => {
             let retry_after = response.retry_after_us.map(Duration::from_micros);
-            let header = retry_after.map_or(String::new(), |after| {
-                format!("Retry-After: {:.3}\r\n", after.as_secs_f64())
-            });
-            http::put_response(buffer, 503, &header, keep_alive, b"");
+            let header = retry_after.map_or(String::new(), retry_after_header);
+            http::response_message(503, &header, keep_alive, Bytes::new())
         }
-        _ => http::put_response(buffer, 502, "", keep_alive, b""),
+        _ => http::response_message(502, "", keep_alive, Bytes::new()),
     }
 }
 
+/// Returns the rejection of a request that was dropped, or is not received further, to free memory.
+pub fn memory_rejection(keep_alive: bool) -> OutgoingMessage {
+    let header = retry_after_header(RETRY_MEMORY);
+    http::response_message(503, &header, keep_alive, Bytes::new())
+}
+
+fn retry_after_header(after: Duration) -> String {
+    format!("Retry-After: {:.3}\r\n", after.as_secs_f64())
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/clients/tests.rs
+++ b/crates/platform/src/clients/tests.rs
@@ -176,8 +176,8 @@
             data: Bytes::from_static(b"hi"),
             ..pb::Response::default()
         };
-        let mut to = Vec::new();
-        put_final_response(&mut to, &response, true);
-        assert_eq!(String::from_utf8(to).unwrap(), text);
+        let message = final_response(&response, true);
+        let bytes = [&message.head, &message.body[..]].concat();
+        assert_eq!(String::from_utf8(bytes).unwrap(), text);
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -11,10 +11,12 @@
 mod descriptors;
 mod document;
 mod error;
+mod memory;
 mod settings;
 
 pub use descriptors::Descriptors;
 pub use error::{ConfigError, SettingsError, ValueError};
+pub use memory::MemoryLimits;
 pub use settings::{ClassProtocol, MAX_LIST_STALENESS};
 
 use document::{flatten, Document};
@@ -47,6 +49,8 @@
     pub seed: u64,
     /// How its file descriptors are divided.
     pub descriptors: Descriptors,
+    /// How its memory is divided.
+    pub memory: MemoryLimits,
     /// The endpoint list that the platform cached before the start, as JSON of the form that discovery
     /// sends.
     pub cached_endpoints: Option<Vec<u8>>,
@@ -94,22 +98,24 @@
         let pairs = pairs
             .iter()
             .map(|(path, value)| (path.as_str(), value.as_str()));
+        let descriptors = Descriptors::of(sockets);
+        let memory = MemoryLimits::of(memory_mb << 20, &descriptors);
         let process = Process {
             name: &name,
             listen,
             discovery,
-            memory_mb,
-            descriptors: Descriptors::of(sockets),
+            memory,
+            descriptors,
         };
         let read = read_settings(&process, &SettingValues::of(pairs))
             .map_err(|error| document.error("settings", error.into()))?;
-        let descriptors = process.descriptors;
         Ok(Config {
             name,
             listen,
             discovery,
             seed,
             descriptors,
+            memory,
             cached_endpoints,
             traffic_classes: read.traffic_classes,
             settings: Arc::new(read.settings),
--- a/crates/platform/src/config/settings.rs
+++ b/crates/platform/src/config/settings.rs
@@ -2,6 +2,7 @@
 
 use super::descriptors::Descriptors;
 use super::error::SettingsError;
+use super::memory::MemoryLimits;
 use grebecleat_adapter::settings::{self as bench, SettingValues};
 use grebecleat_scheduler::api::{DiscoveryPolicy, Idempotency, Plan, TrafficClass};
 use grebecleat_settings::{
@@ -21,9 +22,6 @@
 const DEFAULT_NODE_IDLE: Duration = Duration::from_secs(10);
 /// Timeout of a dial, if the settings do not specify it.
 const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
-/// The memory limit divided by this is available for bodies of open requests. A smaller divisor lets
-/// bodies exceed the memory; a larger one rejects requests that would fit.
-const BODIES_DIVISOR: usize = 8;
 /// Time that an attempt may wait for its connection before it is revoked. A larger value sends
 /// attempts late; a smaller one fails attempts whose dial is slow.
 const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(250);
@@ -60,7 +58,7 @@
     pub(super) name: &'a str,
     pub(super) listen: SocketAddr,
     pub(super) discovery: SocketAddr,
-    pub(super) memory_mb: usize,
+    pub(super) memory: MemoryLimits,
     pub(super) descriptors: Descriptors,
 }
 
@@ -229,7 +227,7 @@
     let descriptors = process.descriptors;
     Bounds {
         max_open: caps.max_open.min(descriptors.clients),
-        max_held_bytes: (process.memory_mb << 20) / BODIES_DIVISOR,
+        max_held_bytes: process.memory.open_requests,
         max_frame: MAX_BUFFERED_BYTES,
         max_clients: descriptors.clients,
         max_unread: MAX_BUFFERED_BYTES,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -6,8 +6,8 @@
 //! kinds of length, repeated or signed lengths) is an error, since it may hide a second message
 //! (request smuggling). The constants of this module limit the size of a message.
 
+use bytes::Bytes;
 use std::borrow::Cow;
-use std::io::Write;
 
 /// Maximum size in bytes of a message's head: its start line and headers. A larger value lets peers
 /// take more memory; a smaller one rejects long heads.
@@ -366,14 +366,23 @@
     }
 }
 
-/// Appends a response. `headers` holds additional header lines, each with its line end.
-pub fn put_response(
-    buffer: &mut Vec<u8>,
+/// A message to be written, in two parts. The body is shared with the request or the response that it
+/// belongs to.
+#[derive(Debug, Default, PartialEq)]
+pub struct OutgoingMessage {
+    /// The start line and the headers, with the empty line that ends them.
+    pub head: Vec<u8>,
+    /// The body, as declared in the head.
+    pub body: Bytes,
+}
+
+/// Returns a response. `headers` holds additional header lines, each with its line end.
+pub fn response_message(
     status: u16,
     headers: &str,
     keep_alive: bool,
-    body: &[u8],
-) {
+    body: Bytes,
+) -> OutgoingMessage {
     let close = if keep_alive {
         ""
     } else {
@@ -381,10 +390,10 @@
     };
     let length = body.len();
     let reason = reason_phrase(status);
-    // Writing to memory cannot fail.
-    let _ = write!(
-        buffer,
-        "HTTP/1.1 {status} {reason}\r\nContent-Length: {length}\r\n{close}{headers}\r\n"
-    );
-    buffer.extend_from_slice(body);
+    let head =
+        format!("HTTP/1.1 {status} {reason}\r\nContent-Length: {length}\r\n{close}{headers}\r\n");
+    OutgoingMessage {
+        head: head.into_bytes(),
+        body,
+    }
 }
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -3,30 +3,29 @@
 //! `run::owner::send` and `run::node_conn` call these functions, which perform no I/O.
 
 use crate::clients::SERVICE;
-use crate::http::Response;
+use crate::http::{OutgoingMessage, Response};
 use bytes::Bytes;
 use grebecleat_wire::pb;
-use std::io::Write;
 
-/// Appends the HTTP request of an attempt. The attempt's `piece` holds the request line and headers of
+/// Returns the HTTP request of an attempt. The attempt's `piece` holds the request line and headers of
 /// the client's request.
-pub fn put_attempt(buffer: &mut Vec<u8>, attempt: &pb::Attempt) {
-    buffer.extend_from_slice(&attempt.piece);
-    // Writing to memory cannot fail.
-    let _ = write!(
-        buffer,
-        "X-Remaining-Ms: {}\r\n\r\n",
-        attempt.left_us.div_ceil(1000)
-    );
-    buffer.extend_from_slice(&attempt.data);
+pub fn attempt_message(attempt: &pb::Attempt) -> OutgoingMessage {
+    let mut head = attempt.piece.to_vec();
+    let left_ms = attempt.left_us.div_ceil(1000);
+    head.extend_from_slice(format!("X-Remaining-Ms: {left_ms}\r\n\r\n").as_bytes());
+    OutgoingMessage {
+        head,
+        body: attempt.data.clone(),
+    }
 }
 
-/// Appends the HTTP request of a health check.
-pub fn put_health_check(buffer: &mut Vec<u8>) {
-    let _ = write!(
-        buffer,
-        "GET /health/live HTTP/1.1\r\nHost: {SERVICE}\r\n\r\n"
-    );
+/// Returns the HTTP request of a health check.
+pub fn health_check_message() -> OutgoingMessage {
+    let head = format!("GET /health/live HTTP/1.1\r\nHost: {SERVICE}\r\n\r\n");
+    OutgoingMessage {
+        head: head.into_bytes(),
+        body: Bytes::new(),
+    }
 }
 
 /// Returns the measurement in a header. A malformed measurement is ignored, and does not make the
--- a/crates/platform/src/nodes/tests.rs
+++ b/crates/platform/src/nodes/tests.rs
@@ -59,7 +59,9 @@
         data: Bytes::from_static(b"x"),
         ..pb::Attempt::default()
     };
-    let mut to = Vec::new();
-    put_attempt(&mut to, &attempt);
-    assert_eq!(to, b"GET /a HTTP/1.1\r\nX-Remaining-Ms: 480\r\n\r\nx");
+    let message = attempt_message(&attempt);
+    assert_eq!(
+        [&message.head, &message.body[..]].concat(),
+        b"GET /a HTTP/1.1\r\nX-Remaining-Ms: 480\r\n\r\nx"
+    );
 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -11,8 +11,10 @@
 //! closed. A limit that is reached does not affect the other kinds of connection. `eviction` says how
 //! long a client with a request may wait for a slot.
 //!
-//! Memory: a connection takes its coroutine's stack, one message that is being read, the bytes that
-//! are being written, and the bytes that its reader has read ahead of the owner (`reader`).
+//! Memory: a connection takes its coroutine's stack and a record. Everything else that its peer can make
+//! this process hold counts in one budget (`grebecleat_host::memory_budget`), whose size
+//! [`crate::config::MemoryLimits`] derives from the memory limit. The readers reserve the memory of a
+//! read before they read; `owner::memory` turns clients away when the budget is used up.
 //!
 //! Timeouts: no `may` timer is used; the owner's sweep closes connections that are slow, silent or
 //! idle.
@@ -26,16 +28,19 @@
 mod eviction;
 mod listener;
 mod log_limiter;
+mod memory_monitor;
 mod memory_usage;
 mod node_conn;
 mod owner;
 mod reader;
 mod request_intake;
+mod shared_budget;
 mod shutdown;
 mod socket;
 mod statistics_log;
 mod sweep;
 mod wall_clock;
+mod write_queue;
 
 use crate::config::Config;
 use grebecleat_host::router::Counters;
@@ -44,6 +49,7 @@
 use may::net::TcpListener;
 use owner::Owner;
 use reader::OwnerEvent;
+use shared_budget::SharedBudget;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
@@ -86,13 +92,15 @@
     let listener = TcpListener::bind(options.config.listen)?;
     let address = listener.local_addr()?;
     let slots = Arc::new(ClientSlots::new(options.config.descriptors.clients));
+    let budget = SharedBudget::new(options.config.memory.budget);
     let mut owner = Owner::new(
         options.config,
         options.file,
         ListenerHandle::new(slots.clone(), listener.as_raw_fd()),
+        budget.clone(),
         event_sender.clone(),
     );
-    go!(move || accept(&listener, &slots, &event_sender));
+    go!(move || accept(&listener, &slots, &budget, &event_sender));
     started(address);
     owner.run(&events);
     Ok(owner.counters())
--- a/crates/platform/src/run/client_conn.rs
+++ b/crates/platform/src/run/client_conn.rs
@@ -9,8 +9,9 @@
 };
 use super::socket::{pending_input, PendingInput};
 use super::sweep::NEW_CLIENT_GRACE_PERIOD;
-use crate::clients::put_final_response;
-use crate::http::{put_response, HttpError};
+use crate::clients::{final_response, memory_rejection};
+use crate::http::{self, response_message, HttpError, OutgoingMessage};
+use bytes::Bytes;
 use grebecleat_wire::pb;
 use std::time::Duration;
 
@@ -52,8 +53,9 @@
         client.phase_began_at = at;
     }
     client.has_sent = true;
-    connection.read_buffer.extend_from_slice(bytes);
-    if client.exchange.is_some() && connection.read_buffer.len() > MAX_PIPELINED_BYTES {
+    let has_exchange = client.exchange.is_some();
+    connection.buffer_received(bytes);
+    if has_exchange && connection.read_buffer.len() > MAX_PIPELINED_BYTES {
         return Received::Close(CloseReason::TooMuchPipelined);
     }
     Received::Buffered
@@ -95,7 +97,8 @@
     let status = if is_ready { 200 } else { 503 };
     consume(&mut connection.read_buffer, used);
     client.phase_began_at = at;
-    put_response(&mut connection.write_buffer, status, "", keep_alive, b"");
+    let response = response_message(status, "", keep_alive, Bytes::new());
+    connection.write_queue.push(response);
     if !keep_alive {
         client.discard = Some(Discard::from(at));
     }
@@ -103,13 +106,54 @@
 
 /// Responds with an error, which is the last response on the connection.
 pub(super) fn reject(connection: &mut Connection, now: Duration, error: &HttpError) {
+    let text = Bytes::from_static(error.reason.as_bytes());
+    respond_last(
+        connection,
+        now,
+        response_message(error.status, "", false, text),
+    );
+}
+
+/// Rejects an incomplete request to free its memory.
+pub(super) fn reject_incomplete(connection: &mut Connection, now: Duration) {
+    respond_last(connection, now, memory_rejection(false));
+}
+
+fn respond_last(connection: &mut Connection, now: Duration, response: OutgoingMessage) {
     let Role::Client(client) = &mut connection.role else {
         return;
     };
     client.discard = Some(Discard::from(now));
     connection.read_buffer = Vec::new();
-    let text = error.reason.as_bytes();
-    put_response(&mut connection.write_buffer, error.status, "", false, text);
+    connection.write_queue.push(response);
+}
+
+/// Drops the requests behind the one of the open exchange to free their memory. They are rejected after
+/// its response. Returns whether they were dropped: if bytes were read that are not processed yet, they
+/// are kept, since the number of requests in them is not known.
+pub(super) fn drop_pipelined(connection: &mut Connection) -> bool {
+    let Role::Client(client) = &mut connection.role else {
+        return false;
+    };
+    if client.exchange.is_none() || !connection.gate.pause_if_processed() {
+        return false;
+    }
+    client.dropped_requests = count_requests(&connection.read_buffer);
+    connection.read_buffer = Vec::new();
+    true
+}
+
+/// Returns the number of requests in the bytes, including an incomplete or malformed one at their end.
+fn count_requests(mut bytes: &[u8]) -> usize {
+    let mut count = 0;
+    while !bytes.is_empty() {
+        count += 1;
+        match http::request(bytes) {
+            Ok(Some((request, used))) if request.keep_alive => bytes = &bytes[used..],
+            _ => break,
+        }
+    }
+    count
 }
 
 /// Appends the final response of the open exchange. If `closes_after_response` is set, the response
@@ -124,6 +168,14 @@
         return None;
     };
     let exchange = client.exchange.take()?;
+    let dropped = std::mem::take(&mut client.dropped_requests);
+    if dropped > 0 {
+        finish_with_rejections(connection, response, &exchange, dropped, now);
+        return Some(FinishedExchange {
+            exchange,
+            has_next: false,
+        });
+    }
     // A pipelined request that has been read gets its response too.
     let has_pipelined = !connection.read_buffer.is_empty();
     let keep_alive = exchange.keep_alive && (!closes_after_response || has_pipelined);
@@ -131,13 +183,37 @@
     if !keep_alive {
         client.discard = Some(Discard::from(now));
     }
-    put_final_response(&mut connection.write_buffer, response, keep_alive);
+    let message = final_response(response, keep_alive);
+    connection.write_queue.push(message);
     Some(FinishedExchange {
         exchange,
         has_next: keep_alive && has_pipelined,
     })
 }
 
+/// Appends the response of an exchange and the rejections of the dropped requests behind it, which end
+/// the connection.
+fn finish_with_rejections(
+    connection: &mut Connection,
+    response: &pb::Response,
+    exchange: &ClientExchange,
+    dropped: usize,
+    now: Duration,
+) {
+    let message = final_response(response, exchange.keep_alive);
+    connection.write_queue.push(message);
+    // A client that announced its last request awaits no further response.
+    let rejections = if exchange.keep_alive { dropped } else { 0 };
+    for left in (0..rejections).rev() {
+        connection.write_queue.push(memory_rejection(left > 0));
+    }
+    if let Role::Client(client) = &mut connection.role {
+        client.phase_began_at = now;
+        client.discard = Some(Discard::from(now));
+    }
+    connection.gate.resume();
+}
+
 /// Returns whether a client still awaits a response, or has sent bytes that are not processed yet.
 pub(super) fn is_awaiting(connection: &Connection, now: Duration) -> bool {
     let Role::Client(client) = &connection.role else {
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -5,7 +5,9 @@
 //! buffers one message that is being read and one that is being written.
 
 use super::reader::ReadGate;
+use super::write_queue::WriteQueue;
 use bytes::Bytes;
+use grebecleat_host::memory_budget::{HeldBytes, PeerKind};
 use grebecleat_host::outbox::Outbox;
 use grebecleat_host::router::{ConnId, Input};
 use std::os::fd::RawFd;
@@ -19,6 +21,10 @@
 /// smaller value, a reset may destroy the response; a larger one lets rejected clients send more.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 
+/// A read buffer that is full grows by its capacity divided by this. A larger value copies the bytes of
+/// messages in pieces more often; a smaller one holds more memory than was received.
+const BUFFER_GROWTH_DIVISOR: usize = 8;
+
 /// A request of a client that awaits its final response.
 #[derive(Debug)]
 pub(super) struct ClientExchange {
@@ -28,6 +34,8 @@
     pub(super) request_id: Bytes,
     /// Whether the client keeps the connection open for another request.
     pub(super) keep_alive: bool,
+    /// Number of bytes that the request holds.
+    pub(super) bytes: usize,
 }
 
 /// The limits on dropping the bytes of a client after its last response.
@@ -59,6 +67,9 @@
     pub(super) phase_began_at: Duration,
     /// Set once the last response to the client was composed.
     pub(super) discard: Option<Discard>,
+    /// Number of requests behind the one of the open exchange that were dropped to free memory. They are
+    /// rejected after its response.
+    pub(super) dropped_requests: usize,
 }
 
 impl ClientState {
@@ -69,6 +80,7 @@
             has_sent: false,
             phase_began_at: now,
             discard: None,
+            dropped_requests: 0,
         }
     }
 }
@@ -106,6 +118,10 @@
     ClientDeparted,
     /// The client has sent too many bytes after the request of its open exchange.
     TooMuchPipelined,
+    /// The client does not read its response, and other peers need the memory.
+    UnreadResponse,
+    /// The endpoint lists that are being read take too much memory.
+    ListTooLarge,
 }
 
 /// The kind of peer, and the state of the protocol with it.
@@ -122,9 +138,7 @@
     pub(super) gate: Arc<ReadGate>,
     pub(super) outbox: Arc<Outbox>,
     pub(super) read_buffer: Vec<u8>,
-    pub(super) write_buffer: Vec<u8>,
-    /// Number of bytes of the write buffer that the socket has accepted.
-    pub(super) written: usize,
+    pub(super) write_queue: WriteQueue,
     pub(super) opened_at: Duration,
     /// When bytes of a node were last added to the read buffer.
     pub(super) last_read_at: Duration,
@@ -142,9 +156,49 @@
 }
 
 impl Connection {
-    /// Returns whether the socket has not accepted all bytes of the write buffer yet.
+    /// Returns whether the socket has not accepted all bytes of the write queue yet.
     pub(super) fn has_unwritten(&self) -> bool {
-        self.written < self.write_buffer.len()
+        !self.write_queue.is_empty()
+    }
+
+    /// Adds received bytes to the read buffer. Its capacity exceeds its length by a small fraction only,
+    /// since the capacity is what counts as held.
+    pub(super) fn buffer_received(&mut self, bytes: &[u8]) {
+        let buffer = &mut self.read_buffer;
+        if buffer.capacity() - buffer.len() < bytes.len() {
+            let spare = buffer.capacity() / BUFFER_GROWTH_DIVISOR;
+            buffer.reserve_exact(bytes.len().max(spare));
+        }
+        buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the bytes that the connection holds, by kind.
+    pub(super) fn held_bytes(&self) -> HeldBytes {
+        let read = self.read_buffer.capacity();
+        let unwritten = self.write_queue.len() + self.outbox.bytes();
+        match &self.role {
+            Role::Client(client) => match &client.exchange {
+                Some(exchange) => HeldBytes {
+                    pipelined: read,
+                    open_request: exchange.bytes,
+                    unread_response: unwritten,
+                    ..HeldBytes::default()
+                },
+                None => HeldBytes {
+                    incomplete_request: read,
+                    unread_response: unwritten,
+                    ..HeldBytes::default()
+                },
+            },
+            Role::Node(_) => HeldBytes {
+                node_message: read + self.write_queue.owned_bytes(),
+                ..HeldBytes::default()
+            },
+            Role::Discovery => HeldBytes {
+                endpoint_list: read,
+                ..HeldBytes::default()
+            },
+        }
     }
 }
 
@@ -156,6 +210,14 @@
 }
 
 impl DialTarget {
+    /// Returns the kind of peer, as the memory budget distinguishes it.
+    pub(super) fn peer_kind(self) -> PeerKind {
+        match self {
+            DialTarget::Node => PeerKind::Node,
+            DialTarget::Discovery => PeerKind::Discovery,
+        }
+    }
+
     /// Returns the router's input for a dial that has failed.
     pub(super) fn failure_input(self, conn: ConnId) -> Input {
         match self {
--- a/crates/platform/src/run/connection_table.rs
+++ b/crates/platform/src/run/connection_table.rs
@@ -4,8 +4,9 @@
 //! have not ended yet, the connections whose outboxes have changed, and the connections whose sockets
 //! did not accept all bytes. The limits on file descriptors bound its size.
 
-use super::connection::{consume, ClientState, CloseReason, Connection, Role};
+use super::connection::{ClientState, CloseReason, Connection, Role};
 use super::reader::ReadGate;
+use super::write_queue::WriteQueue;
 use grebecleat_host::outbox::Outbox;
 use grebecleat_host::router::ConnId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tracing::debug;
 
-/// The result of writing a connection's write buffer.
+/// The result of writing a connection's write queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WriteOutcome {
     /// The socket has accepted all bytes.
@@ -62,8 +63,7 @@
             gate,
             outbox: outbox.clone(),
             read_buffer: Vec::new(),
-            write_buffer: Vec::new(),
-            written: 0,
+            write_queue: WriteQueue::default(),
             opened_at: now,
             last_read_at: now,
         };
@@ -132,29 +132,20 @@
         writable
     }
 
-    /// Returns the number of buffered bytes of incomplete responses from nodes.
-    pub(super) fn unread_node_bytes(&self) -> usize {
-        let nodes = self
-            .open
-            .values()
-            .filter(|connection| matches!(connection.role, Role::Node(_)));
-        nodes.map(|connection| connection.read_buffer.len()).sum()
-    }
-
-    /// Writes the write buffer of a connection without blocking.
+    /// Writes the write queue of a connection without blocking.
     pub(super) fn write(&mut self, conn: ConnId) -> WriteOutcome {
         let Some(connection) = self.open.get_mut(&conn) else {
             return WriteOutcome::Blocked;
         };
-        while connection.has_unwritten() {
-            let rest = &connection.write_buffer[connection.written..];
+        let had_unwritten = connection.has_unwritten();
+        while let Some(rest) = connection.write_queue.next() {
             let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
             // SAFETY: the pointer and the length are of one live slice; the connection is open, so the
             // descriptor is its own.
             let sent =
                 unsafe { libc::send(connection.fd, rest.as_ptr().cast(), rest.len(), flags) };
             if let Ok(sent) = usize::try_from(sent) {
-                connection.written += sent;
+                connection.write_queue.advance(sent);
                 continue;
             }
             match io::Error::last_os_error().kind() {
@@ -166,9 +157,7 @@
                 _ => return WriteOutcome::Failed,
             }
         }
-        if !connection.write_buffer.is_empty() {
-            connection.written = 0;
-            consume(&mut connection.write_buffer, usize::MAX);
+        if had_unwritten {
             if let Role::Client(ClientState {
                 discard: Some(_), ..
             }) = connection.role
--- a/crates/platform/src/run/listener.rs
+++ b/crates/platform/src/run/listener.rs
@@ -3,8 +3,10 @@
 //! The coroutine and the owner share [`ClientSlots`]. If no slot is free, the coroutine reports it and
 //! waits until the owner wakes it; meanwhile, clients wait in the listening socket's queue.
 
-use super::reader::{start_reader, OwnerEvent, ReadGate};
+use super::reader::{OwnerEvent, ReadGate, Reader};
+use super::shared_budget::SharedBudget;
 use super::socket::has_connection_queued;
+use grebecleat_host::memory_budget::PeerKind;
 use grebecleat_host::router::ConnId;
 use may::net::TcpListener;
 use may::sync::Semphore;
@@ -104,6 +106,7 @@
 pub(super) fn accept(
     listener: &TcpListener,
     slots: &ClientSlots,
+    budget: &SharedBudget,
     event_sender: &Sender<OwnerEvent>,
 ) {
     let mut last = LAST_DIALED_CONN;
@@ -128,7 +131,14 @@
                 if event_sender.send(accepted).is_err() {
                     return;
                 }
-                start_reader(stream, conn, gate, event_sender.clone());
+                let reader = Reader {
+                    conn,
+                    peer: PeerKind::Client,
+                    gate,
+                    budget: budget.clone(),
+                    event_sender: event_sender.clone(),
+                };
+                reader.start(stream);
             }
             // No descriptor is free, or the client has left already. The owner's next sweep wakes this
             // coroutine.
--- a/crates/platform/src/run/memory_usage.rs
+++ b/crates/platform/src/run/memory_usage.rs
@@ -1,59 +1,17 @@
 //! Measures what the memory of this process is used for, for the statistics log.
 //!
-//! [`MemoryUsage::measure`] sums the buffers of all connections by kind and adds the figures of the
-//! allocator and of the operating system. The difference between the sum of the buffers and the
-//! allocator's bytes in use is the state of the scheduler and the router; the difference between the
-//! allocator's bytes in use and its heap is fragmentation.
+//! [`MemoryUsage::measure`] combines the figures of the memory budget, of the allocator and of the
+//! operating system. The allocator's bytes in use that the budget does not count are the state of the
+//! scheduler and the router; its free bytes are fragmentation.
 
-use super::connection::{Connection, Role};
 use super::connection_table::ConnectionTable;
+use super::shared_budget::SharedBudget;
+use grebecleat_host::memory_budget::{EvictionCounts, HeldBytes};
 use std::fmt;
 
 /// The file in which Linux reports the memory of a process.
 const STATUS_FILE: &str = "/proc/self/status";
 
-/// Bytes of the buffers of all connections, by kind.
-#[derive(Debug, Default)]
-struct BufferBytes {
-    client_read: usize,
-    node_read: usize,
-    discovery_read: usize,
-    client_write: usize,
-    node_write: usize,
-    /// Frames that the router has put into the outboxes.
-    outboxes: usize,
-    /// Bytes that the readers have received and the owner has not processed.
-    read_ahead: usize,
-}
-
-impl BufferBytes {
-    fn of(connections: &ConnectionTable) -> Self {
-        let mut bytes = BufferBytes::default();
-        for (_, connection) in connections.iter() {
-            bytes.add(connection);
-        }
-        bytes
-    }
-
-    fn add(&mut self, connection: &Connection) {
-        let read = connection.read_buffer.capacity();
-        let written = connection.write_buffer.capacity();
-        match connection.role {
-            Role::Client(_) => {
-                self.client_read += read;
-                self.client_write += written;
-            }
-            Role::Node(_) => {
-                self.node_read += read;
-                self.node_write += written;
-            }
-            Role::Discovery => self.discovery_read += read,
-        }
-        self.outboxes += connection.outbox.bytes();
-        self.read_ahead += connection.gate.lock().unprocessed;
-    }
-}
-
 /// The allocator's figures, in bytes.
 #[derive(Debug, Default)]
 struct HeapBytes {
@@ -83,23 +41,35 @@
 /// What the memory of this process is used for at one time.
 #[derive(Debug)]
 pub(super) struct MemoryUsage {
-    buffers: BufferBytes,
+    limit: usize,
+    peak: usize,
+    held: HeldBytes,
+    read_ahead: usize,
+    evicted: EvictionCounts,
     heap: HeapBytes,
     connections: usize,
     /// Resident memory that belongs to this process alone, in kB, as the operating system reports it.
     anonymous_kb: u64,
+    /// Resident memory in kB, which includes the pages of the program file.
+    resident_kb: u64,
     /// Peak of the resident memory in kB, which includes the pages of the program file.
     peak_kb: u64,
 }
 
 impl MemoryUsage {
-    pub(super) fn measure(connections: &ConnectionTable) -> Self {
+    pub(super) fn measure(connections: &ConnectionTable, budget: &SharedBudget) -> Self {
         let status = std::fs::read_to_string(STATUS_FILE).unwrap_or_default();
+        let budget = budget.lock();
         MemoryUsage {
-            buffers: BufferBytes::of(connections),
+            limit: budget.limit(),
+            peak: budget.peak(),
+            held: budget.held(),
+            read_ahead: budget.read_ahead(),
+            evicted: budget.evicted(),
             heap: HeapBytes::measure(),
             connections: connections.iter().count(),
             anonymous_kb: status_kb(&status, "RssAnon:"),
+            resident_kb: status_kb(&status, "VmRSS:"),
             peak_kb: status_kb(&status, "VmHWM:"),
         }
     }
@@ -115,25 +85,32 @@
 
 impl fmt::Display for MemoryUsage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let buffers = &self.buffers;
-        write!(
-            f,
-            "memory connections={} client_read={} node_read={} discovery_read={} client_write={} \
-             node_write={} outboxes={} read_ahead={} heap_in_use={} heap_free={} heap_mapped={} \
-             anonymous_kb={} peak_kb={}",
-            self.connections,
-            buffers.client_read,
-            buffers.node_read,
-            buffers.discovery_read,
-            buffers.client_write,
-            buffers.node_write,
-            buffers.outboxes,
-            buffers.read_ahead,
-            self.heap.in_use,
-            self.heap.free,
-            self.heap.mapped,
-            self.anonymous_kb,
-            self.peak_kb
-        )
+        let held = &self.held;
+        let evicted = &self.evicted;
+        let fields: [(&str, u64); 19] = [
+            ("connections", self.connections as u64),
+            ("limit", self.limit as u64),
+            ("peak", self.peak as u64),
+            ("incomplete_request", held.incomplete_request as u64),
+            ("pipelined", held.pipelined as u64),
+            ("open_request", held.open_request as u64),
+            ("unread_response", held.unread_response as u64),
+            ("node_message", held.node_message as u64),
+            ("endpoint_list", held.endpoint_list as u64),
+            ("read_ahead", self.read_ahead as u64),
+            ("evicted_incomplete", evicted.incomplete),
+            ("evicted_pipelined", evicted.pipelined),
+            ("evicted_unread", evicted.unread),
+            ("heap_in_use", self.heap.in_use as u64),
+            ("heap_free", self.heap.free as u64),
+            ("heap_mapped", self.heap.mapped as u64),
+            ("anonymous_kb", self.anonymous_kb),
+            ("resident_kb", self.resident_kb),
+            ("peak_kb", self.peak_kb),
+        ];
+        write!(f, "memory")?;
+        fields
+            .iter()
+            .try_for_each(|(name, value)| write!(f, " {name}={value}"))
     }
 }
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -5,10 +5,12 @@
 //! parts of the state: the connections ([`ConnectionTable`]), the dials ([`Dialer`]), the clients'
 //! requests ([`RequestIntake`]), discovery ([`DiscoveryPort`]), the listener ([`ListenerHandle`]), the
 //! shutdown ([`Shutdown`]) and the log ([`LogLimiter`], [`StatisticsLog`]). The module `receive`
-//! processes received bytes, and `send` writes the contents of the outboxes.
+//! processes received bytes, `send` writes the contents of the outboxes, and `memory` enforces the
+//! memory budget.
 //!
 //! One step processes at most [`MAX_EVENTS_PER_STEP`] events, so that a flood cannot delay timers.
 
+mod memory;
 mod receive;
 mod send;
 
@@ -20,8 +22,10 @@
 use super::eviction::{self, EvictionClass};
 use super::listener::{ListenerHandle, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
-use super::reader::{start_reader, OwnerEvent, ReadGate};
+use super::memory_monitor::MemoryMonitor;
+use super::reader::{OwnerEvent, ReadGate, Reader};
 use super::request_intake::RequestIntake;
+use super::shared_budget::SharedBudget;
 use super::shutdown::{ListenerClosing, Shutdown};
 use super::statistics_log::StatisticsLog;
 use super::sweep::{Expired, ShutdownPhase, REQUEST_TIMEOUT, SWEEP_INTERVAL};
@@ -38,7 +42,7 @@
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::Duration;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Maximum number of events in one step. A larger value lets a flood delay timers; a smaller one costs
 /// more steps.
@@ -63,6 +67,8 @@
     intake: RequestIntake,
     discovery: DiscoveryPort,
     listener: ListenerHandle,
+    budget: SharedBudget,
+    memory_monitor: MemoryMonitor,
     event_sender: Sender<OwnerEvent>,
     shutdown: Shutdown,
     sweep_at: Duration,
@@ -75,6 +81,7 @@
         config: Config,
         config_file: Option<PathBuf>,
         listener: ListenerHandle,
+        budget: SharedBudget,
         event_sender: Sender<OwnerEvent>,
     ) -> Self {
         let router = RequestRouter::new(config.settings.clone(), config.seed)
@@ -91,6 +98,8 @@
             intake: RequestIntake::new(&config),
             discovery: DiscoveryPort::new(config.discovery, poll_interval),
             listener,
+            budget,
+            memory_monitor: MemoryMonitor::default(),
             event_sender,
             shutdown: Shutdown::new(settings.longest_deadline()),
             sweep_at: now,
@@ -111,9 +120,13 @@
             poll_interval = ?settings.list.rule.poll_interval,
             drain_grace = ?settings.rules.drain_grace,
             hosts = settings.rules.cold.hosts,
+            memory_budget = self.config.memory.budget,
             cached_endpoints = self.discovery.has_cached_list(),
             "settings in force"
         );
+        if !self.config.memory.is_sufficient {
+            warn!("memory limit too small for the connections of this host, it may be exceeded");
+        }
     }
 
     pub(super) fn counters(&self) -> Counters {
@@ -151,11 +164,13 @@
             }
             self.check_dials();
             self.step();
+            self.grant_reads();
             if clock::now() >= self.sweep_at {
                 self.sweep();
             }
             if self.shutdown_is_complete() {
-                self.statistics.write(&mut self.router, &self.connections);
+                self.statistics
+                    .write(&mut self.router, &self.connections, &self.budget);
                 return;
             }
         }
@@ -164,7 +179,8 @@
     fn time_to_wake(&mut self) -> Duration {
         let now = clock::now();
         let mut wake = self.router.wake_at().min(self.sweep_at);
-        if !self.dialer.is_idle() || self.connections.has_blocked() {
+        let is_pending = !self.dialer.is_idle() || self.connections.has_blocked();
+        if is_pending || self.budget.lock().has_waiting() {
             wake = wake.min(now + RETRY_INTERVAL);
         }
         wake.saturating_sub(now)
@@ -213,7 +229,20 @@
     fn handle_event(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Accepted { conn, fd, gate } => self.client_accepted(conn, fd, gate),
-            OwnerEvent::Read { conn, at, bytes } => self.handle_read(conn, at, &bytes),
+            OwnerEvent::Read {
+                conn,
+                at,
+                bytes,
+                charged,
+            } => {
+                self.handle_read(conn, at, &bytes);
+                drop(bytes);
+                self.account_for(conn, true);
+                self.budget.lock().processed(charged);
+                self.relieve_memory();
+            }
+            // The owner grants reads after each step.
+            OwnerEvent::ReadWaits => {}
             OwnerEvent::Ended { conn, stream } => {
                 if !self.connections.reader_ended(conn) {
                     self.connection_lost(conn, CloseReason::PeerClosed);
@@ -277,7 +306,14 @@
         };
         let fd = stream.as_raw_fd();
         let outbox = self.connections.add(conn, role, fd, gate.clone(), now);
-        start_reader(stream, conn, gate, self.event_sender.clone());
+        let reader = Reader {
+            conn,
+            peer: target.peer_kind(),
+            gate,
+            budget: self.budget.clone(),
+            event_sender: self.event_sender.clone(),
+        };
+        reader.start(stream);
         self.inputs.push(target.success_input(conn, outbox));
     }
 
@@ -286,6 +322,7 @@
         let Some(connection) = self.connections.close(conn, reason, clock::now()) else {
             return;
         };
+        self.budget.lock().remove(conn);
         match connection.role {
             Role::Client(client) => {
                 if let Some(exchange) = client.exchange {
@@ -359,8 +396,9 @@
         }
         let router = &self.router;
         self.intake.sweep(|request| router.is_open(request));
+        self.check_memory(now);
         self.statistics
-            .write_if_due(now, &mut self.router, &self.connections);
+            .write_if_due(now, &mut self.router, &self.connections, &self.budget);
     }
 
     /// Closes clients' connections to free slots, see [`eviction`].
--- a/crates/platform/src/run/owner/receive.rs
+++ b/crates/platform/src/run/owner/receive.rs
@@ -1,14 +1,11 @@
 //! Processes bytes received from clients, nodes and discovery: the owner passes them to the
 //! connection's protocol and performs the result.
-//!
-//! Large responses of nodes are read only while all incomplete responses together fit into the memory
-//! that bodies of open requests may take.
 
 use super::{frame, Owner};
 use crate::clients::ClientRequest;
 use crate::clients::SERVICE;
 use crate::discovery::{self, DiscoveryError};
-use crate::http::HttpError;
+use crate::http::{HttpError, OutgoingMessage};
 use crate::run::client_conn::{self, Received};
 use crate::run::connection::{ClientExchange, ClientState, CloseReason, Role};
 use crate::run::discovery_port::{is_refusal, DiscoveryResponse};
@@ -16,6 +13,7 @@
 use crate::run::reader::ReadGate;
 use crate::run::request_intake::ParsedRequest;
 use crate::run::socket::{pending_input, PendingInput};
+use bytes::Bytes;
 use grebecleat_discovery::calls::{Call, OutstandingCall};
 use grebecleat_discovery::long_polling::{
     Action as PollingAction, Event as PollingEvent, PollConn,
@@ -26,12 +24,7 @@
 use std::os::fd::RawFd;
 use std::sync::Arc;
 use std::time::Duration;
-use tracing::{debug, info};
-
-/// Size in bytes up to which a node's response is always read. A larger response is read only while
-/// all incomplete responses together fit into the memory limit for bodies. A larger value can exceed
-/// that limit; a smaller one fails responses that would fit.
-const MAX_SMALL_RESPONSE: usize = 64 << 10;
+use tracing::{debug, info, warn};
 
 impl Owner {
     pub(super) fn client_accepted(&mut self, conn: ConnId, fd: RawFd, gate: Arc<ReadGate>) {
@@ -54,11 +47,11 @@
             },
             Role::Node(_) => {
                 connection.last_read_at = at;
-                connection.read_buffer.extend_from_slice(bytes);
+                connection.buffer_received(bytes);
                 self.handle_node_bytes(conn, at);
             }
             Role::Discovery => {
-                connection.read_buffer.extend_from_slice(bytes);
+                connection.buffer_received(bytes);
                 self.handle_discovery_bytes(conn);
             }
         }
@@ -148,6 +141,7 @@
             client_id,
             request_id: submit.id.clone(),
             keep_alive,
+            bytes: submit.piece.len() + submit.data.len(),
         };
         client_conn::begin_exchange(connection, exchange, used);
         let frames = vec![frame(Body::SubmitRequest(submit), at)];
@@ -168,11 +162,6 @@
         let Some(connection) = self.connections.get(conn) else {
             return;
         };
-        let is_large = connection.read_buffer.len() > MAX_SMALL_RESPONSE;
-        let max_bytes = self.config.settings.bounds.max_held_bytes;
-        if is_large && self.connections.unread_node_bytes() > max_bytes {
-            return self.finish_malformed_exchange(conn);
-        }
         match node_conn::parse_response(conn, connection) {
             Ok(None) => {}
             Ok(Some(response)) => self.finish_node_exchange(conn, response, at),
@@ -270,7 +259,10 @@
             "discovery call"
         );
         let bytes = discovery::encode_call(SERVICE, call);
-        connection.write_buffer.extend_from_slice(&bytes);
+        connection.write_queue.push(OutgoingMessage {
+            head: bytes,
+            body: Bytes::new(),
+        });
         self.flush(conn);
     }
 
@@ -283,7 +275,7 @@
         };
         let read = self.discovery.read_response(&connection.read_buffer);
         let Some(read) = read.transpose() else {
-            return;
+            return self.limit_endpoint_lists(conn);
         };
         let bytes = connection.read_buffer.len();
         connection.read_buffer = Vec::new();
@@ -293,6 +285,25 @@
         }
     }
 
+    /// Closes the connection if the endpoint lists that are being read exceed their bound.
+    fn limit_endpoint_lists(&mut self, conn: ConnId) {
+        let lists = self.connections.iter().map(|(_, connection)| connection);
+        let bytes: usize = lists
+            .map(|connection| connection.held_bytes().endpoint_list)
+            .sum();
+        let limit = self.config.memory.endpoint_lists;
+        if bytes <= limit {
+            return;
+        }
+        if self.may_log() {
+            warn!(
+                conn = conn.0,
+                bytes, limit, "endpoint list too large, call given up"
+            );
+        }
+        self.connection_lost(conn, CloseReason::ListTooLarge);
+    }
+
     fn handle_discovery_response(
         &mut self,
         conn: ConnId,
--- a/crates/platform/src/run/owner/send.rs
+++ b/crates/platform/src/run/owner/send.rs
@@ -30,8 +30,13 @@
         }
     }
 
-    /// Writes the connection's write buffer, then the contents of its outbox.
+    /// Writes the connection's write queue, then the contents of its outbox.
     pub(super) fn flush(&mut self, conn: ConnId) {
+        self.write_all(conn);
+        self.account_for(conn, false);
+    }
+
+    fn write_all(&mut self, conn: ConnId) {
         loop {
             let Some(connection) = self.connections.get(conn) else {
                 return;
@@ -108,7 +113,7 @@
         true
     }
 
-    /// Encodes a message of the outbox into the connection's write buffer, or performs it.
+    /// Encodes a message of the outbox into the connection's write queue, or performs it.
     fn encode_message(&mut self, conn: ConnId, body: Body) {
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
@@ -128,11 +133,13 @@
                     left_ms = attempt.left_us / 1000,
                     "attempt sent"
                 );
-                nodes::put_attempt(&mut connection.write_buffer, &attempt);
+                connection
+                    .write_queue
+                    .push(nodes::attempt_message(&attempt));
             }
             (Role::Node(exchange @ NodeExchange::Idle), Body::HealthCheck(check)) => {
                 *exchange = NodeExchange::HealthCheck(check.probe);
-                nodes::put_health_check(&mut connection.write_buffer);
+                connection.write_queue.push(nodes::health_check_message());
             }
             (Role::Node(_), Body::HealthCheck(check)) => {
                 let at = clock::now();
@@ -172,7 +179,7 @@
         let is_open = self.router.is_open(&exchange.request_id);
         self.intake.release(exchange, is_open);
         if finished.has_next {
-            // The response precedes any later one, since it is already in the write buffer.
+            // The response precedes any later one, since it is already in the write queue.
             self.advance_client(conn, now);
         }
     }
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -1,7 +1,9 @@
 use super::*;
+use crate::http::OutgoingMessage;
 use crate::run::connection::{ClientState, Discard};
 use crate::run::listener::ClientSlots;
 use crate::run::sweep::NEW_CLIENT_GRACE_PERIOD;
+use bytes::Bytes;
 use grebecleat_host::outbox::AttemptId;
 use grebecleat_scheduler::api::NodeId;
 use std::io::{Read, Write};
@@ -26,7 +28,8 @@
     text["limits"]["sockets"] = sockets.into();
     let config = Config::read("c.json".as_ref(), text.to_string().as_bytes()).unwrap();
     let listener = ListenerHandle::new(Arc::new(ClientSlots::new(9)), -1);
-    Owner::new(config, None, listener, event_sender)
+    let budget = SharedBudget::new(config.memory.budget);
+    Owner::new(config, None, listener, budget, event_sender)
 }
 
 /// Accepts a client on the socket `fd`, as the listener does.
@@ -56,6 +59,7 @@
         conn,
         at: clock::now(),
         bytes: REQUEST.into(),
+        charged: 0,
     });
 }
 
@@ -197,8 +201,11 @@
             client_state(&mut owner, conn).has_sent = true;
             prepare(client_state(&mut owner, conn));
             let connection = owner.connections.get_mut(conn).unwrap();
-            connection.write_buffer = vec![0; 2];
-            connection.written = 1 + usize::from(written);
+            connection.write_queue.push(OutgoingMessage {
+                head: vec![0; 2],
+                body: Bytes::new(),
+            });
+            connection.write_queue.advance(1 + usize::from(written));
             close_some(&mut owner);
             assert_eq!(
                 owner.connections.get(conn).is_some(),
--- a/crates/platform/src/run/reader.rs
+++ b/crates/platform/src/run/reader.rs
@@ -2,9 +2,12 @@
 //!
 //! A reader receives bytes from its socket and sends them to the owner as [`OwnerEvent`]s. The
 //! [`ReadGate`] counts the bytes that the reader has read and the owner has not processed. If they
-//! exceed [`MAX_UNPROCESSED_BYTES`] after a read, the reader waits.
+//! exceed [`MAX_UNPROCESSED_BYTES`] after a read, the reader waits. It also waits for the memory of a
+//! read, which it reserves in the process's memory budget.
 
+use super::shared_budget::SharedBudget;
 use super::socket::{pending_input, PendingInput};
+use grebecleat_host::memory_budget::PeerKind;
 use grebecleat_host::router::ConnId;
 use grebecleat_wire::clock;
 use may::go;
@@ -17,8 +20,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Maximum number of bytes of a first read. A larger value takes more of the coroutine's stack; a
-/// smaller one costs more reads.
+/// Maximum number of bytes of a first read. A larger value reserves more memory for each read; a smaller
+/// one costs more reads.
 const FIRST_READ_SIZE: usize = 4 << 10;
 /// Maximum number of bytes of the second read, which follows a full first read without waiting. A
 /// larger value takes more memory for each event; a smaller one costs more events.
@@ -40,7 +43,11 @@
         conn: ConnId,
         at: Duration,
         bytes: Vec<u8>,
+        /// Number of bytes of the memory budget that are released once the event is processed.
+        charged: usize,
     },
+    /// A reader waits for memory.
+    ReadWaits,
     /// A reader has ended. The event carries the stream, so that the operating system cannot reuse its
     /// descriptor before the owner has dropped it.
     Ended { conn: ConnId, stream: TcpStream },
@@ -64,11 +71,55 @@
     /// Number of bytes that were read and that the owner has not processed yet.
     pub(super) unprocessed: usize,
     closed: bool,
+    /// Whether the reader must not read although the connection is open.
+    paused: bool,
+    /// Whether the reader waits for memory, or has been granted it and has not read yet.
+    awaits_memory: bool,
+    /// Whether memory was granted to the waiting reader.
+    granted: bool,
+}
+
+impl ReadState {
+    /// Receives once, and a second time if the buffer was filled and more memory is free. `reserved` is
+    /// the number of bytes that are reserved for it.
+    fn receive(
+        &mut self,
+        fd: RawFd,
+        budget: &SharedBudget,
+        reserved: &mut usize,
+    ) -> io::Result<ReadOutcome> {
+        if self.closed {
+            return Ok(ReadOutcome::End);
+        }
+        if self.paused {
+            return Ok(ReadOutcome::Paused);
+        }
+        // The buffer is not on the stack, which would keep its pages for as long as the connection is open.
+        let mut bytes = vec![0; FIRST_READ_SIZE];
+        let received = receive_now(fd, &mut bytes)?;
+        if received == 0 {
+            return Ok(ReadOutcome::End);
+        }
+        bytes.truncate(received);
+        bytes.shrink_to_fit();
+        if received == FIRST_READ_SIZE && budget.lock().extend_read(EXTRA_READ_SIZE) {
+            *reserved += EXTRA_READ_SIZE;
+            // Reading the rest of a large message at once costs less than many small events.
+            read_more(fd, &mut bytes);
+        }
+        self.unprocessed += bytes.len();
+        Ok(ReadOutcome::Bytes { bytes, charged: 0 })
+    }
 }
 
 /// The result of one read.
 enum ReadOutcome {
-    Bytes(Vec<u8>),
+    Bytes {
+        bytes: Vec<u8>,
+        /// Number of bytes charged to the memory budget.
+        charged: usize,
+    },
+    Paused,
     WouldBlock,
     End,
 }
@@ -85,40 +136,30 @@
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
 
-    fn read(&self, fd: RawFd, buffer: &mut [u8; FIRST_READ_SIZE]) -> ReadOutcome {
+    /// Reads once; [`FIRST_READ_SIZE`] bytes of the budget are reserved for it.
+    fn read(&self, fd: RawFd, budget: &SharedBudget) -> ReadOutcome {
         let mut state = self.lock();
-        if state.closed {
-            return ReadOutcome::End;
-        }
-        // SAFETY: the pointer and the length are of one live slice; the caller owns the descriptor.
-        let received = unsafe {
-            libc::recv(
-                fd,
-                buffer.as_mut_ptr().cast(),
-                FIRST_READ_SIZE,
-                libc::MSG_DONTWAIT,
-            )
-        };
-        match usize::try_from(received) {
-            Ok(0) => ReadOutcome::End,
-            Ok(received) => {
-                let mut bytes = buffer[..received].to_vec();
-                if received == FIRST_READ_SIZE {
-                    // Reading the rest of a large message at once costs less than many small events.
-                    read_more(fd, &mut bytes);
-                }
-                state.unprocessed += bytes.len();
-                ReadOutcome::Bytes(bytes)
-            }
-            Err(_) => match io::Error::last_os_error().kind() {
-                io::ErrorKind::WouldBlock => ReadOutcome::WouldBlock,
+        let mut reserved = FIRST_READ_SIZE;
+        let outcome = loop {
+            match state.receive(fd, budget, &mut reserved) {
                 // Waiting now could block forever, since the system has already reported the event.
-                io::ErrorKind::Interrupted => {
-                    drop(state);
-                    self.read(fd, buffer)
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    break ReadOutcome::WouldBlock
                 }
-                _ => ReadOutcome::End,
-            },
+                Err(_) => break ReadOutcome::End,
+                Ok(outcome) => break outcome,
+            }
+        };
+        let received = match &outcome {
+            ReadOutcome::Bytes { bytes, .. } => bytes.len(),
+            _ => 0,
+        };
+        let charged = budget.lock().finish_read(reserved, received);
+        state.awaits_memory = false;
+        match outcome {
+            ReadOutcome::Bytes { bytes, .. } => ReadOutcome::Bytes { bytes, charged },
+            other => other,
         }
     }
 
@@ -157,9 +198,56 @@
         false
     }
 
+    /// Makes the reader wait, unless bytes were read that the owner has not processed. Returns whether it
+    /// waits.
+    pub(super) fn pause_if_processed(&self) -> bool {
+        let mut state = self.lock();
+        state.paused = state.unprocessed == 0;
+        state.paused
+    }
+
+    /// Lets a paused reader go on.
+    pub(super) fn resume(&self) {
+        self.lock().paused = false;
+        self.wake.post();
+    }
+
+    /// Lets a reader that waits for memory go on. The memory of its read is reserved.
+    pub(super) fn grant_memory(&self) {
+        self.lock().granted = true;
+        self.wake.post();
+    }
+
+    /// Returns whether bytes may be in the socket that the reader could not read for lack of memory, or
+    /// bytes were read that the owner has not processed.
+    pub(super) fn is_behind(&self) -> bool {
+        let state = self.lock();
+        state.awaits_memory || state.unprocessed > 0
+    }
+
+    fn expect_memory(&self) {
+        self.lock().awaits_memory = true;
+    }
+
+    /// Waits until memory is granted. Returns `false` if the connection is closed first.
+    fn wait_for_memory(&self) -> bool {
+        loop {
+            let mut state = self.lock();
+            if std::mem::take(&mut state.granted) {
+                return true;
+            }
+            if state.closed {
+                return false;
+            }
+            drop(state);
+            self.wake.wait();
+        }
+    }
+
     fn wait_for_owner(&self) {
         let must_wait = |state: MutexGuard<ReadState>| {
-            state.unprocessed > MAX_UNPROCESSED_BYTES && !state.closed
+            let may_read = !state.paused && state.unprocessed <= MAX_UNPROCESSED_BYTES;
+            !may_read && !state.closed
         };
         while must_wait(self.lock()) {
             self.wake.wait();
@@ -171,49 +259,80 @@
 fn read_more(fd: RawFd, bytes: &mut Vec<u8>) {
     let before = bytes.len();
     bytes.resize(before + EXTRA_READ_SIZE, 0);
-    let rest = &mut bytes[before..];
-    // SAFETY: the pointer and the length are of one live slice; the caller owns the descriptor.
-    let received =
-        unsafe { libc::recv(fd, rest.as_mut_ptr().cast(), rest.len(), libc::MSG_DONTWAIT) };
-    bytes.truncate(before + usize::try_from(received).unwrap_or(0));
+    let received = receive_now(fd, &mut bytes[before..]).unwrap_or(0);
+    bytes.truncate(before + received);
     bytes.shrink_to_fit();
 }
 
-fn read_until_end(
-    stream: TcpStream,
-    conn: ConnId,
-    gate: &ReadGate,
-    event_sender: &Sender<OwnerEvent>,
-) {
-    let mut buffer = [0; FIRST_READ_SIZE];
-    loop {
-        match gate.read(stream.as_raw_fd(), &mut buffer) {
-            ReadOutcome::WouldBlock => _ = stream.wait_io(),
-            ReadOutcome::End => break,
-            ReadOutcome::Bytes(bytes) => {
-                let read = OwnerEvent::Read {
-                    conn,
-                    at: clock::now(),
-                    bytes,
-                };
-                if event_sender.send(read).is_err() {
-                    break;
+fn receive_now(fd: RawFd, buffer: &mut [u8]) -> io::Result<usize> {
+    // SAFETY: the pointer and the length are of one live slice; the caller owns the descriptor.
+    let received = unsafe {
+        libc::recv(
+            fd,
+            buffer.as_mut_ptr().cast(),
+            buffer.len(),
+            libc::MSG_DONTWAIT,
+        )
+    };
+    usize::try_from(received).map_err(|_| io::Error::last_os_error())
+}
+
+/// One connection's reader.
+pub(super) struct Reader {
+    pub(super) conn: ConnId,
+    pub(super) peer: PeerKind,
+    pub(super) gate: Arc<ReadGate>,
+    pub(super) budget: SharedBudget,
+    pub(super) event_sender: Sender<OwnerEvent>,
+}
+
+impl Reader {
+    /// Starts the coroutine that reads a connection until its end.
+    pub(super) fn start(self, stream: TcpStream) {
+        go!(move || self.read_until_end(stream));
+    }
+
+    fn read_until_end(self, stream: TcpStream) {
+        loop {
+            self.gate.wait_for_owner();
+            if !self.reserve_read() {
+                break;
+            }
+            match self.gate.read(stream.as_raw_fd(), &self.budget) {
+                ReadOutcome::Paused => {}
+                ReadOutcome::WouldBlock => _ = stream.wait_io(),
+                ReadOutcome::End => break,
+                ReadOutcome::Bytes { bytes, charged } => {
+                    let read = OwnerEvent::Read {
+                        conn: self.conn,
+                        at: clock::now(),
+                        bytes,
+                        charged,
+                    };
+                    if self.event_sender.send(read).is_err() {
+                        break;
+                    }
                 }
-                gate.wait_for_owner();
             }
         }
+        let conn = self.conn;
+        let _ = self.event_sender.send(OwnerEvent::Ended { conn, stream });
     }
-    let _ = event_sender.send(OwnerEvent::Ended { conn, stream });
-}
 
-/// Starts the coroutine that reads a connection until its end.
-pub(super) fn start_reader(
-    stream: TcpStream,
-    conn: ConnId,
-    gate: Arc<ReadGate>,
-    event_sender: Sender<OwnerEvent>,
-) {
-    go!(move || read_until_end(stream, conn, &gate, &event_sender));
+    /// Reserves the memory of a first read, and waits for it if necessary. Returns `false` if the
+    /// connection is closed meanwhile.
+    fn reserve_read(&self) -> bool {
+        self.gate.expect_memory();
+        let mut budget = self.budget.lock();
+        let is_granted = budget.request_read(self.conn, self.peer, FIRST_READ_SIZE);
+        drop(budget);
+        if is_granted {
+            return true;
+        }
+        // Wakes the owner, which grants the read once memory is free.
+        let _ = self.event_sender.send(OwnerEvent::ReadWaits);
+        self.gate.wait_for_memory()
+    }
 }
 
 #[cfg(test)]
--- a/crates/platform/src/run/reader/tests.rs
+++ b/crates/platform/src/run/reader/tests.rs
@@ -2,6 +2,15 @@
 use std::io::Write;
 use std::os::unix::net::UnixStream;
 
+fn read(gate: &ReadGate, fd: RawFd) -> ReadOutcome {
+    let budget = SharedBudget::new(1 << 20);
+    let is_granted = budget
+        .lock()
+        .request_read(ConnId(1), PeerKind::Client, FIRST_READ_SIZE);
+    assert!(is_granted);
+    gate.read(fd, &budget)
+}
+
 /// An idle connection is not closed while the socket holds bytes of the client, or while the owner has
 /// not processed all bytes that were read: closing it would lose them. After the close, no bytes are
 /// read.
@@ -19,7 +28,6 @@
         processes,
         ends,
     };
-    let mut buffer = [0; FIRST_READ_SIZE];
     for Case {
         sends,
         reads,
@@ -39,8 +47,8 @@
             client.write_all(b"hello").unwrap();
         }
         if reads {
-            let outcome = gate.read(fd, &mut buffer);
-            assert!(matches!(outcome, ReadOutcome::Bytes(bytes) if bytes == b"hello"));
+            let outcome = read(&gate, fd);
+            assert!(matches!(outcome, ReadOutcome::Bytes { bytes, .. } if bytes == b"hello"));
         }
         if processes {
             gate.consumed(5);
@@ -58,7 +66,7 @@
         if idle && !ends {
             client.write_all(b"late").unwrap();
             assert!(
-                matches!(gate.read(fd, &mut buffer), ReadOutcome::End),
+                matches!(read(&gate, fd), ReadOutcome::End),
                 "bytes sent after the close must not be read"
             );
         }
--- a/crates/platform/src/run/statistics_log.rs
+++ b/crates/platform/src/run/statistics_log.rs
@@ -4,6 +4,7 @@
 
 use super::connection_table::ConnectionTable;
 use super::memory_usage::MemoryUsage;
+use super::shared_budget::SharedBudget;
 use super::wall_clock::unix_ms;
 use crate::config::Config;
 use crate::statistics::StatisticsReporter;
@@ -36,15 +37,21 @@
         now: Duration,
         router: &mut RequestRouter,
         connections: &ConnectionTable,
+        budget: &SharedBudget,
     ) {
         if now >= self.next_at {
             self.next_at = now + INTERVAL;
-            self.write(router, connections);
+            self.write(router, connections, budget);
         }
     }
 
     /// Writes the lines.
-    pub(super) fn write(&mut self, router: &mut RequestRouter, connections: &ConnectionTable) {
+    pub(super) fn write(
+        &mut self,
+        router: &mut RequestRouter,
+        connections: &ConnectionTable,
+        budget: &SharedBudget,
+    ) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
@@ -55,6 +62,6 @@
             .reporter
             .line(second, counters, scheduler, &self.class_names);
         tracing::debug!("{line}");
-        tracing::debug!("{}", MemoryUsage::measure(connections));
+        tracing::debug!("{}", MemoryUsage::measure(connections, budget));
     }
 }
--- a/crates/platform/src/run/sweep.rs
+++ b/crates/platform/src/run/sweep.rs
@@ -115,6 +115,8 @@
 fn expiry(conn: ConnId, connection: &Connection, discovery: &DiscoveryPort) -> Expiry {
     match &connection.role {
         Role::Node(_) if connection.read_buffer.is_empty() => Expiry::Never,
+        // The rest of the response may be in the socket.
+        Role::Node(_) if connection.gate.is_behind() => Expiry::Never,
         Role::Node(_) => Expiry::Malformed(connection.last_read_at + RESPONSE_STALL_TIMEOUT),
         Role::Client(client) => client_expiry(connection, client),
         Role::Discovery => {
