Return freed memory to the operating system once the peers that used it have gone

Callers saw: a host that had held much for its clients kept the memory after they had gone, and was priced or killed for it later.

Cause: glibc raises the size from which it maps a block on its own as such blocks are freed, so that later buffers of 64 KiB come from the heap; the heap shrinks at its end only, and each thread has one of its own. Seen: 28 clients with 2.1 MB in their buffers, 44.3 MB free in the heap.

Change: fixed thresholds and one heap, and the heap's free pages are returned at most once a second when the budget's use has fallen by 512 KiB.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -14,11 +14,13 @@
 //! Memory: a connection takes its coroutine's stack and a record. Everything else that its peer can make
 //! this process hold counts in one budget (`grebecleat_host::memory_budget`), whose size
 //! [`crate::config::MemoryLimits`] derives from the memory limit. The readers reserve the memory of a
-//! read before they read; `owner::memory` turns clients away when the budget is used up.
+//! read before they read; `owner::memory` turns clients away when the budget is used up; `allocator`
+//! returns freed memory to the operating system.
 //!
 //! Timeouts: no `may` timer is used; the owner's sweep closes connections that are slow, silent or
 //! idle.
 
+mod allocator;
 mod client_conn;
 mod client_ids;
 mod connection;
@@ -86,6 +88,7 @@
 /// address.
 pub fn run(options: Options, started: impl FnOnce(SocketAddr)) -> io::Result<Counters> {
     configure_coroutines();
+    allocator::return_freed_memory();
     let (event_sender, events) = mpsc::channel();
     // Signal handlers are installed before a peer can find this host ready.
     forward_signals(event_sender.clone())?;
--- a/crates/platform/src/run/memory_monitor.rs
+++ b/crates/platform/src/run/memory_monitor.rs
@@ -1,4 +1,5 @@
-//! Decides when the host reports that clients were turned away for memory.
+//! Decides when the host reports that clients were turned away for memory, and when freed memory is
+//! returned to the operating system.
 //!
 //! The owner calls [`MemoryMonitor::check`] at each sweep. This module performs no I/O and reads no
 //! clock.
@@ -6,26 +7,52 @@
 use grebecleat_host::memory_budget::{EvictionCounts, MemoryBudget};
 use std::time::Duration;
 
-/// Time between two reports.
+/// Time between two reports, and between two returns of memory.
 const INTERVAL: Duration = Duration::from_millis(1000);
+/// Number of bytes by which the budget's use must have fallen before free memory is returned. A larger
+/// value leaves more memory with the process; a smaller one costs CPU time.
+const MIN_FREED_BYTES: usize = 512 << 10;
 
-/// The state of the reports.
+/// What is due now.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(super) struct MemoryChecks {
+    /// The clients that were turned away since the last report, if they must be reported.
+    pub(super) report: Option<EvictionCounts>,
+    /// Whether free memory must be returned to the operating system.
+    pub(super) trims: bool,
+}
+
+/// The state of the reports and of the returns.
 #[derive(Debug, Default)]
 pub(super) struct MemoryMonitor {
     check_at: Duration,
     reported: EvictionCounts,
+    /// Highest use of the budget since memory was last returned.
+    highest: usize,
 }
 
 impl MemoryMonitor {
-    /// Returns the clients that were turned away since the last report, if they must be reported.
-    pub(super) fn check(&mut self, now: Duration, budget: &MemoryBudget) -> Option<EvictionCounts> {
+    /// Returns what is due at `now`.
+    pub(super) fn check(&mut self, now: Duration, budget: &MemoryBudget) -> MemoryChecks {
+        let used = budget.held().total() + budget.read_ahead();
+        self.highest = self.highest.max(used);
         if now < self.check_at {
-            return None;
+            return MemoryChecks::default();
         }
         self.check_at = now + INTERVAL;
+        let trims = self.highest >= used + MIN_FREED_BYTES;
+        if trims {
+            self.highest = used;
+        }
         let evicted = budget.evicted();
         let since = evicted.since(&self.reported);
         self.reported = evicted;
-        (since.total() > 0).then_some(since)
+        MemoryChecks {
+            report: (since.total() > 0).then_some(since),
+            trims,
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/run/owner/memory.rs
+++ b/crates/platform/src/run/owner/memory.rs
@@ -2,6 +2,7 @@
 //! much, and lets waiting readers go on when memory is free.
 
 use super::Owner;
+use crate::run::allocator;
 use crate::run::client_conn;
 use crate::run::connection::{CloseReason, Role};
 use grebecleat_host::memory_budget::{Eviction, EvictionCounts};
@@ -75,11 +76,14 @@
         }
     }
 
-    /// Reports the clients that were turned away.
+    /// Reports the clients that were turned away, and returns freed memory to the operating system.
     pub(super) fn check_memory(&mut self, now: Duration) {
         self.relieve_memory();
-        let report = self.memory_monitor.check(now, &self.budget.lock());
-        if let Some(evicted) = report {
+        let checks = self.memory_monitor.check(now, &self.budget.lock());
+        if checks.trims {
+            allocator::trim();
+        }
+        if let Some(evicted) = checks.report {
             self.report_evictions(evicted);
         }
     }
