Forget idle volumes that only requests have named; reject new names beyond a bound

Callers saw: a host on the platform whose clients name ever new volumes grows for good, until the platform ends it for its memory.

Cause: the scheduler kept a record with token buckets for every volume that a request had ever named. A request may name any 64-bit volume.

Change: of the volumes known from requests alone, those with a request or a flow are kept, and the 4,096 others requested last. A request that names one more than 16,384 is rejected on arrival with Retry-After. A volume that is named again starts with an empty bucket of its limit, so no limit is exceeded. Volumes that the catalog or the settings define are not affected.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -27,6 +27,8 @@
     pub bytes: usize,
     /// Whether the host is shutting down.
     pub draining: bool,
+    /// Whether the host remembers as many volumes as it may, and not the one of the request.
+    pub volumes_full: bool,
 }
 
 /// A reason to refuse a request.
@@ -38,6 +40,8 @@
     Open,
     /// With this request, the open requests would exceed their bound in bytes.
     Bytes,
+    /// The number of volumes that requests have named recently has reached its bound.
+    Volumes,
 }
 
 impl Refusal {
@@ -45,7 +49,7 @@
     pub fn retry_after(self) -> Duration {
         match self {
             Refusal::Draining => RETRY_DRAINING,
-            Refusal::Open | Refusal::Bytes => RETRY_OVERLOADED,
+            Refusal::Open | Refusal::Bytes | Refusal::Volumes => RETRY_OVERLOADED,
         }
     }
 }
@@ -58,11 +62,13 @@
 /// # let text = "zone(name='a')\nplan(name='p', rate=1)\nhost(name='h')\n".to_string()
 /// #     + "stream_type(name='r', slo=ms(1), expiry=ms(2))\nbounds(most_open=2, most_held_bytes=100)";
 /// let bounds = Settings::read("x.star".as_ref(), text).unwrap().bounds;
-/// let load = |open, bytes, draining| Load { open, bytes, draining };
+/// let load = |open, bytes, draining| Load { open, bytes, draining, ..Load::default() };
 /// assert_eq!(admit(load(1, 40, false), 60, &bounds), Ok(()));
 /// assert_eq!(admit(load(2, 40, false), 60, &bounds), Err(Refusal::Open));
 /// assert_eq!(admit(load(1, 41, false), 60, &bounds), Err(Refusal::Bytes));
 /// assert_eq!(admit(load(0, 0, true), 0, &bounds), Err(Refusal::Draining));
+/// let volumes_full = Load { volumes_full: true, ..Load::default() };
+/// assert_eq!(admit(volumes_full, 0, &bounds), Err(Refusal::Volumes));
 /// ```
 pub fn admit(load: Load, bytes: usize, bounds: &Bounds) -> Result<(), Refusal> {
     if load.draining {
@@ -74,5 +80,8 @@
     if load.bytes + bytes > bounds.max_held_bytes {
         return Err(Refusal::Bytes);
     }
+    if load.volumes_full {
+        return Err(Refusal::Volumes);
+    }
     Ok(())
 }
--- a/crates/host/src/router/requests.rs
+++ b/crates/host/src/router/requests.rs
@@ -90,6 +90,9 @@
             open: self.clients.request_count(),
             bytes: self.clients.request_bytes(),
             draining: self.shutdown.has_begun(),
+            volumes_full: !self
+                .scheduler
+                .has_place_for_volume(VolumeId(message.volume)),
         };
         if let Err(refusal) = admit(load, request_bytes(&message), self.host.bounds()) {
             return self.reject_on_arrival(conn, message, refusal);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -296,6 +296,7 @@
         self.slow_start.update(self.nodes.values_mut(), now);
         self.retries.expire(now);
         self.remove_retired_volumes();
+        self.forget_idle_volumes(&demands);
         self.latency.decay();
         true
     }
@@ -328,6 +329,17 @@
         }
     }
 
+    /// Bounds the number of volumes that clients can make this host remember. A volume is in use while it has
+    /// a request or a flow.
+    fn forget_idle_volumes(&mut self, demands: &VolumeDemands) {
+        if !self.volumes.has_excess() {
+            return;
+        }
+        let open = self.requests.volumes();
+        self.volumes
+            .forget_idle(|id| open.contains(id) || demands.contains_key(id));
+    }
+
     fn remove_retired_volumes(&mut self) {
         if !self.volumes.has_retired() {
             return;
--- a/crates/scheduler/src/scheduler/introspection.rs
+++ b/crates/scheduler/src/scheduler/introspection.rs
@@ -50,6 +50,17 @@
 }
 
 impl Scheduler {
+    /// Returns the number of volumes that this host remembers.
+    pub fn volume_count(&self) -> usize {
+        self.volumes.len()
+    }
+
+    /// Returns whether a request may name this volume. Otherwise this host remembers as many volumes as it
+    /// may, and the request must be rejected.
+    pub fn has_place_for_volume(&self, id: VolumeId) -> bool {
+        self.volumes.has_place_for(id)
+    }
+
     /// Returns the metrics of all nodes that the endpoint list has ever named.
     pub fn nodes(&self) -> impl Iterator<Item = NodeMetrics> + '_ {
         self.nodes.values().map(node_metrics)
--- a/crates/scheduler/src/scheduler/request_flow.rs
+++ b/crates/scheduler/src/scheduler/request_flow.rs
@@ -21,7 +21,7 @@
         let now = self.clock.now();
         let class = self.settings.class(&request);
         let plan = self.settings.plan(request.plan);
-        self.volumes.ensure(request.volume, || {
+        self.volumes.requested(request.volume, || {
             let terms = VolumeTerms::even(request.plan, plan, request.hosts);
             Volume::new(terms, plan.reservation)
         });
