Return freed memory when the use of the heap has fallen, whatever used it

The trim was triggered by the budget alone, so memory of the router's and the scheduler's state stayed with the process: 13,516 kB after the flood of volume names, its clients idle.

--- a/crates/platform/src/run/allocator.rs
+++ b/crates/platform/src/run/allocator.rs
@@ -34,3 +34,32 @@
         libc::malloc_trim(0);
     }
 }
+
+/// The allocator's figures, in bytes.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct HeapBytes {
+    /// Bytes of the heap in allocated blocks.
+    pub(super) in_use: usize,
+    /// Bytes of the heap in free blocks.
+    pub(super) free: usize,
+    /// Bytes of blocks that are mapped on their own.
+    pub(super) mapped: usize,
+}
+
+impl HeapBytes {
+    #[cfg(target_env = "gnu")]
+    pub(super) fn measure() -> Self {
+        // SAFETY: the function takes no arguments and only reads the allocator's state.
+        let info = unsafe { libc::mallinfo2() };
+        HeapBytes {
+            in_use: info.uordblks,
+            free: info.fordblks,
+            mapped: info.hblkhd,
+        }
+    }
+
+    #[cfg(not(target_env = "gnu"))]
+    pub(super) fn measure() -> Self {
+        HeapBytes::default()
+    }
+}
--- a/crates/platform/src/run/memory_monitor.rs
+++ b/crates/platform/src/run/memory_monitor.rs
@@ -9,7 +9,7 @@
 
 /// Time between two reports, and between two returns of memory.
 const INTERVAL: Duration = Duration::from_millis(1000);
-/// Number of bytes by which the budget's use must have fallen before free memory is returned. A larger
+/// Number of bytes by which the use of the heap must have fallen before free memory is returned. A larger
 /// value leaves more memory with the process; a smaller one costs CPU time.
 const MIN_FREED_BYTES: usize = 512 << 10;
 
@@ -27,19 +27,25 @@
 pub(super) struct MemoryMonitor {
     check_at: Duration,
     reported: EvictionCounts,
-    /// Highest use of the budget since memory was last returned.
+    /// Highest number of bytes in use in the heap since free memory was last returned.
     highest: usize,
 }
 
 impl MemoryMonitor {
-    /// Returns what is due at `now`.
-    pub(super) fn check(&mut self, now: Duration, budget: &MemoryBudget) -> MemoryChecks {
-        let used = budget.held().total() + budget.read_ahead();
-        self.highest = self.highest.max(used);
+    /// Returns what is due at `now`. `heap_in_use` returns the number of bytes in use in the heap; it is
+    /// called once in an interval.
+    pub(super) fn check(
+        &mut self,
+        now: Duration,
+        heap_in_use: impl FnOnce() -> usize,
+        budget: &MemoryBudget,
+    ) -> MemoryChecks {
         if now < self.check_at {
             return MemoryChecks::default();
         }
         self.check_at = now + INTERVAL;
+        let used = heap_in_use();
+        self.highest = self.highest.max(used);
         let trims = self.highest >= used + MIN_FREED_BYTES;
         if trims {
             self.highest = used;
--- a/crates/platform/src/run/memory_usage.rs
+++ b/crates/platform/src/run/memory_usage.rs
@@ -4,6 +4,7 @@
 //! operating system. The allocator's bytes in use that the budget does not count are the state of the
 //! scheduler and the router; its free bytes are fragmentation.
 
+use super::allocator::HeapBytes;
 use super::connection_table::ConnectionTable;
 use super::shared_budget::SharedBudget;
 use grebecleat_host::memory_budget::{EvictionCounts, HeldBytes};
@@ -12,32 +13,6 @@
 /// The file in which Linux reports the memory of a process.
 const STATUS_FILE: &str = "/proc/self/status";
 
-/// The allocator's figures, in bytes.
-#[derive(Debug, Default)]
-struct HeapBytes {
-    in_use: usize,
-    free: usize,
-    mapped: usize,
-}
-
-impl HeapBytes {
-    #[cfg(target_env = "gnu")]
-    fn measure() -> Self {
-        // SAFETY: the function takes no arguments and only reads the allocator's state.
-        let info = unsafe { libc::mallinfo2() };
-        HeapBytes {
-            in_use: info.uordblks,
-            free: info.fordblks,
-            mapped: info.hblkhd,
-        }
-    }
-
-    #[cfg(not(target_env = "gnu"))]
-    fn measure() -> Self {
-        HeapBytes::default()
-    }
-}
-
 /// What the memory of this process is used for at one time.
 #[derive(Debug)]
 pub(super) struct MemoryUsage {
--- a/crates/platform/src/run/owner/memory.rs
+++ b/crates/platform/src/run/owner/memory.rs
@@ -2,7 +2,7 @@
 //! much, and lets waiting readers go on when memory is free.
 
 use super::Owner;
-use crate::run::allocator;
+use crate::run::allocator::{self, HeapBytes};
 use crate::run::client_conn;
 use crate::run::connection::{CloseReason, Role};
 use grebecleat_host::memory_budget::{Eviction, EvictionCounts};
@@ -79,7 +79,10 @@
     /// Reports the clients that were turned away, and returns freed memory to the operating system.
     pub(super) fn check_memory(&mut self, now: Duration) {
         self.relieve_memory();
-        let checks = self.memory_monitor.check(now, &self.budget.lock());
+        let heap_in_use = || HeapBytes::measure().in_use;
+        let checks = self
+            .memory_monitor
+            .check(now, heap_in_use, &self.budget.lock());
         if checks.trims {
             allocator::trim();
         }
