--- a/crates/platform/src/config/memory.rs
+++ b/crates/platform/src/config/memory.rs
@@ -34,7 +34,7 @@
     /// ```
     /// use grebecleat_platform::config::{Descriptors, MemoryLimits};
     /// let limits = MemoryLimits::of(32 << 20, &Descriptors::of(1024));
-    /// assert_eq!((limits.budget >> 10, limits.is_sufficient), (3294, true));
+    /// assert_eq!((limits.budget >> 10, limits.is_sufficient), (3216, true));
     /// let limits = MemoryLimits::of(16 << 20, &Descriptors::of(1024));
     /// assert_eq!((limits.budget >> 10, limits.is_sufficient), (1024, false));
     /// ```
