--- a/crates/platform/src/run/client_conn.rs
+++ b/crates/platform/src/run/client_conn.rs
@@ -229,3 +229,6 @@
     let is_new = !client.has_sent && now < connection.opened_at + NEW_CLIENT_GRACE_PERIOD;
     has_begun || is_new || !connection.gate.is_quiet(connection.fd)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -414,3 +414,30 @@
         assert_eq!(owner.connections.get(conn).is_some(), written, "{what}");
     }
 }
+
+/// A node whose reader waits for memory is not silent: its response is not taken for malformed.
+#[test]
+fn a_response_that_waits_for_memory_is_not_treated_as_stalled() {
+    let mut owner = owner();
+    let (ours, _theirs) = UnixStream::pair().unwrap();
+    let conn = ConnId(7);
+    let role = Role::Node(NodeExchange::Attempt(1));
+    let gate = ReadGate::new();
+    owner
+        .connections
+        .add(conn, role, ours.as_raw_fd(), gate.clone(), Duration::ZERO);
+    let connection = owner.connections.get_mut(conn).unwrap();
+    connection.buffer_received(b"HTTP/1.1 200 OK\r\n");
+    let phase = ShutdownPhase {
+        is_requested: false,
+        closes_after_response: false,
+    };
+    let stalled = |owner: &Owner| {
+        let expired = Expired::find(&owner.connections, &owner.discovery, ms(10_000), phase);
+        expired.malformed
+    };
+    gate.lock().unprocessed = 1;
+    assert_eq!(stalled(&owner), []);
+    gate.lock().unprocessed = 0;
+    assert_eq!(stalled(&owner), [conn]);
+}
