--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Begin with [`router`], which carries requests, attempts and connections between the sockets and
 //! the scheduler. The other modules own the decisions that this package makes itself:
-//! [`admission`], [`pool`], [`process_pause`], [`observations`], [`config_follower`],
-//! [`quota_sharing`] and [`metrics`]. [`grebecleat_discovery`] owns the endpoint list. None of them
+//! [`admission`], [`memory_budget`], [`pool`], [`process_pause`], [`observations`],
+//! [`config_follower`], [`quota_sharing`] and [`metrics`]. [`grebecleat_discovery`] owns the endpoint list. None of them
 //! reads sockets or clocks, so that a test or an emulator can step them. [`outbox`] is the boundary to
 //! the sockets; [`server`] owns the sockets, on `may` coroutines. [`log_event`] writes the log. Nothing
 //! here chooses the node of a request: only [`grebecleat_scheduler::scheduler`] does.
