A node that has sent nothing does not keep the nodes' privilege to go on

Beyond the nodes' part of the budget one node may go on until its response is complete. A reader that had only waited for a response could get this privilege and kept it, so that partial responses of all other nodes waited until the deadlines of their requests ended them. Found by reading; the new test fails without the change (no read is granted).

--- a/crates/host/src/memory_budget.rs
+++ b/crates/host/src/memory_budget.rs
@@ -239,7 +239,11 @@
 
     /// Records that a read has taken `received` of the bytes that were reserved for it. Returns the
     /// number of bytes that count until they are processed.
-    pub fn finish_read(&mut self, reserved: usize, received: usize) -> usize {
+    pub fn finish_read(&mut self, conn: ConnId, reserved: usize, received: usize) -> usize {
+        if received == 0 && !self.connections.contains_key(&conn) {
+            // A node without a response must not keep the others waiting.
+            self.end_privilege(conn);
+        }
         let charged = if received == 0 {
             0
         } else {
@@ -270,8 +274,8 @@
         self.held.subtract(&record.held);
         self.held.add(&held);
         record.held = held;
-        if held.node_message == 0 && self.privileged_node == Some(conn) {
-            self.privileged_node = None;
+        if held.node_message == 0 {
+            self.end_privilege(conn);
         }
         self.note_peak();
     }
@@ -286,6 +290,10 @@
         if let Some(record) = self.connections.remove(&conn) {
             self.held.subtract(&record.held);
         }
+        self.end_privilege(conn);
+    }
+
+    fn end_privilege(&mut self, conn: ConnId) {
         if self.privileged_node == Some(conn) {
             self.privileged_node = None;
         }
--- a/crates/host/src/memory_budget/tests.rs
+++ b/crates/host/src/memory_budget/tests.rs
@@ -130,19 +130,34 @@
     assert!(!budget.has_waiting());
 }
 
+/// Guards against an idle node that keeps the privilege to go on: the next node that waits gets it.
+#[test]
+fn a_node_that_has_sent_nothing_does_not_keep_the_others_waiting() {
+    let mut budget = MemoryBudget::new(LIMIT);
+    budget.set(ConnId(1), from_node(LIMIT / 4), ms(0), true);
+    assert!(budget.request_read(ConnId(2), PeerKind::Node, READ));
+    assert!(!budget.request_read(ConnId(1), PeerKind::Node, READ));
+    assert_eq!(budget.finish_read(ConnId(2), READ, 0), 0);
+    let grant = ReadGrant {
+        conn: ConnId(1),
+        bytes: READ,
+    };
+    assert_eq!(budget.take_grants(), [grant]);
+}
+
 /// Guards against a queue of unprocessed reads without a bound, also if each read is of one byte.
 #[test]
 fn unprocessed_reads_of_one_byte_count_with_their_bookkeeping_and_stop_at_their_part() {
     let mut budget = MemoryBudget::new(LIMIT);
     let mut reads = 0;
     while budget.request_read(ConnId(1), PeerKind::Client, READ) {
-        let charged = budget.finish_read(READ, 1);
+        let charged = budget.finish_read(ConnId(1), READ, 1);
         assert!(charged > 1 + size_of::<Vec<u8>>());
         reads += 1;
     }
     assert!(budget.read_ahead() <= LIMIT / READ_AHEAD_DIVISOR);
     assert!(reads < LIMIT / READ_AHEAD_DIVISOR / READ_OVERHEAD_BYTES);
-    assert_eq!(budget.finish_read(0, 0), 0);
+    assert_eq!(budget.finish_read(ConnId(1), 0, 0), 0);
     budget.processed(budget.read_ahead());
     let grant = ReadGrant {
         conn: ConnId(1),
@@ -208,7 +223,7 @@
                 continue;
             }
             let received = random.random_range(0..=READ);
-            let charged = budget.finish_read(READ, received);
+            let charged = budget.finish_read(peer.conn, READ, received);
             peer.receive(received, &mut random);
             budget.set(peer.conn, peer.held, now, received > 0);
             budget.processed(charged);
@@ -218,7 +233,7 @@
             }
             for grant in budget.take_grants() {
                 peers[grant.conn.0 as usize].is_waiting = false;
-                budget.finish_read(grant.bytes, 0);
+                budget.finish_read(grant.conn, grant.bytes, 0);
             }
             assert!(
                 budget.peak() <= LIMIT + LARGEST_RESPONSE,
--- a/crates/platform/src/run/owner/memory.rs
+++ b/crates/platform/src/run/owner/memory.rs
@@ -65,7 +65,7 @@
         let grants = self.budget.lock().take_grants();
         for grant in grants {
             let Some(connection) = self.connections.get_mut(grant.conn) else {
-                self.budget.lock().finish_read(grant.bytes, 0);
+                self.budget.lock().finish_read(grant.conn, grant.bytes, 0);
                 continue;
             };
             if let Role::Node(_) = connection.role {
--- a/crates/platform/src/run/reader.rs
+++ b/crates/platform/src/run/reader.rs
@@ -137,7 +137,7 @@
     }
 
     /// Reads once; [`FIRST_READ_SIZE`] bytes of the budget are reserved for it.
-    fn read(&self, fd: RawFd, budget: &SharedBudget) -> ReadOutcome {
+    fn read(&self, conn: ConnId, fd: RawFd, budget: &SharedBudget) -> ReadOutcome {
         let mut state = self.lock();
         let mut reserved = FIRST_READ_SIZE;
         let outcome = loop {
@@ -155,7 +155,7 @@
             ReadOutcome::Bytes { bytes, .. } => bytes.len(),
             _ => 0,
         };
-        let charged = budget.lock().finish_read(reserved, received);
+        let charged = budget.lock().finish_read(conn, reserved, received);
         state.awaits_memory = false;
         match outcome {
             ReadOutcome::Bytes { bytes, .. } => ReadOutcome::Bytes { bytes, charged },
@@ -298,7 +298,7 @@
             if !self.reserve_read() {
                 break;
             }
-            match self.gate.read(stream.as_raw_fd(), &self.budget) {
+            match self.gate.read(self.conn, stream.as_raw_fd(), &self.budget) {
                 ReadOutcome::Paused => {}
                 ReadOutcome::WouldBlock => _ = stream.wait_io(),
                 ReadOutcome::End => break,
--- a/crates/platform/src/run/reader/tests.rs
+++ b/crates/platform/src/run/reader/tests.rs
@@ -8,7 +8,7 @@
         .lock()
         .request_read(ConnId(1), PeerKind::Client, FIRST_READ_SIZE);
     assert!(is_granted);
-    gate.read(fd, &budget)
+    gate.read(ConnId(1), fd, &budget)
 }
 
 /// An idle connection is not closed while the socket holds bytes of the client, or while the owner has
