Log once a second what the owner of a platform host spends its time on

At debug level a line `owner` states the time for copying, parsing, deciding, writing and sweeping, the time for each event and byte, and how long read events waited for the owner. Before, nothing told a slow parser from a full queue or from a slow reader.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -34,6 +34,7 @@
 mod memory_usage;
 mod node_conn;
 mod owner;
+mod owner_time;
 mod reader;
 mod request_intake;
 mod shared_budget;
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -23,6 +23,7 @@
 use super::listener::{ListenerHandle, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
 use super::memory_monitor::MemoryMonitor;
+use super::owner_time::{Activity, OwnerTime};
 use super::reader::{OwnerEvent, ReadGate, Reader};
 use super::request_intake::RequestIntake;
 use super::shared_budget::SharedBudget;
@@ -74,6 +75,7 @@
     sweep_at: Duration,
     log_limiter: LogLimiter,
     statistics: StatisticsLog,
+    time: OwnerTime,
 }
 
 impl Owner {
@@ -105,6 +107,7 @@
             sweep_at: now,
             log_limiter: LogLimiter::new(now),
             statistics: StatisticsLog::new(&config, now),
+            time: OwnerTime::default(),
             config_file,
             config,
         };
@@ -147,7 +150,10 @@
             let wait = self.time_to_wake();
             let mut handled = 0;
             if self.inputs.is_empty() && !wait.is_zero() {
-                match events.recv_timeout(wait) {
+                let began_at = clock::now();
+                let received = events.recv_timeout(wait);
+                self.spent_since(Activity::Idle, began_at);
+                match received {
                     Ok(event) => {
                         self.handle_event(event);
                         handled += 1;
@@ -165,12 +171,18 @@
             self.check_dials();
             self.step();
             self.grant_reads();
-            if clock::now() >= self.sweep_at {
+            let now = clock::now();
+            if now >= self.sweep_at {
                 self.sweep();
+                self.spent_since(Activity::Sweeping, now);
             }
             if self.shutdown_is_complete() {
-                self.statistics
-                    .write(&mut self.router, &self.connections, &self.budget);
+                self.statistics.write(
+                    &mut self.router,
+                    &self.connections,
+                    &self.budget,
+                    &mut self.time,
+                );
                 return;
             }
         }
@@ -199,11 +211,22 @@
     }
 
     fn step(&mut self) {
+        self.time.step();
         let inputs = std::mem::take(&mut self.inputs);
-        for output in self.router.step(clock::now(), inputs) {
+        let began_at = clock::now();
+        for output in self.router.step(began_at, inputs) {
             self.perform(output);
         }
+        let decided_at = self.spent_since(Activity::Deciding, began_at);
         self.flush_all();
+        self.spent_since(Activity::Writing, decided_at);
+    }
+
+    /// Accounts for an activity that began at `began_at` and ends now. Returns the time.
+    fn spent_since(&mut self, activity: Activity, began_at: Duration) -> Duration {
+        let now = clock::now();
+        self.time.spent(activity, now.saturating_sub(began_at));
+        now
     }
 
     fn perform(&mut self, output: Output) {
@@ -227,6 +250,7 @@
     }
 
     fn handle_event(&mut self, event: OwnerEvent) {
+        self.time.event();
         match event {
             OwnerEvent::Accepted { conn, fd, gate } => self.client_accepted(conn, fd, gate),
             OwnerEvent::Read {
@@ -397,8 +421,13 @@
         let router = &self.router;
         self.intake.sweep(|request| router.is_open(request));
         self.check_memory(now);
-        self.statistics
-            .write_if_due(now, &mut self.router, &self.connections, &self.budget);
+        self.statistics.write_if_due(
+            now,
+            &mut self.router,
+            &self.connections,
+            &self.budget,
+            &mut self.time,
+        );
     }
 
     /// Closes clients' connections to free slots, see [`eviction`].
--- a/crates/platform/src/run/owner/receive.rs
+++ b/crates/platform/src/run/owner/receive.rs
@@ -10,6 +10,7 @@
 use crate::run::connection::{ClientExchange, ClientState, CloseReason, Role};
 use crate::run::discovery_port::{is_refusal, DiscoveryResponse};
 use crate::run::node_conn::{self, NodeResponse, ResponseError};
+use crate::run::owner_time::Activity;
 use crate::run::reader::ReadGate;
 use crate::run::request_intake::ParsedRequest;
 use crate::run::socket::{pending_input, PendingInput};
@@ -35,23 +36,30 @@
     }
 
     pub(super) fn handle_read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
+        let began_at = clock::now();
+        self.time.read(bytes.len(), began_at.saturating_sub(at));
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
         connection.gate.consumed(bytes.len());
         match connection.role {
             Role::Client(_) => match client_conn::receive(connection, at, bytes) {
-                Received::Buffered => self.advance_client(conn, at),
+                Received::Buffered => {
+                    self.spent_since(Activity::Copying, began_at);
+                    self.advance_client(conn, at);
+                }
                 Received::Discarded => {}
                 Received::Close(reason) => self.connection_lost(conn, reason),
             },
             Role::Node(_) => {
                 connection.last_read_at = at;
                 connection.buffer_received(bytes);
+                self.spent_since(Activity::Copying, began_at);
                 self.handle_node_bytes(conn, at);
             }
             Role::Discovery => {
                 connection.buffer_received(bytes);
+                self.spent_since(Activity::Copying, began_at);
                 self.handle_discovery_bytes(conn);
             }
         }
@@ -67,7 +75,10 @@
             if !client_conn::may_parse(connection) {
                 return;
             }
-            let parsed = match self.intake.parse(&connection.read_buffer) {
+            let began_at = clock::now();
+            let parsed = self.intake.parse(&connection.read_buffer);
+            self.spent_since(Activity::Parsing, began_at);
+            let parsed = match parsed {
                 Ok(Some(parsed)) => parsed,
                 Ok(None) => return,
                 Err(error) => return self.reject(conn, &error),
@@ -162,7 +173,10 @@
         let Some(connection) = self.connections.get(conn) else {
             return;
         };
-        match node_conn::parse_response(conn, connection) {
+        let began_at = clock::now();
+        let parsed = node_conn::parse_response(conn, connection);
+        self.spent_since(Activity::Parsing, began_at);
+        match parsed {
             Ok(None) => {}
             Ok(Some(response)) => self.finish_node_exchange(conn, response, at),
             Err(ResponseError::Unexpected) => {
@@ -267,16 +281,21 @@
     }
 
     fn handle_discovery_bytes(&mut self, conn: ConnId) {
-        let Some(connection) = self.connections.get_mut(conn) else {
-            return;
-        };
         let Some(outstanding) = self.discovery.outstanding(conn) else {
             return self.connection_lost(conn, CloseReason::UnexpectedBytes);
         };
+        let Some(connection) = self.connections.get(conn) else {
+            return;
+        };
+        let began_at = clock::now();
         let read = self.discovery.read_response(&connection.read_buffer);
+        self.spent_since(Activity::Parsing, began_at);
         let Some(read) = read.transpose() else {
             return self.limit_endpoint_lists(conn);
         };
+        let Some(connection) = self.connections.get_mut(conn) else {
+            return;
+        };
         let bytes = connection.read_buffer.len();
         connection.read_buffer = Vec::new();
         match read {
--- a/crates/platform/src/run/statistics_log.rs
+++ b/crates/platform/src/run/statistics_log.rs
@@ -4,6 +4,7 @@
 
 use super::connection_table::ConnectionTable;
 use super::memory_usage::MemoryUsage;
+use super::owner_time::OwnerTime;
 use super::shared_budget::SharedBudget;
 use super::wall_clock::unix_ms;
 use crate::config::Config;
@@ -38,10 +39,11 @@
         router: &mut RequestRouter,
         connections: &ConnectionTable,
         budget: &SharedBudget,
+        time: &mut OwnerTime,
     ) {
         if now >= self.next_at {
             self.next_at = now + INTERVAL;
-            self.write(router, connections, budget);
+            self.write(router, connections, budget, time);
         }
     }
 
@@ -51,7 +53,9 @@
         router: &mut RequestRouter,
         connections: &ConnectionTable,
         budget: &SharedBudget,
+        time: &mut OwnerTime,
     ) {
+        let time = time.take();
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
@@ -63,5 +67,6 @@
             .line(second, counters, scheduler, &self.class_names);
         tracing::debug!("{line}");
         tracing::debug!("{}", MemoryUsage::measure(connections, budget));
+        tracing::debug!("{time}");
     }
 }
