Read on in a message where reading stopped, however its stream was cut

Cause: each read began again at the first byte of its message, so the cost of a message grew with the square of its pieces. The account of the owner's time has 968 of 980 ms in the parser, 1,104 ns for each byte, and reads that waited 1.5 s. It was the same for heads, chunk sizes, extensions and trailers, and for responses of nodes and of discovery.

Change: `MessageReader` holds the bytes of a connection and the state in which reading stopped. A line's end is searched once, httparse parses a start line, a section of headers or a size line once it is complete, and the data of chunks are decoded in place, so their framing is no longer held.

Stricter than before, since the result must not depend on the pieces: a chunk size without a digit and a line end without a carriage return in a size line are malformed; size lines and trailers have at most 4 KiB in any form.

Every split of 13 messages, of pairs of them and of 6,000 malformed ones gives the result of the whole, which is that of httparse on the whole bytes.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 //! - `sockets`: a host process on one core, between clients and simulated nodes on the other cores:
 //!   requests per second, latency added in comparison with a client that talks to the same simulated
 //!   node directly, and memory.
+//! - `messages`: reading HTTP messages that arrive in pieces, by form and size.
 //! - `iscsi`: the same host with an iSCSI portal, in comparison with its native path.
 //! - `commands`: allocations of one command in the iSCSI path, in this process.
 //! - `deferral`: overload, with and without initiators that honour the retry delay of BUSY.
@@ -16,6 +17,7 @@
 mod deferral;
 mod extents;
 mod iscsi;
+mod messages;
 mod planner;
 mod sockets;
 mod state;
@@ -51,6 +53,21 @@
         #[arg(long, default_value_t = 1)]
         open: usize,
     },
+    /// Measures the reading of HTTP messages that arrive in pieces, without sockets.
+    Messages {
+        /// Reads this number of messages instead of printing the table.
+        #[arg(long)]
+        messages: Option<u64>,
+        /// Form of the messages that a run with `--messages` reads.
+        #[arg(long, value_enum, default_value = "chunks")]
+        form: messages::Form,
+        /// Size of one message in bytes, in the run with `--messages`.
+        #[arg(long, default_value_t = 60 << 10)]
+        message_bytes: usize,
+        /// Size of one piece in bytes, in the run with `--messages`.
+        #[arg(long, default_value_t = 6)]
+        piece_bytes: usize,
+    },
     /// Compares commands through a portal with requests through the same host.
     Iscsi {
         #[arg(long, default_value_t = 1.0)]
@@ -139,6 +156,22 @@
                 None => decisions::measure(Duration::from_secs_f64(seconds)),
             }
         }
+        What::Messages {
+            messages,
+            form,
+            message_bytes,
+            piece_bytes,
+        } => {
+            let load = messages::Load {
+                form,
+                message_bytes,
+                piece_bytes,
+            };
+            match messages {
+                Some(messages) => messages::run_fixed(load, messages),
+                None => messages::measure(),
+            }
+        }
         What::Iscsi {
             seconds,
             program,
--- a/crates/cli/tests/ends.rs
+++ b/crates/cli/tests/ends.rs
@@ -7,7 +7,7 @@
 
 mod rig;
 
-use grebecleat_platform::http;
+use grebecleat_platform::http::MessageReader;
 use rig::answer;
 use rig::live::*;
 use serde_json::json;
@@ -91,8 +91,10 @@
     connection.set_read_timeout(Some(ms(10_000))).unwrap();
     let mut buffered = Vec::new();
     let ended = connection.read_to_end(&mut buffered);
+    let mut received = MessageReader::for_requests();
+    received.push(&buffered);
     assert!(
-        matches!(http::request(&buffered), Ok(None)),
+        matches!(received.read_request(), Ok(None)),
         "received a complete request of {} bytes",
         buffered.len()
     );
--- a/crates/cli/tests/rig/http.rs
+++ b/crates/cli/tests/rig/http.rs
@@ -1,6 +1,6 @@
 //! Reading of complete HTTP requests and responses from a socket.
 
-use grebecleat_platform::http;
+use grebecleat_platform::http::MessageReader;
 use std::io::Read;
 use std::net::TcpStream;
 
@@ -8,7 +8,7 @@
 /// bytes of later requests.
 pub fn next_exchange(stream: &mut TcpStream, buffered: &mut Vec<u8>) -> Option<String> {
     loop {
-        if let Ok(Some((_, length))) = http::request(buffered) {
+        if let Some(length) = request_length(buffered) {
             let text = String::from_utf8_lossy(&buffered[..length]).into_owned();
             buffered.drain(..length);
             return Some(text);
@@ -21,15 +21,26 @@
 pub fn answer(stream: &mut TcpStream) -> Option<(u16, String, Vec<u8>)> {
     let mut buffered = Vec::new();
     loop {
-        if let Ok(Some((response, length))) = http::response(&buffered) {
-            let head = &buffered[..length - response.body.len()];
-            let head = String::from_utf8_lossy(head).into_owned();
-            return Some((response.status, head, response.body.to_vec()));
+        let mut reader = MessageReader::for_responses();
+        reader.push(&buffered);
+        if let Ok(Some(response)) = reader.read_response() {
+            let (status, body) = (response.status, response.body.to_vec());
+            let length = buffered.len() - reader.bytes_behind();
+            let head = String::from_utf8_lossy(&buffered[..length - body.len()]).into_owned();
+            return Some((status, head, body));
         }
         read_more(stream, &mut buffered)?;
     }
 }
 
+/// Returns the length of the request with which the bytes begin; `None` if it is incomplete.
+pub fn request_length(bytes: &[u8]) -> Option<usize> {
+    let mut reader = MessageReader::for_requests();
+    reader.push(bytes);
+    let is_complete = matches!(reader.read_request(), Ok(Some(_)));
+    is_complete.then(|| bytes.len() - reader.bytes_behind())
+}
+
 fn read_more(stream: &mut TcpStream, buffered: &mut Vec<u8>) -> Option<()> {
     let mut buffer = [0; 4096];
     match stream.read(&mut buffer) {
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -125,7 +125,7 @@
             units: placement.units,
             left_us: left_ms * 1000,
             write,
-            data: Bytes::copy_from_slice(&request.body),
+            data: Bytes::copy_from_slice(request.body),
             plan: Some(plan as u32),
             hosts: Some(placement.hosts),
             ..pb::SubmitRequest::default()
--- a/crates/platform/src/clients/tests.rs
+++ b/crates/platform/src/clients/tests.rs
@@ -18,9 +18,15 @@
         X-Remaining-Ms: 480\r\nContent-Length: 2\r\nIdempotency-Key: k1\r\n\
         X-Placement: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\n\r\nhi";
 
+fn parse(parser: &RequestParser, message: &[u8]) -> Result<ClientRequest, HttpError> {
+    let mut reader = http::MessageReader::for_requests();
+    reader.push(message);
+    let request = reader.read_request()?.expect("the request is complete");
+    parser.parse(&request)
+}
+
 fn read(text: &str) -> Result<ClientRequest, HttpError> {
-    let (request, _) = http::request(text.as_bytes())?.expect("the request is complete");
-    parser().parse(&request)
+    parse(&parser(), text.as_bytes())
 }
 
 #[test]
@@ -87,9 +93,7 @@
         let (before, after) = GOOD.split_once("gold").unwrap();
         let before = before.replace("/row/", &format!("/{path}/"));
         let message = [before.as_bytes(), plan, after.as_bytes()].concat();
-        let Ok(ClientRequest::Submit { submit, .. }) =
-            parser.parse(&http::request(&message).unwrap().unwrap().0)
-        else {
+        let Ok(ClientRequest::Submit { submit, .. }) = parse(&parser, &message) else {
             panic!("{path}")
         };
         assert_eq!(
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -47,7 +47,7 @@
         _ => pb::Result::Error,
     };
     let data = if response.status == 200 {
-        Bytes::copy_from_slice(&response.body)
+        Bytes::copy_from_slice(response.body)
     } else {
         Bytes::new()
     };
--- a/crates/platform/src/nodes/tests.rs
+++ b/crates/platform/src/nodes/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::http::response;
+use crate::http::MessageReader;
 
 #[test]
 fn only_a_rejected_attempt_counts_as_never_run() {
@@ -34,7 +34,9 @@
     ];
     for (status, headers, result, reported, others) in cases {
         let text = format!("HTTP/1.1 {status}\r\n{headers}\r\nContent-Length: 2\r\n\r\nhi");
-        let read = attempt_response(9, &response(text.as_bytes()).unwrap().unwrap().0);
+        let mut reader = MessageReader::for_responses();
+        reader.push(text.as_bytes());
+        let read = attempt_response(9, &reader.read_response().unwrap().unwrap());
         assert_eq!(
             (read.attempt, read.result(), read.reported, read.others),
             (9, result, reported, others),
--- a/crates/platform/src/run/client_conn.rs
+++ b/crates/platform/src/run/client_conn.rs
@@ -4,13 +4,11 @@
 //! perform no I/O, except that [`is_awaiting`] queries the socket. A client may have sent up to
 //! [`MAX_PIPELINED_BYTES`] after the request of an open exchange.
 
-use super::connection::{
-    consume, ClientExchange, ClientState, CloseReason, Connection, Discard, Role,
-};
+use super::connection::{ClientExchange, ClientState, CloseReason, Connection, Discard, Role};
 use super::socket::{pending_input, PendingInput};
 use super::sweep::NEW_CLIENT_GRACE_PERIOD;
 use crate::clients::{final_response, memory_rejection};
-use crate::http::{self, response_message, HttpError, OutgoingMessage};
+use crate::http::{response_message, HttpError, MessageReader, OutgoingMessage};
 use bytes::Bytes;
 use grebecleat_wire::pb;
 use std::time::Duration;
@@ -22,7 +20,7 @@
 /// The result of receiving bytes from a client.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum Received {
-    /// The bytes are in the read buffer.
+    /// The bytes are in the message reader.
     Buffered,
     /// The last response to the client was sent, so the bytes are dropped.
     Discarded,
@@ -33,7 +31,7 @@
 /// An exchange whose final response was appended to the write buffer.
 pub(super) struct FinishedExchange {
     pub(super) exchange: ClientExchange,
-    /// Whether the read buffer holds bytes of a further request that may be processed.
+    /// Whether the message reader holds bytes of a further request that may be processed.
     pub(super) has_next: bool,
 }
 
@@ -49,24 +47,24 @@
         }
         return Received::Discarded;
     }
-    if connection.read_buffer.is_empty() && client.exchange.is_none() && client.has_sent {
+    if connection.reader.is_empty() && client.exchange.is_none() && client.has_sent {
         client.phase_began_at = at;
     }
     client.has_sent = true;
     let has_exchange = client.exchange.is_some();
-    connection.buffer_received(bytes);
-    if has_exchange && connection.read_buffer.len() > MAX_PIPELINED_BYTES {
+    connection.reader.push(bytes);
+    if has_exchange && connection.reader.len() > MAX_PIPELINED_BYTES {
         return Received::Close(CloseReason::TooMuchPipelined);
     }
     Received::Buffered
 }
 
-/// Returns whether the next request may be parsed from the read buffer.
+/// Returns whether the next request may be read.
 pub(super) fn may_parse(connection: &Connection) -> bool {
     let Role::Client(client) = &connection.role else {
         return false;
     };
-    client.exchange.is_none() && client.discard.is_none() && !connection.read_buffer.is_empty()
+    client.exchange.is_none() && client.discard.is_none() && !connection.reader.is_empty()
 }
 
 /// Returns whether no exchange has been completed on this connection yet.
@@ -74,28 +72,27 @@
     client.phase_began_at <= connection.opened_at
 }
 
-/// Begins an exchange whose request is the first `used` bytes of the read buffer.
-pub(super) fn begin_exchange(connection: &mut Connection, exchange: ClientExchange, used: usize) {
+/// Begins an exchange, whose request is the one that was read.
+pub(super) fn begin_exchange(connection: &mut Connection, exchange: ClientExchange) {
     let Role::Client(client) = &mut connection.role else {
         return;
     };
-    consume(&mut connection.read_buffer, used);
+    connection.reader.finish();
     client.exchange = Some(exchange);
 }
 
-/// Responds to a readiness check, which is the first `used` bytes of the read buffer.
+/// Responds to a readiness check, which is the request that was read.
 pub(super) fn respond_to_readiness_check(
     connection: &mut Connection,
     at: Duration,
     is_ready: bool,
     keep_alive: bool,
-    used: usize,
 ) {
     let Role::Client(client) = &mut connection.role else {
         return;
     };
     let status = if is_ready { 200 } else { 503 };
-    consume(&mut connection.read_buffer, used);
+    connection.reader.finish();
     client.phase_began_at = at;
     let response = response_message(status, "", keep_alive, Bytes::new());
     connection.write_queue.push(response);
@@ -124,7 +121,7 @@
         return;
     };
     client.discard = Some(Discard::from(now));
-    connection.read_buffer = Vec::new();
+    connection.reader.clear();
     connection.write_queue.push(response);
 }
 
@@ -138,18 +135,19 @@
     if client.exchange.is_none() || !connection.gate.pause_if_processed() {
         return false;
     }
-    client.dropped_requests = count_requests(&connection.read_buffer);
-    connection.read_buffer = Vec::new();
+    client.dropped_requests = count_requests(&mut connection.reader);
+    connection.reader.clear();
     true
 }
 
-/// Returns the number of requests in the bytes, including an incomplete or malformed one at their end.
-fn count_requests(mut bytes: &[u8]) -> usize {
+/// Reads the requests that have arrived, and returns their number, including an incomplete or malformed
+/// one at their end.
+fn count_requests(reader: &mut MessageReader) -> usize {
     let mut count = 0;
-    while !bytes.is_empty() {
+    while !reader.is_empty() {
         count += 1;
-        match http::request(bytes) {
-            Ok(Some((request, used))) if request.keep_alive => bytes = &bytes[used..],
+        match reader.read_request() {
+            Ok(Some(request)) if request.keep_alive => reader.finish(),
             _ => break,
         }
     }
@@ -177,7 +175,7 @@
         });
     }
     // A pipelined request that has been read gets its response too.
-    let has_pipelined = !connection.read_buffer.is_empty();
+    let has_pipelined = !connection.reader.is_empty();
     let keep_alive = exchange.keep_alive && (!closes_after_response || has_pipelined);
     client.phase_began_at = now;
     if !keep_alive {
@@ -223,9 +221,8 @@
         // Closing a socket with unread bytes resets the connection, and the response is lost.
         return connection.has_unwritten() || pending_input(connection.fd) == PendingInput::Bytes;
     }
-    let has_begun = client.exchange.is_some()
-        || connection.has_unwritten()
-        || !connection.read_buffer.is_empty();
+    let has_begun =
+        client.exchange.is_some() || connection.has_unwritten() || !connection.reader.is_empty();
     let is_new = !client.has_sent && now < connection.opened_at + NEW_CLIENT_GRACE_PERIOD;
     has_begun || is_new || !connection.gate.is_quiet(connection.fd)
 }
--- a/crates/platform/src/run/client_conn/tests.rs
+++ b/crates/platform/src/run/client_conn/tests.rs
@@ -27,7 +27,7 @@
         Duration::ZERO,
     );
     let connection = connections.get_mut(conn).unwrap();
-    connection.read_buffer = pipelined.to_vec();
+    connection.reader.push(pipelined);
     conn
 }
 
@@ -89,7 +89,8 @@
     let connection = connections.get_mut(conn).unwrap();
     connection.gate.lock().unprocessed = 1;
     assert!(!drop_pipelined(connection));
-    assert_eq!(connection.read_buffer, REQUEST);
+    assert_eq!(connection.reader.len(), REQUEST.len());
+    assert!(connection.reader.read_request().unwrap().is_some());
     connection.gate.consumed(1);
     assert!(drop_pipelined(connection));
 }
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -6,6 +6,7 @@
 
 use super::reader::ReadGate;
 use super::write_queue::WriteQueue;
+use crate::http::{MessageReader, MAX_ENDPOINT_LIST};
 use bytes::Bytes;
 use grebecleat_host::memory_budget::{HeldBytes, PeerKind};
 use grebecleat_host::outbox::Outbox;
@@ -21,10 +22,6 @@
 /// smaller value, a reset may destroy the response; a larger one lets rejected clients send more.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 
-/// A read buffer that is full grows by its capacity divided by this. A larger value copies the bytes of
-/// messages in pieces more often; a smaller one holds more memory than was received.
-const BUFFER_GROWTH_DIVISOR: usize = 8;
-
 /// A request of a client that awaits its final response.
 #[derive(Debug)]
 pub(super) struct ClientExchange {
@@ -137,14 +134,23 @@
     pub(super) fd: RawFd,
     pub(super) gate: Arc<ReadGate>,
     pub(super) outbox: Arc<Outbox>,
-    pub(super) read_buffer: Vec<u8>,
+    pub(super) reader: MessageReader,
     pub(super) write_queue: WriteQueue,
     pub(super) opened_at: Duration,
-    /// When bytes of a node were last added to the read buffer.
+    /// When bytes of a node were last added to the reader.
     pub(super) last_read_at: Duration,
 }
 
 impl Role {
+    /// Returns the reader of the messages that the peer sends.
+    pub(super) fn message_reader(&self) -> MessageReader {
+        match self {
+            Role::Client(_) => MessageReader::for_requests(),
+            Role::Node(_) => MessageReader::for_responses(),
+            Role::Discovery => MessageReader::for_responses_up_to(MAX_ENDPOINT_LIST),
+        }
+    }
+
     /// Returns the kind of peer, as the log names it.
     pub(super) fn name(&self) -> &'static str {
         match self {
@@ -161,20 +167,9 @@
         !self.write_queue.is_empty()
     }
 
-    /// Adds received bytes to the read buffer. Its capacity exceeds its length by a small fraction only,
-    /// since the capacity is what counts as held.
-    pub(super) fn buffer_received(&mut self, bytes: &[u8]) {
-        let buffer = &mut self.read_buffer;
-        if buffer.capacity() - buffer.len() < bytes.len() {
-            let spare = buffer.capacity() / BUFFER_GROWTH_DIVISOR;
-            buffer.reserve_exact(bytes.len().max(spare));
-        }
-        buffer.extend_from_slice(bytes);
-    }
-
     /// Returns the bytes that the connection holds, by kind.
     pub(super) fn held_bytes(&self) -> HeldBytes {
-        let read = self.read_buffer.capacity();
+        let read = self.reader.capacity();
         let unwritten = self.write_queue.len() + self.outbox.bytes();
         match &self.role {
             Role::Client(client) => match &client.exchange {
@@ -234,12 +229,3 @@
         }
     }
 }
-
-/// Removes the first `used` bytes, and frees the memory if no bytes are left.
-pub(super) fn consume(buffer: &mut Vec<u8>, used: usize) {
-    if used >= buffer.len() {
-        *buffer = Vec::new();
-    } else {
-        buffer.drain(..used);
-    }
-}
--- a/crates/platform/src/run/connection_table.rs
+++ b/crates/platform/src/run/connection_table.rs
@@ -58,11 +58,11 @@
         // coroutine blocks on the socket.
         let outbox = Arc::new(Outbox::new(notify, || ()));
         let connection = Connection {
+            reader: role.message_reader(),
             role,
             fd,
             gate,
             outbox: outbox.clone(),
-            read_buffer: Vec::new(),
             write_queue: WriteQueue::default(),
             opened_at: now,
             last_read_at: now,
--- a/crates/platform/src/run/discovery_port.rs
+++ b/crates/platform/src/run/discovery_port.rs
@@ -7,7 +7,7 @@
 
 use super::wall_clock::unix_ms;
 use crate::discovery::{DiscoveryError, EndpointNames, ReadEndpoints};
-use crate::http;
+use crate::http::MessageReader;
 use grebecleat_discovery::calls::OutstandingCall;
 use grebecleat_discovery::long_polling::{Action, Event, LongPolling, PollConn, Response};
 use grebecleat_host::router::ConnId;
@@ -106,23 +106,23 @@
         Ok(read.list)
     }
 
-    /// Parses a response. Returns `None` if it is incomplete, and an error if it is not an endpoint
-    /// list.
+    /// Reads a response. Returns `None` if it is incomplete, and an error if it is not an endpoint list.
     pub(super) fn read_response(
         &mut self,
-        bytes: &[u8],
+        reader: &mut MessageReader,
     ) -> Result<Option<DiscoveryResponse>, DiscoveryError> {
-        let Some((response, used)) = http::response_up_to(bytes, http::MAX_ENDPOINT_LIST)? else {
+        let Some(response) = reader.read_response()? else {
             return Ok(None);
         };
         if response.status != 200 {
             return Err(DiscoveryError::Status(response.status));
         }
-        let endpoints = self.names.read(&response.body, unix_ms())?;
+        let keep_alive = response.keep_alive;
+        let endpoints = self.names.read(response.body, unix_ms())?;
         self.has_response = true;
         Ok(Some(DiscoveryResponse {
             endpoints,
-            keep_alive: response.keep_alive && used == bytes.len(),
+            keep_alive: keep_alive && reader.bytes_behind() == 0,
         }))
     }
 
--- a/crates/platform/src/run/eviction.rs
+++ b/crates/platform/src/run/eviction.rs
@@ -95,7 +95,7 @@
         };
         let is_idle = is_persistent_client(client)
             && client.exchange.is_none()
-            && connection.read_buffer.is_empty()
+            && connection.reader.is_empty()
             && !connection.has_unwritten();
         if is_idle {
             idle.push((client.phase_began_at, conn));
@@ -130,7 +130,7 @@
     if idle > IDLE_TIMEOUT {
         return Some(EvictionClass::LongIdle);
     }
-    if client.has_sent && connection.read_buffer.is_empty() {
+    if client.has_sent && connection.reader.is_empty() {
         return Some(EvictionClass::Idle);
     }
     Some(EvictionClass::Receiving)
--- a/crates/platform/src/run/node_conn.rs
+++ b/crates/platform/src/run/node_conn.rs
@@ -5,7 +5,6 @@
 //! perform no I/O.
 
 use super::connection::{CloseReason, Connection, NodeExchange, Role};
-use crate::http;
 use crate::nodes;
 use grebecleat_host::router::ConnId;
 use grebecleat_wire::pb::{self, frame::Body};
@@ -32,19 +31,20 @@
 /// Parses the response to the open exchange. Returns `None` if it is incomplete.
 pub(super) fn parse_response(
     conn: ConnId,
-    connection: &Connection,
+    connection: &mut Connection,
 ) -> Result<Option<NodeResponse>, ResponseError> {
+    let is_partly_sent = connection.has_unwritten();
     let Role::Node(exchange) = &connection.role else {
         return Ok(None);
     };
     if matches!(exchange, NodeExchange::Idle) {
         return Err(ResponseError::Unexpected);
     }
-    let parsed = http::response(&connection.read_buffer).map_err(|error| {
+    let parsed = connection.reader.read_response().map_err(|error| {
         debug!(conn = conn.0, %error, "node response malformed");
         ResponseError::Malformed
     })?;
-    let Some((response, used)) = parsed else {
+    let Some(response) = parsed else {
         return Ok(None);
     };
     let body = match exchange {
@@ -54,16 +54,16 @@
             Body::AttemptResponse(nodes::attempt_response(*attempt, &response))
         }
     };
-    let is_partly_sent = connection.has_unwritten();
+    let keep_alive = response.keep_alive;
     // A node may reject an attempt before it has received all of it. Any other response to an attempt
     // that has not been sent completely belongs to another attempt.
     if is_partly_sent && !is_rejection(&body) {
         return Err(ResponseError::Unexpected);
     }
-    let has_more = used < connection.read_buffer.len();
+    let has_more = connection.reader.bytes_behind() > 0;
     Ok(Some(NodeResponse {
         body,
-        is_last: !response.keep_alive || has_more || is_partly_sent,
+        is_last: !keep_alive || has_more || is_partly_sent,
     }))
 }
 
@@ -93,7 +93,7 @@
 /// Ends the exchange and returns the messages for the router.
 pub(super) fn finish_exchange(connection: &mut Connection, response: NodeResponse) -> Vec<Body> {
     connection.role = Role::Node(NodeExchange::Idle);
-    connection.read_buffer = Vec::new();
+    connection.reader.clear();
     let mut messages = Vec::new();
     if response.is_last {
         // This message comes first; otherwise the router could assign the next attempt to this
--- a/crates/platform/src/run/owner/receive.rs
+++ b/crates/platform/src/run/owner/receive.rs
@@ -53,30 +53,30 @@
             },
             Role::Node(_) => {
                 connection.last_read_at = at;
-                connection.buffer_received(bytes);
+                connection.reader.push(bytes);
                 self.spent_since(Activity::Copying, began_at);
                 self.handle_node_bytes(conn, at);
             }
             Role::Discovery => {
-                connection.buffer_received(bytes);
+                connection.reader.push(bytes);
                 self.spent_since(Activity::Copying, began_at);
                 self.handle_discovery_bytes(conn);
             }
         }
     }
 
-    /// Parses and processes the requests in a client's read buffer, up to the first one that awaits its
-    /// final response.
+    /// Reads and processes the requests of a client that have arrived, up to the first one that awaits
+    /// its final response.
     pub(super) fn advance_client(&mut self, conn: ConnId, at: Duration) {
         loop {
-            let Some(connection) = self.connections.get(conn) else {
+            let Some(connection) = self.connections.get_mut(conn) else {
                 return;
             };
             if !client_conn::may_parse(connection) {
                 return;
             }
             let began_at = clock::now();
-            let parsed = self.intake.parse(&connection.read_buffer);
+            let parsed = self.intake.read(&mut connection.reader);
             self.spent_since(Activity::Parsing, began_at);
             let parsed = match parsed {
                 Ok(Some(parsed)) => parsed,
@@ -86,29 +86,22 @@
             let ParsedRequest {
                 request,
                 keep_alive,
-                used,
             } = parsed;
             match request {
-                ClientRequest::Ready => self.respond_to_readiness_check(conn, at, keep_alive, used),
+                ClientRequest::Ready => self.respond_to_readiness_check(conn, at, keep_alive),
                 ClientRequest::Submit { id, submit } => {
-                    return self.submit(conn, at, id, *submit, keep_alive, used)
+                    return self.submit(conn, at, id, *submit, keep_alive)
                 }
             }
         }
     }
 
-    fn respond_to_readiness_check(
-        &mut self,
-        conn: ConnId,
-        at: Duration,
-        keep_alive: bool,
-        used: usize,
-    ) {
+    fn respond_to_readiness_check(&mut self, conn: ConnId, at: Duration, keep_alive: bool) {
         let is_ready = self.discovery.is_ready();
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
-        client_conn::respond_to_readiness_check(connection, at, is_ready, keep_alive, used);
+        client_conn::respond_to_readiness_check(connection, at, is_ready, keep_alive);
         self.flush(conn);
     }
 
@@ -119,7 +112,6 @@
         client_id: String,
         mut submit: pb::SubmitRequest,
         keep_alive: bool,
-        used: usize,
     ) {
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
@@ -154,7 +146,7 @@
             keep_alive,
             bytes: submit.piece.len() + submit.data.len(),
         };
-        client_conn::begin_exchange(connection, exchange, used);
+        client_conn::begin_exchange(connection, exchange);
         let frames = vec![frame(Body::SubmitRequest(submit), at)];
         self.inputs.push(Input::ClientFrames { conn, at, frames });
     }
@@ -170,7 +162,7 @@
     }
 
     fn handle_node_bytes(&mut self, conn: ConnId, at: Duration) {
-        let Some(connection) = self.connections.get(conn) else {
+        let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
         let began_at = clock::now();
@@ -284,11 +276,11 @@
         let Some(outstanding) = self.discovery.outstanding(conn) else {
             return self.connection_lost(conn, CloseReason::UnexpectedBytes);
         };
-        let Some(connection) = self.connections.get(conn) else {
+        let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
         let began_at = clock::now();
-        let read = self.discovery.read_response(&connection.read_buffer);
+        let read = self.discovery.read_response(&mut connection.reader);
         self.spent_since(Activity::Parsing, began_at);
         let Some(read) = read.transpose() else {
             return self.limit_endpoint_lists(conn);
@@ -296,8 +288,8 @@
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
-        let bytes = connection.read_buffer.len();
-        connection.read_buffer = Vec::new();
+        let bytes = connection.reader.len();
+        connection.reader.clear();
         match read {
             Ok(response) => self.handle_discovery_response(conn, &outstanding, bytes, response),
             Err(error) => self.handle_discovery_error(conn, &outstanding, bytes, &error),
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -427,7 +427,7 @@
         .connections
         .add(conn, role, ours.as_raw_fd(), gate.clone(), Duration::ZERO);
     let connection = owner.connections.get_mut(conn).unwrap();
-    connection.buffer_received(b"HTTP/1.1 200 OK\r\n");
+    connection.reader.push(b"HTTP/1.1 200 OK\r\n");
     let phase = ShutdownPhase {
         is_requested: false,
         closes_after_response: false,
--- a/crates/platform/src/run/request_intake.rs
+++ b/crates/platform/src/run/request_intake.rs
@@ -1,4 +1,4 @@
-//! Parses and numbers the requests of clients, and rejects ids that are in use.
+//! Reads and numbers the requests of clients, and rejects ids that are in use.
 //!
 //! The owner holds the [`RequestIntake`]: the ids in use ([`ClientIds`]) and the number of the last
 //! request. The number of ids is bounded by the open requests and the outstanding attempts.
@@ -7,7 +7,7 @@
 use super::connection::ClientExchange;
 use crate::clients::{ClientRequest, RequestParser};
 use crate::config::Config;
-use crate::http::{self, HttpError};
+use crate::http::{HttpError, MessageReader};
 use bytes::Bytes;
 use grebecleat_wire::clock;
 use grebecleat_wire::pb;
@@ -19,13 +19,11 @@
     reason: "X-Txn: id is in use by an open request",
 };
 
-/// A request that was parsed from a client's bytes.
+/// A request that a client has sent.
 pub(super) struct ParsedRequest {
     pub(super) request: ClientRequest,
     /// Whether the client keeps the connection open for another request.
     pub(super) keep_alive: bool,
-    /// Number of bytes of the request.
-    pub(super) used: usize,
 }
 
 /// Parses, checks and numbers the requests of clients.
@@ -45,10 +43,13 @@
         }
     }
 
-    /// Parses the first request of the bytes. Returns `None` if it is incomplete, and an error, which is
-    /// the response to the client, if it is invalid.
-    pub(super) fn parse(&self, bytes: &[u8]) -> Result<Option<ParsedRequest>, HttpError> {
-        let Some((request, used)) = http::request(bytes)? else {
+    /// Reads a request. Returns `None` if it is incomplete, and an error, which is the response to the
+    /// client, if it is invalid.
+    pub(super) fn read(
+        &self,
+        reader: &mut MessageReader,
+    ) -> Result<Option<ParsedRequest>, HttpError> {
+        let Some(request) = reader.read_request()? else {
             return Ok(None);
         };
         let keep_alive = request.keep_alive;
@@ -56,7 +57,6 @@
         Ok(Some(ParsedRequest {
             request,
             keep_alive,
-            used,
         }))
     }
 
--- a/crates/platform/src/run/sweep.rs
+++ b/crates/platform/src/run/sweep.rs
@@ -114,7 +114,7 @@
 
 fn expiry(conn: ConnId, connection: &Connection, discovery: &DiscoveryPort) -> Expiry {
     match &connection.role {
-        Role::Node(_) if connection.read_buffer.is_empty() => Expiry::Never,
+        Role::Node(_) if connection.reader.is_empty() => Expiry::Never,
         // The rest of the response may be in the socket.
         Role::Node(_) if connection.gate.is_behind() => Expiry::Never,
         Role::Node(_) => Expiry::Malformed(connection.last_read_at + RESPONSE_STALL_TIMEOUT),
@@ -139,7 +139,7 @@
     if !client.has_sent {
         return Expiry::Silent(connection.opened_at + FIRST_REQUEST_TIMEOUT);
     }
-    if connection.read_buffer.is_empty() {
+    if connection.reader.is_empty() {
         return Expiry::Idle(client.phase_began_at + IDLE_TIMEOUT);
     }
     // The time for the first request counts from when the client was accepted.
