Share the owner's work among the connections with input; deadlines go first

What callers saw: a request waited behind everything that other connections had sent before it.

Cause: all reads went through one queue in the order in which they came, 512 in a step whatever they cost. A connection's queue was bounded in bytes and not in events: thousands of six-byte events fitted. The router's timers were looked at after a step's events.

Change: a reader adds to its connection's inbox, where small reads are put together, and announces it once. Due deadlines are handled before input. A pipelined request waits for its connection's turn. The bytes of unfinished endpoint lists are no longer summed over all connections for each piece.

Tests: without the bound of a turn, and without the check of deadlines, the new tests of the owner fail.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -28,6 +28,8 @@
 mod dials;
 mod discovery_port;
 mod eviction;
+mod inbox;
+mod input_schedule;
 mod listener;
 mod log_limiter;
 mod memory_monitor;
--- a/crates/platform/src/run/client_conn.rs
+++ b/crates/platform/src/run/client_conn.rs
@@ -67,6 +67,15 @@
     client.exchange.is_none() && client.discard.is_none() && !connection.reader.is_empty()
 }
 
+/// Returns when the current request was received, for its deadline: a request that was sent behind another
+/// one counts as received when the response to that one was composed.
+pub(super) fn request_received_at(connection: &Connection) -> Duration {
+    match &connection.role {
+        Role::Client(client) => connection.last_read_at.max(client.phase_began_at),
+        _ => connection.last_read_at,
+    }
+}
+
 /// Returns whether no exchange has been completed on this connection yet.
 pub(super) fn is_first_exchange(connection: &Connection, client: &ClientState) -> bool {
     client.phase_began_at <= connection.opened_at
--- a/crates/platform/src/run/client_conn/tests.rs
+++ b/crates/platform/src/run/client_conn/tests.rs
@@ -87,10 +87,14 @@
     let mut connections = ConnectionTable::default();
     let conn = with_pipelined(&mut connections, ours.as_raw_fd(), REQUEST);
     let connection = connections.get_mut(conn).unwrap();
-    connection.gate.lock().unprocessed = 1;
+    connection
+        .gate
+        .lock()
+        .inbox
+        .push(Duration::ZERO, vec![b'G'], 0);
     assert!(!drop_pipelined(connection));
     assert_eq!(connection.reader.len(), REQUEST.len());
     assert!(connection.reader.read_request().unwrap().is_some());
-    connection.gate.consumed(1);
+    assert!(connection.gate.take(1).is_some());
     assert!(drop_pipelined(connection));
 }
--- a/crates/platform/src/run/connection.rs
+++ b/crates/platform/src/run/connection.rs
@@ -137,7 +137,7 @@
     pub(super) reader: MessageReader,
     pub(super) write_queue: WriteQueue,
     pub(super) opened_at: Duration,
-    /// When bytes of a node were last added to the reader.
+    /// When the bytes that were last added to the message reader were read.
     pub(super) last_read_at: Duration,
 }
 
--- a/crates/platform/src/run/connection_table.rs
+++ b/crates/platform/src/run/connection_table.rs
@@ -104,7 +104,6 @@
         // SAFETY: the descriptor belongs to this connection until `OwnerEvent::Ended` has returned the
         // stream.
         unsafe { libc::shutdown(connection.fd, libc::SHUT_RDWR) };
-        connection.gate.close();
         self.closing.insert(conn);
         Some(connection)
     }
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -1,25 +1,27 @@
 //! The event loop, which processes all events on one thread, in order.
 //!
-//! [`Owner::run`] takes the events of the readers, the listener and the signal handler, steps the
-//! router, and performs the router's outputs, until a shutdown is complete. Separate types hold the
+//! [`Owner::run`] takes the events of the readers, the listener and the signal handler, handles the
+//! input of the connections, steps the router, and performs the router's outputs, until a shutdown is
+//! complete. A step of the router that is due goes ahead of input. Separate types hold the
 //! parts of the state: the connections ([`ConnectionTable`]), the dials ([`Dialer`]), the clients'
 //! requests ([`RequestIntake`]), discovery ([`DiscoveryPort`]), the listener ([`ListenerHandle`]), the
-//! shutdown ([`Shutdown`]) and the log ([`LogLimiter`], [`StatisticsLog`]). The module `receive`
-//! processes received bytes, `send` writes the contents of the outboxes, and `memory` enforces the
-//! memory budget.
-//!
-//! One step processes at most [`MAX_EVENTS_PER_STEP`] events, so that a flood cannot delay timers.
+//! shutdown ([`Shutdown`]), the connections that wait for their turn ([`InputSchedule`]) and the log
+//! ([`LogLimiter`], [`StatisticsLog`]). The module `turns` bounds the input of one step, `receive`
+//! processes received messages, `send` writes the contents of the outboxes, `memory` enforces the memory
+//! budget, and `client_slots` the limits on clients.
 
+mod client_slots;
 mod memory;
 mod receive;
 mod send;
+mod turns;
 
 use super::client_conn;
 use super::connection::{CloseReason, DialTarget, NodeExchange, Role};
 use super::connection_table::ConnectionTable;
 use super::dials::{DialOutcome, Dialer};
 use super::discovery_port::DiscoveryPort;
-use super::eviction::{self, EvictionClass};
+use super::input_schedule::InputSchedule;
 use super::listener::{ListenerHandle, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
 use super::memory_monitor::MemoryMonitor;
@@ -44,9 +46,11 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::Duration;
 use tracing::{info, warn};
+use turns::EndedReader;
 
-/// Maximum number of events in one step. A larger value lets a flood delay timers; a smaller one costs
-/// more steps.
+/// Maximum number of events that are taken from the queue in one step. A connection's reader has one or two
+/// in the queue at most. A larger value lets many new connections delay timers; a smaller one costs more
+/// steps.
 const MAX_EVENTS_PER_STEP: usize = 512;
 /// Time that the readers get after a pause of this process to report what is in the sockets. With a
 /// smaller value, the pause counts as slowness of nodes; a larger one prolongs the pause.
@@ -64,6 +68,10 @@
     /// Inputs for the router's next step.
     inputs: Vec<Input>,
     connections: ConnectionTable,
+    /// The connections that have input.
+    schedule: InputSchedule,
+    /// The connections whose readers have ended, until their input is handled.
+    ended: Vec<EndedReader>,
     dialer: Dialer,
     intake: RequestIntake,
     discovery: DiscoveryPort,
@@ -96,6 +104,8 @@
             router,
             inputs: Vec::new(),
             connections: ConnectionTable::default(),
+            schedule: InputSchedule::default(),
+            ended: Vec::new(),
             dialer: Dialer::new(settings.bounds.dial_timeout, config.descriptors.nodes),
             intake: RequestIntake::new(&config),
             discovery: DiscoveryPort::new(config.discovery, poll_interval),
@@ -147,27 +157,18 @@
         });
         self.step();
         loop {
-            let wait = self.time_to_wake();
-            let mut handled = 0;
-            if self.inputs.is_empty() && !wait.is_zero() {
-                let began_at = clock::now();
-                let received = events.recv_timeout(wait);
-                self.spent_since(Activity::Idle, began_at);
-                match received {
-                    Ok(event) => {
-                        self.handle_event(event);
-                        handled += 1;
-                    }
-                    Err(RecvTimeoutError::Timeout) => {}
-                    Err(RecvTimeoutError::Disconnected) => return,
-                }
+            if !self.await_event(events) {
+                return;
             }
             self.catch_up_after_pause();
-            while handled < MAX_EVENTS_PER_STEP {
-                let Ok(event) = events.try_recv() else { break };
-                self.handle_event(event);
-                handled += 1;
+            self.take_events(events);
+            // Deadlines that are due go ahead of input.
+            if clock::now() >= self.router.wake_at() {
+                self.step();
             }
+            let deadline = self.router.wake_at().min(self.sweep_at);
+            self.take_turns(deadline);
+            self.finish_ended();
             self.check_dials();
             self.step();
             self.grant_reads();
@@ -188,6 +189,33 @@
         }
     }
 
+    /// Waits for an event if there is nothing to do, and handles it. Returns `false` if every sender of
+    /// events is dropped.
+    fn await_event(&mut self, events: &Receiver<OwnerEvent>) -> bool {
+        let wait = self.time_to_wake();
+        let has_work =
+            !self.inputs.is_empty() || !self.schedule.is_empty() || !self.ended.is_empty();
+        if has_work || wait.is_zero() {
+            return true;
+        }
+        let began_at = clock::now();
+        let received = events.recv_timeout(wait);
+        self.spent_since(Activity::Idle, began_at);
+        match received {
+            Ok(event) => self.handle_event(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return false,
+        }
+        true
+    }
+
+    /// Handles the events that are in the queue.
+    fn take_events(&mut self, events: &Receiver<OwnerEvent>) {
+        for event in events.try_iter().take(MAX_EVENTS_PER_STEP) {
+            self.handle_event(event);
+        }
+    }
+
     fn time_to_wake(&mut self) -> Duration {
         let now = clock::now();
         let mut wake = self.router.wake_at().min(self.sweep_at);
@@ -253,27 +281,11 @@
         self.time.event();
         match event {
             OwnerEvent::Accepted { conn, fd, gate } => self.client_accepted(conn, fd, gate),
-            OwnerEvent::Read {
-                conn,
-                at,
-                bytes,
-                charged,
-            } => {
-                self.handle_read(conn, at, &bytes);
-                drop(bytes);
-                self.account_for(conn, true);
-                self.budget.lock().processed(charged);
-                self.relieve_memory();
-            }
+            OwnerEvent::Readable { conn } => self.schedule.add(conn),
             // The owner grants reads after each step.
             OwnerEvent::ReadWaits => {}
             OwnerEvent::Ended { conn, stream } => {
-                if !self.connections.reader_ended(conn) {
-                    self.connection_lost(conn, CloseReason::PeerClosed);
-                    self.connections.reader_ended(conn);
-                }
-                drop(stream);
-                self.descriptor_freed(conn);
+                self.end_after_input(EndedReader { conn, stream })
             }
             OwnerEvent::SlotsExhausted => {
                 self.listener.slots_exhausted();
@@ -346,7 +358,11 @@
         let Some(connection) = self.connections.close(conn, reason, clock::now()) else {
             return;
         };
-        self.budget.lock().remove(conn);
+        let charged = connection.gate.close();
+        let mut budget = self.budget.lock();
+        budget.remove(conn);
+        budget.processed(charged);
+        drop(budget);
         match connection.role {
             Role::Client(client) => {
                 if let Some(exchange) = client.exchange {
@@ -375,20 +391,6 @@
         self.close(conn, reason);
     }
 
-    /// Closes an idle client's connection, unless the client has sent something that is not processed
-    /// yet: closing it would lose the request, and the next sweep finds the connection again. Returns
-    /// whether it was closed.
-    fn close_if_quiet(&mut self, conn: ConnId) -> bool {
-        let closed = self
-            .connections
-            .get(conn)
-            .is_some_and(|connection| connection.gate.close_unless_input(connection.fd));
-        if closed {
-            self.connection_lost(conn, CloseReason::Idle);
-        }
-        closed
-    }
-
     fn sweep(&mut self) {
         let now = clock::now();
         self.sweep_at = now + SWEEP_INTERVAL;
@@ -430,57 +432,6 @@
         );
     }
 
-    /// Closes clients' connections to free slots, see [`eviction`].
-    fn free_client_slots(&mut self) {
-        let candidates = eviction::candidates(&self.connections, clock::now());
-        // During a shutdown, the host keeps connected clients that have sent requests, up to the usual
-        // limit: late in the shutdown, they cannot get another connection here. It closes those above
-        // the limit; otherwise new clients would get no slot.
-        let mut excess = if self.shutdown.is_requested() {
-            let max_idle_clients = self.config.descriptors.idle_clients;
-            eviction::excess_idle_clients(&self.connections, max_idle_clients)
-        } else {
-            usize::MAX
-        };
-        // A connection that stays open because of unprocessed bytes does not count; otherwise the
-        // listener would have to wait for the next sweep.
-        let mut closings_left = eviction::max_closings(self.listener.limit());
-        for candidate in candidates {
-            let conn = candidate.conn;
-            let closed = match candidate.class {
-                EvictionClass::Rejected => {
-                    self.connection_lost(conn, CloseReason::AnsweredLast);
-                    true
-                }
-                EvictionClass::Silent => self.close_if_quiet(conn),
-                EvictionClass::LongIdle | EvictionClass::Idle if excess > 0 => {
-                    let closed = self.close_if_quiet(conn);
-                    excess -= usize::from(closed);
-                    closed
-                }
-                _ => false,
-            };
-            closings_left -= usize::from(closed);
-            if closings_left == 0 {
-                return;
-            }
-        }
-    }
-
-    /// Closes idle clients if more of them stay connected than the limit allows, see
-    /// [`eviction::idle_clients`].
-    fn limit_idle_clients(&mut self) {
-        let max_idle_clients = self.config.descriptors.idle_clients;
-        let excess = eviction::excess_idle_clients(&self.connections, max_idle_clients);
-        if excess == 0 || self.shutdown.is_requested() {
-            return;
-        }
-        let idle = eviction::idle_clients(&self.connections);
-        for conn in idle.into_iter().take(excess) {
-            self.close_if_quiet(conn);
-        }
-    }
-
     /// Reads the configuration file again. Only a change of discovery's address has an effect; an
     /// invalid file is ignored.
     fn reload(&mut self) {
--- a/crates/platform/src/run/owner/receive.rs
+++ b/crates/platform/src/run/owner/receive.rs
@@ -1,4 +1,4 @@
-//! Processes bytes received from clients, nodes and discovery: the owner passes them to the
+//! Processes messages received from clients, nodes and discovery: the owner passes them to the
 //! connection's protocol and performs the result.
 
 use super::{frame, Owner};
@@ -6,9 +6,10 @@
 use crate::clients::SERVICE;
 use crate::discovery::{self, DiscoveryError};
 use crate::http::{HttpError, OutgoingMessage};
-use crate::run::client_conn::{self, Received};
+use crate::run::client_conn;
 use crate::run::connection::{ClientExchange, ClientState, CloseReason, Role};
 use crate::run::discovery_port::{is_refusal, DiscoveryResponse};
+use crate::run::input_schedule::Turn;
 use crate::run::node_conn::{self, NodeResponse, ResponseError};
 use crate::run::owner_time::Activity;
 use crate::run::reader::ReadGate;
@@ -35,63 +36,40 @@
         self.inputs.push(Input::ClientUp { conn, outbox });
     }
 
-    pub(super) fn handle_read(&mut self, conn: ConnId, at: Duration, bytes: &[u8]) {
-        let began_at = clock::now();
-        self.time.read(bytes.len(), began_at.saturating_sub(at));
-        let Some(connection) = self.connections.get_mut(conn) else {
-            return;
-        };
-        connection.gate.consumed(bytes.len());
-        match connection.role {
-            Role::Client(_) => match client_conn::receive(connection, at, bytes) {
-                Received::Buffered => {
-                    self.spent_since(Activity::Copying, began_at);
-                    self.advance_client(conn, at);
-                }
-                Received::Discarded => {}
-                Received::Close(reason) => self.connection_lost(conn, reason),
-            },
-            Role::Node(_) => {
-                connection.last_read_at = at;
-                connection.reader.push(bytes);
-                self.spent_since(Activity::Copying, began_at);
-                self.handle_node_bytes(conn, at);
-            }
-            Role::Discovery => {
-                connection.reader.push(bytes);
-                self.spent_since(Activity::Copying, began_at);
-                self.handle_discovery_bytes(conn);
-            }
-        }
-    }
-
     /// Reads and processes the requests of a client that have arrived, up to the first one that awaits
-    /// its final response.
-    pub(super) fn advance_client(&mut self, conn: ConnId, at: Duration) {
+    /// its final response. Returns whether the turn ended before the last of them. Does nothing for other
+    /// connections.
+    pub(super) fn advance_client(&mut self, turn: &mut Turn) -> bool {
+        let conn = turn.conn();
         loop {
             let Some(connection) = self.connections.get_mut(conn) else {
-                return;
+                return false;
             };
             if !client_conn::may_parse(connection) {
-                return;
+                return false;
             }
+            if turn.is_spent() {
+                return true;
+            }
+            let at = client_conn::request_received_at(connection);
             let began_at = clock::now();
             let parsed = self.intake.read(&mut connection.reader);
             self.spent_since(Activity::Parsing, began_at);
-            let parsed = match parsed {
-                Ok(Some(parsed)) => parsed,
-                Ok(None) => return,
-                Err(error) => return self.reject(conn, &error),
+            let Some(parsed) = parsed.transpose() else {
+                return false;
             };
-            let ParsedRequest {
-                request,
-                keep_alive,
-            } = parsed;
-            match request {
-                ClientRequest::Ready => self.respond_to_readiness_check(conn, at, keep_alive),
-                ClientRequest::Submit { id, submit } => {
-                    return self.submit(conn, at, id, *submit, keep_alive)
-                }
+            turn.charge_message();
+            match parsed {
+                Err(error) => self.reject(conn, &error),
+                Ok(ParsedRequest {
+                    request,
+                    keep_alive,
+                }) => match request {
+                    ClientRequest::Ready => self.respond_to_readiness_check(conn, at, keep_alive),
+                    ClientRequest::Submit { id, submit } => {
+                        self.submit(conn, at, id, *submit, keep_alive)
+                    }
+                },
             }
         }
     }
@@ -161,7 +139,8 @@
         self.flush(conn);
     }
 
-    fn handle_node_bytes(&mut self, conn: ConnId, at: Duration) {
+    pub(super) fn handle_node_bytes(&mut self, turn: &mut Turn, at: Duration) {
+        let conn = turn.conn();
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
@@ -170,7 +149,10 @@
         self.spent_since(Activity::Parsing, began_at);
         match parsed {
             Ok(None) => {}
-            Ok(Some(response)) => self.finish_node_exchange(conn, response, at),
+            Ok(Some(response)) => {
+                turn.charge_message();
+                self.finish_node_exchange(conn, response, at);
+            }
             Err(ResponseError::Unexpected) => {
                 self.connection_lost(conn, CloseReason::UnexpectedBytes)
             }
@@ -272,7 +254,8 @@
         self.flush(conn);
     }
 
-    fn handle_discovery_bytes(&mut self, conn: ConnId) {
+    pub(super) fn handle_discovery_bytes(&mut self, turn: &mut Turn) {
+        let conn = turn.conn();
         let Some(outstanding) = self.discovery.outstanding(conn) else {
             return self.connection_lost(conn, CloseReason::UnexpectedBytes);
         };
@@ -285,6 +268,7 @@
         let Some(read) = read.transpose() else {
             return self.limit_endpoint_lists(conn);
         };
+        turn.charge_message();
         let Some(connection) = self.connections.get_mut(conn) else {
             return;
         };
@@ -298,10 +282,8 @@
 
     /// Closes the connection if the endpoint lists that are being read exceed their bound.
     fn limit_endpoint_lists(&mut self, conn: ConnId) {
-        let lists = self.connections.iter().map(|(_, connection)| connection);
-        let bytes: usize = lists
-            .map(|connection| connection.held_bytes().endpoint_list)
-            .sum();
+        self.account_for(conn, true);
+        let bytes = self.budget.lock().held().endpoint_list;
         let limit = self.config.memory.endpoint_lists;
         if bytes <= limit {
             return;
--- a/crates/platform/src/run/owner/send.rs
+++ b/crates/platform/src/run/owner/send.rs
@@ -180,7 +180,7 @@
         self.intake.release(exchange, is_open);
         if finished.has_next {
             // The response precedes any later one, since it is already in the write queue.
-            self.advance_client(conn, now);
+            self.schedule.add(conn);
         }
     }
 }
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -49,18 +49,19 @@
 /// Returns a client whose reader has read the first request.
 fn client_with_request(owner: &mut Owner) -> (ConnId, UnixStream, UnixStream) {
     let (conn, ours, theirs) = client(owner, 1);
-    let gate = owner.connections.get(conn).unwrap().gate.clone();
-    gate.lock().unprocessed = REQUEST.len();
+    receive(owner, conn, clock::now(), REQUEST.as_bytes());
     (conn, ours, theirs)
 }
 
+/// Adds bytes to a connection's inbox, as its reader does.
+fn receive(owner: &Owner, conn: ConnId, at: Duration, bytes: &[u8]) {
+    let gate = &owner.connections.get(conn).unwrap().gate;
+    gate.lock().inbox.push(at, bytes.to_vec(), 0);
+}
+
 fn deliver_request(owner: &mut Owner, conn: ConnId) {
-    owner.handle_event(OwnerEvent::Read {
-        conn,
-        at: clock::now(),
-        bytes: REQUEST.into(),
-        charged: 0,
-    });
+    owner.handle_event(OwnerEvent::Readable { conn });
+    owner.take_turns(Duration::MAX);
 }
 
 fn client_state(owner: &mut Owner, conn: ConnId) -> &mut ClientState {
@@ -436,8 +437,107 @@
         let expired = Expired::find(&owner.connections, &owner.discovery, ms(10_000), phase);
         expired.malformed
     };
-    gate.lock().unprocessed = 1;
+    receive(&owner, conn, clock::now(), b"C");
     assert_eq!(stalled(&owner), []);
-    gate.lock().unprocessed = 0;
+    assert!(gate.take(1).is_some());
     assert_eq!(stalled(&owner), [conn]);
 }
+
+/// Returns the connections whose requests the owner has passed to the router since the last step.
+fn submitted(owner: &Owner) -> Vec<ConnId> {
+    let inputs = owner.inputs.iter();
+    let submitted = inputs.filter_map(|input| match input {
+        Input::ClientFrames { conn, .. } => Some(*conn),
+        _ => None,
+    });
+    submitted.collect()
+}
+
+/// Returns clients that have sent a large part of a body in chunks of one byte.
+fn clients_with_much_input(owner: &mut Owner, count: u64) -> Vec<(ConnId, UnixStream, UnixStream)> {
+    let head = "PUT /row/7f3a9c21e0b4d655 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let input = format!("{head}{}", "1\r\nb\r\n".repeat(9_000));
+    let clients: Vec<_> = (0..count).map(|n| client(owner, 100 + n)).collect();
+    for (conn, ..) in &clients {
+        receive(owner, *conn, clock::now(), input.as_bytes());
+        owner.handle_event(OwnerEvent::Readable { conn: *conn });
+    }
+    clients
+}
+
+fn with_input(owner: &Owner, clients: &[(ConnId, UnixStream, UnixStream)]) -> usize {
+    let gates = clients.iter().filter(|(conn, ..)| {
+        let connection = owner.connections.get(*conn);
+        connection.is_some_and(|connection| connection.gate.has_input())
+    });
+    gates.count()
+}
+
+/// Guards against requests that wait behind all that other connections have sent before them.
+#[test]
+fn a_request_waits_for_one_turn_of_each_other_connection() {
+    let mut owner = owner();
+    let others = clients_with_much_input(&mut owner, 10);
+    let (conn, _ours, _theirs) = client_with_request(&mut owner);
+    deliver_request(&mut owner, conn);
+    assert_eq!(submitted(&owner), [conn]);
+    assert_eq!(with_input(&owner, &others), others.len());
+    while !owner.schedule.is_empty() {
+        owner.take_turns(Duration::MAX);
+    }
+    assert_eq!(
+        with_input(&owner, &others),
+        0,
+        "the others get theirs as well"
+    );
+}
+
+/// Guards against timers that wait until all input is handled.
+#[test]
+fn a_deadline_that_is_due_goes_ahead_of_input() {
+    for (deadline, handled) in [(Duration::ZERO, 1), (Duration::MAX, 4)] {
+        let mut owner = owner();
+        let clients: Vec<_> = (1..=4).map(|number| client(&mut owner, number)).collect();
+        for (conn, ..) in &clients {
+            receive(&owner, *conn, clock::now(), &REQUEST.as_bytes()[..20]);
+            owner.handle_event(OwnerEvent::Readable { conn: *conn });
+        }
+        owner.take_turns(deadline);
+        assert_eq!(with_input(&owner, &clients), 4 - handled, "{deadline:?}");
+    }
+}
+
+/// Guards against responses that are lost because their connection ended behind them.
+#[test]
+fn the_input_of_a_connection_is_handled_before_its_end() {
+    let mut owner = owner();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let conn = accept(&mut owner, 1, stream.as_raw_fd());
+    receive(&owner, conn, clock::now(), REQUEST.as_bytes());
+    owner.handle_event(OwnerEvent::Readable { conn });
+    owner.handle_event(OwnerEvent::Ended { conn, stream });
+    owner.finish_ended();
+    assert!(owner.connections.get(conn).is_some());
+    owner.take_turns(Duration::MAX);
+    owner.finish_ended();
+    assert_eq!(submitted(&owner), [conn]);
+    assert!(owner.connections.get(conn).is_none());
+}
+
+/// Guards against memory that stays reserved for bytes of a connection that was closed before they were
+/// handled.
+#[test]
+fn the_input_of_a_closed_connection_does_not_count() {
+    let mut owner = owner();
+    let (conn, _ours, _theirs) = client(&mut owner, 1);
+    let charged = {
+        let mut budget = owner.budget.lock();
+        assert!(budget.request_read(conn, grebecleat_host::memory_budget::PeerKind::Client, 100));
+        budget.finish_read(conn, 100, 50)
+    };
+    let gate = owner.connections.get(conn).unwrap().gate.clone();
+    gate.lock().inbox.push(clock::now(), vec![0; 50], charged);
+    owner.connection_lost(conn, CloseReason::TimedOut);
+    assert_eq!(owner.budget.lock().read_ahead(), 0);
+}
--- a/crates/platform/src/run/owner_time.rs
+++ b/crates/platform/src/run/owner_time.rs
@@ -1,6 +1,6 @@
 //! Accounts for the time of the owner's thread, for the statistics log.
 //!
-//! The owner reports how long each [`Activity`] took, and each read event that it handles. The figures
+//! The owner reports how long each [`Activity`] took, and the received bytes that it handles. The figures
 //! cover the time since the previous line. This module reads no clock.
 
 use std::fmt;
@@ -39,9 +39,10 @@
     spent: [Duration; ACTIVITIES.len()],
     steps: u64,
     events: u64,
+    turns: u64,
     reads: u64,
     bytes: u64,
-    /// Sum of the times from a read to the handling of its event.
+    /// Sum of the times from a read to the handling of its bytes.
     waited: Duration,
     longest_wait: Duration,
 }
@@ -62,6 +63,11 @@
         self.events += 1;
     }
 
+    /// Records that a connection has its turn.
+    pub(super) fn turn(&mut self) {
+        self.turns += 1;
+    }
+
     /// Records that received bytes are handled, which were read this long ago.
     pub(super) fn read(&mut self, bytes: usize, waited: Duration) {
         self.reads += 1;
@@ -92,8 +98,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "owner steps={} events={} reads={} bytes={}",
-            self.steps, self.events, self.reads, self.bytes
+            "owner steps={} events={} turns={} reads={} bytes={}",
+            self.steps, self.events, self.turns, self.reads, self.bytes
         )?;
         for (activity, name) in ACTIVITIES {
             write!(f, " {name}={}", self.spent[activity as usize].as_micros())?;
--- a/crates/platform/src/run/reader.rs
+++ b/crates/platform/src/run/reader.rs
@@ -1,10 +1,11 @@
 //! The reader coroutine of each connection, and the flow control between it and the owner.
 //!
-//! A reader receives bytes from its socket and sends them to the owner as [`OwnerEvent`]s. The
-//! [`ReadGate`] counts the bytes that the reader has read and the owner has not processed. If they
-//! exceed [`MAX_UNPROCESSED_BYTES`] after a read, the reader waits. It also waits for the memory of a
-//! read, which it reserves in the process's memory budget.
+//! A reader receives bytes from its socket and adds them to its connection's [`Inbox`], from which the
+//! owner takes them. It announces them with one [`OwnerEvent`], and with no other until the owner has
+//! taken all bytes. If the inbox holds more than [`MAX_UNPROCESSED_BYTES`] after a read, the reader waits.
+//! It also waits for the memory of a read, which it reserves in the process's memory budget.
 
+use super::inbox::{Inbox, TakenBytes};
 use super::shared_budget::SharedBudget;
 use super::socket::{pending_input, PendingInput};
 use grebecleat_host::memory_budget::PeerKind;
@@ -18,7 +19,6 @@
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
 /// Maximum number of bytes of a first read. A larger value reserves more memory for each read; a smaller
 /// one costs more reads.
@@ -38,14 +38,8 @@
         fd: RawFd,
         gate: Arc<ReadGate>,
     },
-    /// A peer has sent bytes.
-    Read {
-        conn: ConnId,
-        at: Duration,
-        bytes: Vec<u8>,
-        /// Number of bytes of the memory budget that are released once the event is processed.
-        charged: usize,
-    },
+    /// The inbox of a connection holds bytes.
+    Readable { conn: ConnId },
     /// A reader waits for memory.
     ReadWaits,
     /// A reader has ended. The event carries the stream, so that the operating system cannot reuse its
@@ -57,9 +51,8 @@
     Signal(i32),
 }
 
-/// The flow control that a connection's reader and the owner share: it counts the bytes that were read
-/// and not processed. The reader receives bytes from the socket only under its lock. The owner can
-/// therefore close a connection knowing that every byte that was read is processed and gets its
+/// The inbox and the flow control that a connection's reader and the owner share. The reader receives bytes from the socket only under its lock. The owner can
+/// therefore close a connection knowing that every byte that was read has been taken and gets its
 /// response. Bytes that reach the socket during the close are lost, which the platform allows.
 pub(super) struct ReadGate {
     state: Mutex<ReadState>,
@@ -68,8 +61,10 @@
 
 #[derive(Default)]
 pub(super) struct ReadState {
-    /// Number of bytes that were read and that the owner has not processed yet.
-    pub(super) unprocessed: usize,
+    /// The bytes that were read and that the owner has not taken.
+    pub(super) inbox: Inbox,
+    /// Whether the owner knows that the inbox holds bytes.
+    is_announced: bool,
     closed: bool,
     /// Whether the reader must not read although the connection is open.
     paused: bool,
@@ -87,18 +82,18 @@
         fd: RawFd,
         budget: &SharedBudget,
         reserved: &mut usize,
-    ) -> io::Result<ReadOutcome> {
+    ) -> io::Result<Received> {
         if self.closed {
-            return Ok(ReadOutcome::End);
+            return Ok(Received::End);
         }
         if self.paused {
-            return Ok(ReadOutcome::Paused);
+            return Ok(Received::Paused);
         }
         // The buffer is not on the stack, which would keep its pages for as long as the connection is open.
         let mut bytes = vec![0; FIRST_READ_SIZE];
         let received = receive_now(fd, &mut bytes)?;
         if received == 0 {
-            return Ok(ReadOutcome::End);
+            return Ok(Received::End);
         }
         bytes.truncate(received);
         bytes.shrink_to_fit();
@@ -107,17 +102,24 @@
             // Reading the rest of a large message at once costs less than many small events.
             read_more(fd, &mut bytes);
         }
-        self.unprocessed += bytes.len();
-        Ok(ReadOutcome::Bytes { bytes, charged: 0 })
+        Ok(Received::Bytes(bytes))
     }
 }
 
+/// What one read has received.
+enum Received {
+    Bytes(Vec<u8>),
+    Paused,
+    End,
+}
+
 /// The result of one read.
+#[derive(Debug, PartialEq, Eq)]
 enum ReadOutcome {
+    /// The inbox has more bytes.
     Bytes {
-        bytes: Vec<u8>,
-        /// Number of bytes charged to the memory budget.
-        charged: usize,
+        /// Whether the owner must be told.
+        is_news: bool,
     },
     Paused,
     WouldBlock,
@@ -140,56 +142,73 @@
     fn read(&self, conn: ConnId, fd: RawFd, budget: &SharedBudget) -> ReadOutcome {
         let mut state = self.lock();
         let mut reserved = FIRST_READ_SIZE;
-        let outcome = loop {
+        let received = loop {
             match state.receive(fd, budget, &mut reserved) {
                 // Waiting now could block forever, since the system has already reported the event.
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    break ReadOutcome::WouldBlock
-                }
-                Err(_) => break ReadOutcome::End,
-                Ok(outcome) => break outcome,
+                result => break result,
             }
         };
-        let received = match &outcome {
-            ReadOutcome::Bytes { bytes, .. } => bytes.len(),
+        let count = match &received {
+            Ok(Received::Bytes(bytes)) => bytes.len(),
             _ => 0,
         };
-        let charged = budget.lock().finish_read(conn, reserved, received);
+        let charged = budget.lock().finish_read(conn, reserved, count);
         state.awaits_memory = false;
-        match outcome {
-            ReadOutcome::Bytes { bytes, .. } => ReadOutcome::Bytes { bytes, charged },
-            other => other,
+        match received {
+            Ok(Received::Bytes(bytes)) => {
+                state.inbox.push(clock::now(), bytes, charged);
+                let was_announced = std::mem::replace(&mut state.is_announced, true);
+                ReadOutcome::Bytes {
+                    is_news: !was_announced,
+                }
+            }
+            Ok(Received::Paused) => ReadOutcome::Paused,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => ReadOutcome::WouldBlock,
+            Ok(Received::End) | Err(_) => ReadOutcome::End,
         }
     }
 
-    /// Records that the owner has processed this number of bytes, and wakes the reader if it may go on.
-    pub(super) fn consumed(&self, bytes: usize) {
+    /// Takes at most `max` bytes of the inbox that were read together, and wakes the reader if it may go
+    /// on. Returns `None` if the inbox is empty; the reader then announces the next bytes.
+    pub(super) fn take(&self, max: usize) -> Option<TakenBytes> {
         let mut state = self.lock();
-        let before = state.unprocessed;
-        state.unprocessed -= bytes;
-        if before > MAX_UNPROCESSED_BYTES && state.unprocessed <= MAX_UNPROCESSED_BYTES {
+        let before = state.inbox.len();
+        let taken = state.inbox.take(max);
+        state.is_announced = !state.inbox.is_empty();
+        if before > MAX_UNPROCESSED_BYTES && state.inbox.len() <= MAX_UNPROCESSED_BYTES {
             drop(state);
             self.wake.post();
         }
+        taken
     }
 
-    /// Returns whether the owner has processed every byte that was read, and the socket holds neither
-    /// bytes nor the end of the connection.
+    /// Returns whether the inbox holds bytes.
+    pub(super) fn has_input(&self) -> bool {
+        !self.lock().inbox.is_empty()
+    }
+
+    /// Returns whether the owner has taken every byte that was read, and the socket holds neither bytes
+    /// nor the end of the connection.
     pub(super) fn is_quiet(&self, fd: RawFd) -> bool {
-        self.lock().unprocessed == 0 && pending_input(fd) == PendingInput::Nothing
+        self.lock().inbox.is_empty() && pending_input(fd) == PendingInput::Nothing
     }
 
-    /// Closes the gate, after which the reader reads no more bytes.
-    pub(super) fn close(&self) {
-        self.lock().closed = true;
+    /// Closes the gate, after which the reader reads no more bytes, and drops the inbox. Returns the number
+    /// of bytes of the memory budget that the inbox has charged.
+    pub(super) fn close(&self) -> usize {
+        let mut state = self.lock();
+        state.closed = true;
+        let charged = state.inbox.clear();
+        drop(state);
         self.wake.post();
+        charged
     }
 
     /// Closes the gate unless that would lose bytes of the peer. Returns whether it is closed.
     pub(super) fn close_unless_input(&self, fd: RawFd) -> bool {
         let mut state = self.lock();
-        state.closed |= state.unprocessed == 0 && pending_input(fd) != PendingInput::Bytes;
+        state.closed |= state.inbox.is_empty() && pending_input(fd) != PendingInput::Bytes;
         if state.closed {
             drop(state);
             self.wake.post();
@@ -198,11 +217,11 @@
         false
     }
 
-    /// Makes the reader wait, unless bytes were read that the owner has not processed. Returns whether it
+    /// Makes the reader wait, unless bytes were read that the owner has not taken. Returns whether it
     /// waits.
     pub(super) fn pause_if_processed(&self) -> bool {
         let mut state = self.lock();
-        state.paused = state.unprocessed == 0;
+        state.paused = state.inbox.is_empty();
         state.paused
     }
 
@@ -219,10 +238,10 @@
     }
 
     /// Returns whether bytes may be in the socket that the reader could not read for lack of memory, or
-    /// bytes were read that the owner has not processed.
+    /// bytes were read that the owner has not taken.
     pub(super) fn is_behind(&self) -> bool {
         let state = self.lock();
-        state.awaits_memory || state.unprocessed > 0
+        state.awaits_memory || !state.inbox.is_empty()
     }
 
     fn expect_memory(&self) {
@@ -246,7 +265,7 @@
 
     fn wait_for_owner(&self) {
         let must_wait = |state: MutexGuard<ReadState>| {
-            let may_read = !state.paused && state.unprocessed <= MAX_UNPROCESSED_BYTES;
+            let may_read = !state.paused && state.inbox.len() <= MAX_UNPROCESSED_BYTES;
             !may_read && !state.closed
         };
         while must_wait(self.lock()) {
@@ -302,14 +321,10 @@
                 ReadOutcome::Paused => {}
                 ReadOutcome::WouldBlock => _ = stream.wait_io(),
                 ReadOutcome::End => break,
-                ReadOutcome::Bytes { bytes, charged } => {
-                    let read = OwnerEvent::Read {
-                        conn: self.conn,
-                        at: clock::now(),
-                        bytes,
-                        charged,
-                    };
-                    if self.event_sender.send(read).is_err() {
+                ReadOutcome::Bytes { is_news: false } => {}
+                ReadOutcome::Bytes { is_news: true } => {
+                    let readable = OwnerEvent::Readable { conn: self.conn };
+                    if self.event_sender.send(readable).is_err() {
                         break;
                     }
                 }
--- a/crates/platform/src/run/reader/tests.rs
+++ b/crates/platform/src/run/reader/tests.rs
@@ -47,11 +47,11 @@
             client.write_all(b"hello").unwrap();
         }
         if reads {
-            let outcome = read(&gate, fd);
-            assert!(matches!(outcome, ReadOutcome::Bytes { bytes, .. } if bytes == b"hello"));
+            assert_eq!(read(&gate, fd), ReadOutcome::Bytes { is_news: true });
+            assert_eq!(gate.lock().inbox.len(), 5);
         }
         if processes {
-            gate.consumed(5);
+            assert!(gate.take(9).is_some_and(|taken| taken.bytes == b"hello"));
         }
         if ends {
             client.shutdown(std::net::Shutdown::Both).unwrap();
@@ -72,3 +72,24 @@
         }
     }
 }
+
+/// Guards against an owner that is told of each piece that a peer sends, and against one that is not told
+/// of bytes that were read after it had taken all.
+#[test]
+fn the_owner_is_told_once_of_bytes_that_it_has_not_taken() {
+    let (host, mut client) = UnixStream::pair().unwrap();
+    let fd = host.as_raw_fd();
+    let gate = ReadGate::new();
+    let mut receive = |bytes: &[u8]| {
+        client.write_all(bytes).unwrap();
+        read(&gate, fd)
+    };
+    let is_news = |is_news| ReadOutcome::Bytes { is_news };
+    assert_eq!(receive(b"a"), is_news(true));
+    assert_eq!(receive(b"bc"), is_news(false));
+    assert!(gate.take(2).is_some_and(|taken| taken.bytes == b"ab"));
+    assert_eq!(receive(b"d"), is_news(false));
+    assert!(gate.take(2).is_some_and(|taken| taken.bytes == b"cd"));
+    assert!(!gate.has_input());
+    assert_eq!(receive(b"e"), is_news(true));
+}
