A request that has arrived in time is not rejected as incomplete

Change: bytes that may have arrived before the timeout are processed before the request is judged, for 500 ms at most. A client that only goes on dripping is judged once bytes read after its timeout are processed.

Test: the new one fails without the change, for a rest in the inbox and for one in the socket.

--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -507,6 +507,52 @@
     }
 }
 
+/// Guards against a 408 for a request whose last bytes have arrived in time and are not processed.
+#[test]
+fn a_request_that_was_complete_in_time_is_not_rejected_as_incomplete() {
+    let phase = ShutdownPhase {
+        is_requested: false,
+        closes_after_response: false,
+    };
+    let accepted_at = clock::now();
+    let timeout = accepted_at + ms(2500);
+    let (head, rest) = REQUEST.split_at(30);
+    type Case = (
+        &'static str,
+        fn(&Owner, ConnId, &mut UnixStream, &str),
+        bool,
+        bool,
+    );
+    let cases: [Case; 3] = [
+        ("nothing more has arrived", |_, _, _, _| (), true, true),
+        (
+            "the rest is in the inbox",
+            |owner, conn, _, rest| receive(owner, conn, clock::now(), rest.as_bytes()),
+            false,
+            true,
+        ),
+        (
+            "the rest is in the socket",
+            |_, _, client, rest| client.write_all(rest.as_bytes()).unwrap(),
+            false,
+            true,
+        ),
+    ];
+    for (what, act, at_timeout, later) in cases {
+        let mut owner = owner();
+        let (conn, _ours, mut theirs) = client(&mut owner, 1);
+        receive(&owner, conn, clock::now(), head.as_bytes());
+        deliver_request(&mut owner, conn);
+        act(&owner, conn, &mut theirs, rest);
+        let is_incomplete = |now| {
+            let expired = Expired::find(&owner.connections, &owner.discovery, now, phase);
+            expired.incomplete == [conn]
+        };
+        assert_eq!(is_incomplete(timeout), at_timeout, "{what}");
+        assert_eq!(is_incomplete(timeout + ms(1000)), later, "{what}");
+    }
+}
+
 /// Guards against responses that are lost because their connection ended behind them.
 #[test]
 fn the_input_of_a_connection_is_handled_before_its_end() {
--- a/crates/platform/src/run/sweep.rs
+++ b/crates/platform/src/run/sweep.rs
@@ -6,6 +6,7 @@
 use super::connection::{ClientState, Connection, Role};
 use super::connection_table::ConnectionTable;
 use super::discovery_port::DiscoveryPort;
+use super::socket::{pending_input, PendingInput};
 use crate::http::HttpError;
 use grebecleat_host::router::ConnId;
 use std::time::Duration;
@@ -35,6 +36,11 @@
 /// a smaller one cuts off responses.
 const RESPONSE_READ_TIMEOUT: Duration = Duration::from_millis(5000);
 
+/// Longest time after its timeout for which a request counts as complete in time if bytes of it have arrived
+/// and are not processed. With a smaller value, complete requests are rejected while this host is busy;
+/// a larger one lets slow clients occupy slots.
+const IN_TRANSIT_GRACE_PERIOD: Duration = Duration::from_millis(500);
+
 /// The response to a request that is not completed in time.
 pub(super) const REQUEST_TIMEOUT: HttpError = HttpError {
     status: 408,
@@ -103,7 +109,12 @@
                         expired.idle.push(conn);
                     }
                 }
-                Expiry::Incomplete(at) if now >= at => expired.incomplete.push(conn),
+                Expiry::Incomplete(at) if now >= at => {
+                    let is_late = now >= at + IN_TRANSIT_GRACE_PERIOD;
+                    if is_late || !may_be_complete(connection, at) {
+                        expired.incomplete.push(conn);
+                    }
+                }
                 Expiry::Malformed(at) if now >= at => expired.malformed.push(conn),
                 _ => {}
             }
@@ -112,6 +123,14 @@
     }
 }
 
+/// Returns whether bytes may have arrived before `at` that this host has not processed: the request may be
+/// complete. Once bytes that were read later are processed, all that arrived before are.
+fn may_be_complete(connection: &Connection, at: Duration) -> bool {
+    let has_more =
+        || connection.gate.is_behind() || pending_input(connection.fd) == PendingInput::Bytes;
+    connection.last_read_at < at && has_more()
+}
+
 fn expiry(conn: ConnId, connection: &Connection, discovery: &DiscoveryPort) -> Expiry {
     match &connection.role {
         Role::Node(_) if connection.reader.is_empty() => Expiry::Never,
