Write to sockets that accept no more bytes at intervals, not at every step

Cause: each step of the owner wrote again to every socket that had not accepted all bytes. Steps are now as frequent as input, so clients that do not read would take the owner's time, one system call each for every step. Found by reading, while looking for work that is not bounded; not measured.

Change: at most every 2 ms, as the interval's comment promised.

--- a/crates/platform/src/run/connection_table.rs
+++ b/crates/platform/src/run/connection_table.rs
@@ -16,6 +16,10 @@
 use std::time::Duration;
 use tracing::debug;
 
+/// Interval at which sockets that did not accept all bytes are written again, and pending dials checked. A
+/// larger value delays attempts and responses to slow readers; a smaller one costs CPU time.
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(2);
+
 /// The result of writing a connection's write queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WriteOutcome {
@@ -37,6 +41,8 @@
     changed_outboxes: Arc<Mutex<Vec<ConnId>>>,
     /// Connections whose sockets did not accept all bytes.
     blocked: BTreeSet<ConnId>,
+    /// When those connections are to be written again.
+    retry_at: Duration,
 }
 
 impl ConnectionTable {
@@ -114,20 +120,25 @@
         self.closing.remove(&conn)
     }
 
-    /// Returns whether any socket did not accept all bytes.
-    pub(super) fn has_blocked(&self) -> bool {
-        !self.blocked.is_empty()
+    /// Returns when sockets that did not accept all bytes are to be written again, or `None` if there are
+    /// none.
+    pub(super) fn retry_at(&self) -> Option<Duration> {
+        (!self.blocked.is_empty()).then_some(self.retry_at)
     }
 
-    /// Returns the connections that may have something to write: those with a changed outbox, then
-    /// those with a socket that did not accept all bytes.
-    pub(super) fn take_writable(&mut self) -> Vec<ConnId> {
+    /// Returns the connections that may have something to write: those with a changed outbox, then, at
+    /// intervals, those with a socket that did not accept all bytes. Writing the latter at each step would
+    /// let clients that do not read take the owner's time.
+    pub(super) fn take_writable(&mut self, now: Duration) -> Vec<ConnId> {
         let mut changed = self
             .changed_outboxes
             .lock()
             .unwrap_or_else(|error| error.into_inner());
         let mut writable = std::mem::take(&mut *changed);
-        writable.extend(std::mem::take(&mut self.blocked));
+        if now >= self.retry_at {
+            writable.extend(std::mem::take(&mut self.blocked));
+            self.retry_at = now + RETRY_INTERVAL;
+        }
         writable
     }
 
@@ -169,3 +180,6 @@
         WriteOutcome::Complete
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -18,7 +18,7 @@
 
 use super::client_conn;
 use super::connection::{CloseReason, DialTarget, NodeExchange, Role};
-use super::connection_table::ConnectionTable;
+use super::connection_table::{ConnectionTable, RETRY_INTERVAL};
 use super::dials::{DialOutcome, Dialer};
 use super::discovery_port::DiscoveryPort;
 use super::input_schedule::InputSchedule;
@@ -55,9 +55,6 @@
 /// Time that the readers get after a pause of this process to report what is in the sockets. With a
 /// smaller value, the pause counts as slowness of nodes; a larger one prolongs the pause.
 const CATCH_UP_TIME: Duration = Duration::from_millis(3);
-/// Interval at which pending dials, and sockets that did not accept all bytes, are checked again. A
-/// larger value delays attempts; a smaller one costs CPU time.
-const RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The owner of the router and of all state that serves it.
 pub(super) struct Owner {
@@ -219,8 +216,10 @@
     fn time_to_wake(&mut self) -> Duration {
         let now = clock::now();
         let mut wake = self.router.wake_at().min(self.sweep_at);
-        let is_pending = !self.dialer.is_idle() || self.connections.has_blocked();
-        if is_pending || self.budget.lock().has_waiting() {
+        if let Some(retry_at) = self.connections.retry_at() {
+            wake = wake.min(retry_at);
+        }
+        if !self.dialer.is_idle() || self.budget.lock().has_waiting() {
             wake = wake.min(now + RETRY_INTERVAL);
         }
         wake.saturating_sub(now)
--- a/crates/platform/src/run/owner/send.rs
+++ b/crates/platform/src/run/owner/send.rs
@@ -25,7 +25,7 @@
 
 impl Owner {
     pub(super) fn flush_all(&mut self) {
-        for conn in self.connections.take_writable() {
+        for conn in self.connections.take_writable(clock::now()) {
             self.flush(conn);
         }
     }
