Responses that have arrived go ahead of due deadlines, all input after a pause

Cause: a due deadline went ahead of all input. If the operating system wakes the host late, or it was stopped for a while, the response of a request may lie in its inbox: the request would have been answered 503, and its node blamed, for a response that is here.

Change: nodes' connections and clients' have alternate turns. Before a due deadline the input of nodes is handled, within the bound of one step; the clients' waits. After a pause of the process all input that has arrived is handled first, as before, within 16 steps.

Tests: input that arrived during a pause, and alternate turns.

--- a/crates/platform/src/run/input_schedule.rs
+++ b/crates/platform/src/run/input_schedule.rs
@@ -2,8 +2,11 @@
 //!
 //! The connections take turns. A [`Turn`] may cost [`TURN_COST`]; what it costs beyond that is subtracted from
 //! the connection's next turns (deficit round robin). A connection with little input therefore waits for
-//! one turn of each other connection at most, however much those have sent. This module performs no I/O.
+//! one turn of each other connection at most, however much those have sent. Connections that this host
+//! has dialed (nodes, discovery) and clients' connections have alternate turns while both have input. This
+//! module performs no I/O.
 
+use super::listener::LAST_DIALED_CONN;
 use grebecleat_host::router::ConnId;
 use std::collections::{HashSet, VecDeque};
 
@@ -26,10 +29,21 @@
 /// The connections that wait for their turns. Memory: one record for each.
 #[derive(Debug, Default)]
 pub(super) struct InputSchedule {
-    queue: VecDeque<Waiting>,
+    clients: VecDeque<Waiting>,
+    dialed: VecDeque<Waiting>,
+    /// Whether the last turn was that of a dialed connection.
+    last_was_dialed: bool,
     waiting: HashSet<ConnId>,
 }
 
+/// The connections that may have a turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Eligible {
+    All,
+    /// Connections to nodes and to discovery.
+    Dialed,
+}
+
 /// The work that the owner may do for one connection before the next one has its turn.
 #[derive(Debug)]
 pub(super) struct Turn {
@@ -83,25 +97,25 @@
 
     /// Returns whether no connection waits.
     pub(super) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+        self.waiting.is_empty()
     }
 
-    /// Begins the turn of the connection that has waited the longest.
-    pub(super) fn begin_turn(&mut self) -> Option<Turn> {
-        loop {
-            let Waiting { conn, debt } = self.queue.pop_front()?;
-            if debt >= TURN_COST {
-                let debt = debt - TURN_COST;
-                self.queue.push_back(Waiting { conn, debt });
-                continue;
-            }
-            self.waiting.remove(&conn);
-            return Some(Turn {
-                conn,
-                allowance: TURN_COST - debt,
-                spent: BEGIN_COST,
-            });
-        }
+    /// Begins the turn of an eligible connection.
+    pub(super) fn begin_turn(&mut self, eligible: Eligible) -> Option<Turn> {
+        let is_dialed = match eligible {
+            Eligible::Dialed => true,
+            Eligible::All if self.clients.is_empty() => true,
+            Eligible::All => !self.last_was_dialed && !self.dialed.is_empty(),
+        };
+        self.last_was_dialed = is_dialed;
+        let queue = if is_dialed {
+            &mut self.dialed
+        } else {
+            &mut self.clients
+        };
+        let turn = begin_turn_of(queue)?;
+        self.waiting.remove(&turn.conn);
+        Some(turn)
     }
 
     /// Ends a turn. If the connection has more input, it waits for its next turn.
@@ -113,9 +127,31 @@
     }
 
     fn enqueue(&mut self, conn: ConnId, debt: usize) {
-        if self.waiting.insert(conn) {
-            self.queue.push_back(Waiting { conn, debt });
+        if !self.waiting.insert(conn) {
+            return;
+        }
+        let queue = if conn.0 > LAST_DIALED_CONN {
+            &mut self.clients
+        } else {
+            &mut self.dialed
+        };
+        queue.push_back(Waiting { conn, debt });
+    }
+}
+
+/// Begins the turn of the connection that has waited the longest and has no debt of a whole turn.
+fn begin_turn_of(queue: &mut VecDeque<Waiting>) -> Option<Turn> {
+    loop {
+        let Waiting { conn, debt } = queue.pop_front()?;
+        if debt < TURN_COST {
+            return Some(Turn {
+                conn,
+                allowance: TURN_COST - debt,
+                spent: BEGIN_COST,
+            });
         }
+        let debt = debt - TURN_COST;
+        queue.push_back(Waiting { conn, debt });
     }
 }
 
--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -21,7 +21,7 @@
 use super::connection_table::{ConnectionTable, RETRY_INTERVAL};
 use super::dials::{DialOutcome, Dialer};
 use super::discovery_port::DiscoveryPort;
-use super::input_schedule::InputSchedule;
+use super::input_schedule::{Eligible, InputSchedule};
 use super::listener::{ListenerHandle, LAST_DIALED_CONN};
 use super::log_limiter::LogLimiter;
 use super::memory_monitor::MemoryMonitor;
@@ -157,14 +157,11 @@
             if !self.await_event(events) {
                 return;
             }
-            self.catch_up_after_pause();
+            self.catch_up_after_pause(events);
             self.take_events(events);
-            // Deadlines that are due go ahead of input.
-            if clock::now() >= self.router.wake_at() {
-                self.step();
-            }
+            self.step_if_due();
             let deadline = self.router.wake_at().min(self.sweep_at);
-            self.take_turns(deadline);
+            self.take_turns(Eligible::All, deadline);
             self.finish_ended();
             self.check_dials();
             self.step();
@@ -206,6 +203,16 @@
         true
     }
 
+    /// Steps the router if one of its deadlines is due: it goes ahead of the input of clients. The responses
+    /// that have arrived are handled first, within the bound of a step, since a request whose response is
+    /// here has not timed out.
+    fn step_if_due(&mut self) {
+        if clock::now() >= self.router.wake_at() {
+            self.take_turns(Eligible::Dialed, Duration::MAX);
+            self.step();
+        }
+    }
+
     /// Handles the events that are in the queue.
     fn take_events(&mut self, events: &Receiver<OwnerEvent>) {
         for event in events.try_iter().take(MAX_EVENTS_PER_STEP) {
@@ -227,7 +234,7 @@
 
     /// Gives the readers time to report what was received during a pause of this process, before the
     /// router evaluates which nodes are silent.
-    fn catch_up_after_pause(&mut self) {
+    fn catch_up_after_pause(&mut self, events: &Receiver<OwnerEvent>) {
         if !self.router.detect_pause(clock::now()) {
             return;
         }
@@ -235,6 +242,7 @@
             info!("process pause detected, delay not charged to nodes");
         }
         std::thread::sleep(CATCH_UP_TIME);
+        self.catch_up(events);
     }
 
     fn step(&mut self) {
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -61,7 +61,7 @@
 
 fn deliver_request(owner: &mut Owner, conn: ConnId) {
     owner.handle_event(OwnerEvent::Readable { conn });
-    owner.take_turns(Duration::MAX);
+    owner.take_turns(Eligible::All, Duration::MAX);
 }
 
 fn client_state(owner: &mut Owner, conn: ConnId) -> &mut ClientState {
@@ -483,7 +483,7 @@
     assert_eq!(submitted(&owner), [conn]);
     assert_eq!(with_input(&owner, &others), others.len());
     while !owner.schedule.is_empty() {
-        owner.take_turns(Duration::MAX);
+        owner.take_turns(Eligible::All, Duration::MAX);
     }
     assert_eq!(
         with_input(&owner, &others),
@@ -502,11 +502,29 @@
             receive(&owner, *conn, clock::now(), &REQUEST.as_bytes()[..20]);
             owner.handle_event(OwnerEvent::Readable { conn: *conn });
         }
-        owner.take_turns(deadline);
+        owner.take_turns(Eligible::All, deadline);
         assert_eq!(with_input(&owner, &clients), 4 - handled, "{deadline:?}");
     }
 }
 
+/// Guards against nodes that count as silent and requests that count as late because of a pause of this
+/// process: what has arrived meanwhile is handled before the timers.
+#[test]
+fn the_input_that_arrived_during_a_pause_is_handled_at_once() {
+    let (event_sender, events) = mpsc::channel();
+    let mut owner = owner_with_sockets(256, event_sender.clone());
+    let clients: Vec<_> = (1..=60).map(|number| client(&mut owner, number)).collect();
+    for (conn, ..) in &clients {
+        receive(&owner, *conn, clock::now(), &REQUEST.as_bytes()[..20]);
+        receive(&owner, *conn, clock::now(), &[b'x'; 5000]);
+        event_sender
+            .send(OwnerEvent::Readable { conn: *conn })
+            .unwrap();
+    }
+    owner.catch_up(&events);
+    assert_eq!(with_input(&owner, &clients), 0);
+}
+
 /// Guards against a 408 for a request whose last bytes have arrived in time and are not processed.
 #[test]
 fn a_request_that_was_complete_in_time_is_not_rejected_as_incomplete() {
@@ -565,7 +583,7 @@
     owner.handle_event(OwnerEvent::Ended { conn, stream });
     owner.finish_ended();
     assert!(owner.connections.get(conn).is_some());
-    owner.take_turns(Duration::MAX);
+    owner.take_turns(Eligible::All, Duration::MAX);
     owner.finish_ended();
     assert_eq!(submitted(&owner), [conn]);
     assert!(owner.connections.get(conn).is_none());
--- a/crates/platform/src/run/owner/turns.rs
+++ b/crates/platform/src/run/owner/turns.rs
@@ -8,17 +8,23 @@
 use crate::run::client_conn::{self, Received};
 use crate::run::connection::{CloseReason, Role};
 use crate::run::inbox::TakenBytes;
-use crate::run::input_schedule::Turn;
+use crate::run::input_schedule::{Eligible, Turn};
 use crate::run::owner_time::Activity;
+use crate::run::reader::OwnerEvent;
 use grebecleat_host::router::ConnId;
 use grebecleat_wire::clock;
 use may::net::TcpStream;
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 /// Cost of the turns of one step, in bytes of input (`input_schedule` has the cost of a message). A larger
 /// value delays the responses of a step; a smaller one costs more steps.
 const STEP_COST: usize = 128 << 10;
 
+/// Maximum number of steps' input that is handled after a pause of this process before the router's timers. A
+/// larger value delays them further; with a smaller one, responses that arrived in time count as late.
+const MAX_CATCH_UP_STEPS: usize = 16;
+
 /// A connection whose reader has ended.
 pub(super) struct EndedReader {
     pub(super) conn: ConnId,
@@ -29,10 +35,10 @@
 impl Owner {
     /// Handles input until its cost reaches the bound of a step, or until `deadline`, when something else
     /// is due. Handles one turn at least, so that input is not held up while deadlines follow each other.
-    pub(super) fn take_turns(&mut self, deadline: Duration) {
+    pub(super) fn take_turns(&mut self, eligible: Eligible, deadline: Duration) {
         let mut spent = 0;
         while spent < STEP_COST {
-            let Some(mut turn) = self.schedule.begin_turn() else {
+            let Some(mut turn) = self.schedule.begin_turn(eligible) else {
                 return;
             };
             let has_more = self.take_turn(&mut turn);
@@ -105,6 +111,18 @@
         false
     }
 
+    /// Handles the input that has arrived during a pause of this process, up to a bound, before the router
+    /// evaluates which nodes are silent and which deadlines have passed.
+    pub(super) fn catch_up(&mut self, events: &Receiver<OwnerEvent>) {
+        for _ in 0..MAX_CATCH_UP_STEPS {
+            self.take_events(events);
+            if self.schedule.is_empty() {
+                return;
+            }
+            self.take_turns(Eligible::All, Duration::MAX);
+        }
+    }
+
     /// Ends the connections whose readers have ended and whose input is handled.
     pub(super) fn finish_ended(&mut self) {
         for ended in std::mem::take(&mut self.ended) {
