--- a/crates/platform/src/run/owner_time.rs
+++ b/crates/platform/src/run/owner_time.rs
@@ -6,8 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
-/// What the owner spends its time on. The activities do not overlap, except that writing a response may
-/// include parsing the request behind it.
+/// What the owner spends its time on. The activities do not overlap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Activity {
     /// Adding received bytes to the buffer of their connection.
