Keep the memory granted to a reader until its client is accepted

What callers saw: 1 of 540 clients had no answer in 20 s.

Cause: the listener starts a client's reader right after it has sent the event that the client was accepted. If memory is short, the reader waits for it at once. The owner handled the events, then input, then granted memory: a grant for a client that was accepted meanwhile found no connection, and was taken for one of a closed connection.

Change: a grant for a client that is not accepted yet is kept.

Evidence: the new test fails without the change.

--- a/crates/platform/src/run/owner.rs
+++ b/crates/platform/src/run/owner.rs
@@ -35,6 +35,7 @@
 use crate::config::{Config, MAX_LIST_STALENESS};
 use grebecleat_discovery::calls::CALL_TIMEOUT;
 use grebecleat_discovery::long_polling::{Event as PollingEvent, PollConn};
+use grebecleat_host::memory_budget::ReadGrant;
 use grebecleat_host::router::{ConnId, Counters, Input, Output, RequestRouter};
 use grebecleat_scheduler::api::PeerId;
 use grebecleat_wire::clock;
@@ -75,6 +76,10 @@
     listener: ListenerHandle,
     budget: SharedBudget,
     memory_monitor: MemoryMonitor,
+    /// The client that was accepted last; the listener numbers them in order.
+    last_accepted: ConnId,
+    /// Memory granted to readers of clients that were accepted after `last_accepted`.
+    early_grants: Vec<ReadGrant>,
     event_sender: Sender<OwnerEvent>,
     shutdown: Shutdown,
     sweep_at: Duration,
@@ -109,6 +114,8 @@
             listener,
             budget,
             memory_monitor: MemoryMonitor::default(),
+            last_accepted: ConnId(LAST_DIALED_CONN),
+            early_grants: Vec::new(),
             event_sender,
             shutdown: Shutdown::new(settings.longest_deadline()),
             sweep_at: now,
--- a/crates/platform/src/run/owner/memory.rs
+++ b/crates/platform/src/run/owner/memory.rs
@@ -58,12 +58,18 @@
         true
     }
 
-    /// Lets readers that wait for memory go on.
+    /// Lets readers that wait for memory go on. A reader may wait before the owner has handled the event
+    /// that its client was accepted; its grant is kept until then.
     pub(super) fn grant_reads(&mut self) {
+        let mut grants = std::mem::take(&mut self.early_grants);
         // A reader locks the budget while it holds the lock of its gate, so the budget must not be locked
         // while a gate is.
-        let grants = self.budget.lock().take_grants();
+        grants.extend(self.budget.lock().take_grants());
         for grant in grants {
+            if grant.conn > self.last_accepted {
+                self.early_grants.push(grant);
+                continue;
+            }
             let Some(connection) = self.connections.get_mut(grant.conn) else {
                 self.budget.lock().finish_read(grant.conn, grant.bytes, 0);
                 continue;
--- a/crates/platform/src/run/owner/receive.rs
+++ b/crates/platform/src/run/owner/receive.rs
@@ -31,6 +31,7 @@
 impl Owner {
     pub(super) fn client_accepted(&mut self, conn: ConnId, fd: RawFd, gate: Arc<ReadGate>) {
         let now = clock::now();
+        self.last_accepted = conn;
         let role = Role::Client(ClientState::new(now));
         let outbox = self.connections.add(conn, role, fd, gate, now);
         self.inputs.push(Input::ClientUp { conn, outbox });
--- a/crates/platform/src/run/owner/tests.rs
+++ b/crates/platform/src/run/owner/tests.rs
@@ -4,6 +4,7 @@
 use crate::run::listener::ClientSlots;
 use crate::run::sweep::NEW_CLIENT_GRACE_PERIOD;
 use bytes::Bytes;
+use grebecleat_host::memory_budget::PeerKind;
 use grebecleat_host::outbox::AttemptId;
 use grebecleat_scheduler::api::NodeId;
 use std::io::{Read, Write};
@@ -597,7 +598,7 @@
     let (conn, _ours, _theirs) = client(&mut owner, 1);
     let charged = {
         let mut budget = owner.budget.lock();
-        assert!(budget.request_read(conn, grebecleat_host::memory_budget::PeerKind::Client, 100));
+        assert!(budget.request_read(conn, PeerKind::Client, 100));
         budget.finish_read(conn, 100, 50)
     };
     let gate = owner.connections.get(conn).unwrap().gate.clone();
@@ -605,3 +606,30 @@
     owner.connection_lost(conn, CloseReason::TimedOut);
     assert_eq!(owner.budget.lock().read_ahead(), 0);
 }
+
+/// Guards against a reader that waits for ever, and a client that gets no response: the memory for its read
+/// became free before the owner had handled the event that its client was accepted.
+#[test]
+fn memory_is_granted_to_a_reader_whose_client_is_not_accepted_yet() {
+    let mut owner = owner();
+    let (_other, _other_ours, _other_theirs) = client(&mut owner, 1);
+    let conn = ConnId(LAST_DIALED_CONN + 2);
+    let gate = ReadGate::new();
+    let limit = owner.budget.lock().limit();
+    {
+        let mut budget = owner.budget.lock();
+        assert!(budget.request_read(ConnId(7), PeerKind::Discovery, limit));
+        assert!(!budget.request_read(conn, PeerKind::Client, 100));
+        budget.finish_read(ConnId(7), limit, 0);
+    }
+    owner.grant_reads();
+    let (ours, _theirs) = UnixStream::pair().unwrap();
+    let fd = ours.as_raw_fd();
+    owner.handle_event(OwnerEvent::Accepted {
+        conn,
+        fd,
+        gate: gate.clone(),
+    });
+    owner.grant_reads();
+    assert!(gate.has_grant());
+}
--- a/crates/platform/src/run/reader.rs
+++ b/crates/platform/src/run/reader.rs
@@ -274,6 +274,14 @@
     }
 }
 
+#[cfg(test)]
+impl ReadGate {
+    /// Returns whether memory was granted to the waiting reader.
+    pub(super) fn has_grant(&self) -> bool {
+        self.lock().granted
+    }
+}
+
 /// Reads the bytes that are in the socket now. The next read detects an end or an error.
 fn read_more(fd: RawFd, bytes: &mut Vec<u8>) {
     let before = bytes.len();
