--- a/review/initiator_2.py
+++ b/review/initiator_2.py
@@ -163,7 +163,10 @@
     def read_bytes(self, count):
         read = b""
         while len(read) < count:
-            more = self.sock.recv(count - len(read))
+            try:
+                more = self.sock.recv(count - len(read))
+            except socket.timeout as error:
+                raise TimeoutError("the time is up") from error
             if not more:
                 raise ConnectionError("the portal closed the connection")
             read += more
