--- a/review/initiator_2.py
+++ b/review/initiator_2.py
@@ -18,8 +18,8 @@
 SITE = """
 deployment(name = "review")
 zone(name = "a")
-stream_type(name = "read", slo = ms(600), expiry = s({expiry}), repeat = "repeatable", unit_work = ms(1))
-stream_type(name = "write", slo = ms(600), expiry = s({expiry}), repeat = "repeatable", ordered = True, write = True,
+stream_type(name = "slot-read", slo = ms(400), expiry = ms(2500), repeat = "repeatable", unit_work = ms(1))
+stream_type(name = "booking-write", slo = ms(600), expiry = s(3), repeat = "repeatable", ordered = True, write = True,
             unit_work = ms({write_work}))
 plan(name = "p", rate = 2000, reservation = 2000)
 host(name = "h")
@@ -30,7 +30,7 @@
 node_list(lag = ms(10))
 units(mean = 2, largest = 8)
 rules(drain_grace = ms(2000))
-portal(listen = "{portal}", read = "read", write = "write", large_read = "read")
+portal(listen = "{portal}", read = "slot-read", write = "booking-write", large_read = "slot-read")
 target(name = "{target}", volumes = [100 + i for i in range({units})])
 """
 
@@ -38,12 +38,12 @@
 class Site:
     """Discovery, nodes and one host with a portal, each a process of its own."""
 
-    def __init__(self, case, expiry=6, nodes=1, units=1, write_work=1):
+    def __init__(self, case, nodes=1, units=1, write_work=1):
         self.case = case
         self.portal = free_address()
         self.script = case.path("site.star")
         with open(self.script, "w", encoding="utf-8") as file:
-            file.write(SITE.format(portal=self.portal, target=TARGET, expiry=expiry, nodes=nodes, units=units,
+            file.write(SITE.format(portal=self.portal, target=TARGET, nodes=nodes, units=units,
                                    write_work=write_work))
         self.list = free_address()
         self.start("discovery", f"discovery-service {self.script} --listen {self.list}", self.list)
